--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/__init__.py
@@ -0,0 +1,1 @@
+"""World objects, messages, settings and decisions of bilberryplank, without I/O."""
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -0,0 +1,318 @@
+"""Settings of every process: all defaults in one place, read and checked before any work."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import jsonc
+
+from bilberryplank_core._documents import DocumentReader
+from bilberryplank_core._errors import Fault, SettingsInvalid
+from bilberryplank_core._world import UpstreamKind
+
+MIN_FLEET_KEY_CHARS = 16
+MAX_PORT = 65535
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """Addresses of the platform's services, as `http://ip:port`; timeouts in seconds."""
+
+    table: str
+    object_store: str
+    upstream_orders: str
+    usage_reports: str
+    host_list: str
+    timeout: float = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class LinkSettings:
+    """The links between entries and sidecars; durations in seconds.
+
+    Attributes:
+        heartbeat_interval: A silent link gets a heartbeat this often.
+        silence_limit: A link silent for this long is given up.
+        connect_timeout: Bound on connecting and the handshake.
+        buffer_bytes: Bytes that may wait in one link before its senders wait.
+    """
+
+    heartbeat_interval: float = 5.0
+    silence_limit: float = 12.0
+    connect_timeout: float = 1.0
+    buffer_bytes: int = 4 * 1024 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class CallerSettings:
+    """Bounds on what callers may send; durations in seconds."""
+
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: int = 32 * 1024
+    body_timeout: float = 10.0
+    max_connections: int = 2000
+
+
+@dataclass(slots=True, frozen=True)
+class QueueSettings:
+    """The queue of a sidecar.
+
+    Attributes:
+        policy: `tiered`, or `fifo` for the baseline of measurements.
+        slots: Requests that the upstream runs at once.
+        max_queued: Requests that may wait.
+        long_prefill_tokens: A prompt of at least this many tokens is long.
+        long_prefill_share: Most of the slots that long prompts may hold, 0 to 1.
+        wasted_work_budget: Most of the generated tokens that preemption may throw away, 0 to 1.
+    """
+
+    policy: str = "tiered"
+    slots: int = 8
+    max_queued: int = 64
+    long_prefill_tokens: int = 2000
+    long_prefill_share: float = 0.5
+    wasted_work_budget: float = 0.05
+
+
+@dataclass(slots=True, frozen=True)
+class RoutingSettings:
+    """Choice of upstream and retries at an entry; durations in seconds.
+
+    Attributes:
+        policy: `informed`, or `round_robin` for the baseline of measurements.
+        subset_size: Upstreams of a route that an entry keeps links to.
+        hint_lifetime: A load hint older than this is stale.
+        retry_ratio: Retries earned by each success.
+        retry_burst: Retries that may be saved up.
+        max_attempts: Attempts for one request.
+    """
+
+    policy: str = "informed"
+    subset_size: int = 12
+    hint_lifetime: float = 5.0
+    retry_ratio: float = 0.2
+    retry_burst: float = 20.0
+    max_attempts: int = 4
+
+
+@dataclass(slots=True, frozen=True)
+class FleetSettings:
+    """What the processes share; durations in seconds.
+
+    Attributes:
+        poll_interval: A configuration poller reads the table this often.
+        pollers_per_zone: Processes of a zone that poll the table.
+        lease_duration: Length of a lease.
+        lease_margin: A holder stops this much earlier, a contender waits this much longer.
+        lease_candidates: Processes that contend for a lease.
+        stale_limit: Without a confirmed configuration for this long, a host refuses requests.
+        usage_window: Length of a usage window.
+        usage_flush_interval: Usage records are stored this often.
+        usage_buffer: Usage records kept in memory; older ones go to the object store.
+    """
+
+    poll_interval: float = 1.0
+    pollers_per_zone: int = 2
+    lease_duration: float = 6.0
+    lease_margin: float = 1.0
+    lease_candidates: int = 3
+    stale_limit: float = 3600.0
+    usage_window: int = 3600
+    usage_flush_interval: float = 2.0
+    usage_buffer: int = 20000
+
+
+@dataclass(slots=True, frozen=True)
+class LogSettings:
+    """Logs: one line of key=value pairs for each event on standard error."""
+
+    level: str = "INFO"
+
+
+@dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """Settings of an entry.
+
+    Attributes:
+        name: Unique name of the process.
+        zone: Availability zone.
+        listen: `ip:port` for callers.
+        operations_listen: `ip:port` for health, metrics and decisions.
+        fleet_key: Shared secret of the system's processes.
+        key_hash_secret: Secret under which callers' keys are hashed.
+        drain_timeout: Seconds that running requests get after SIGTERM.
+    """
+
+    name: str
+    zone: str
+    listen: str
+    operations_listen: str
+    fleet_key: str
+    key_hash_secret: str
+    platform: PlatformSettings
+    drain_timeout: float = 120.0
+    callers: CallerSettings = CallerSettings()
+    links: LinkSettings = LinkSettings()
+    routing: RoutingSettings = RoutingSettings()
+    fleet: FleetSettings = FleetSettings()
+    logs: LogSettings = LogSettings()
+
+
+@dataclass(slots=True, frozen=True)
+class SidecarSettings:
+    """Settings of a sidecar.
+
+    Attributes:
+        name: Unique name of the process.
+        zone: Availability zone.
+        listen: `ip:port` for entries.
+        operations_listen: `ip:port` for health, metrics and decisions.
+        upstream: Name of the upstream.
+        upstream_kind: Engine or plain service.
+        upstream_url: `http://ip:port` of the upstream.
+        checks_fencing: True only where the upstream refuses orders with old fencing numbers.
+        fleet_key: Shared secret of the system's processes.
+        drain_timeout: Seconds that running requests get after SIGTERM.
+        answer_lifetime: Seconds that an answer is kept for an entry whose link was lost.
+        answer_bytes: Bytes of kept answers.
+    """
+
+    name: str
+    zone: str
+    listen: str
+    operations_listen: str
+    upstream: str
+    upstream_kind: UpstreamKind
+    upstream_url: str
+    fleet_key: str
+    platform: PlatformSettings
+    checks_fencing: bool = False
+    drain_timeout: float = 120.0
+    answer_lifetime: float = 30.0
+    answer_bytes: int = 16 * 1024 * 1024
+    queue: QueueSettings = QueueSettings()
+    links: LinkSettings = LinkSettings()
+    fleet: FleetSettings = FleetSettings()
+    logs: LogSettings = LogSettings()
+
+
+@dataclass(slots=True, frozen=True)
+class OperatorSettings:
+    """Settings of the operators' command.
+
+    Attributes:
+        key_hash_secret: Secret under which callers' keys are hashed.
+        platform: Addresses of the platform's services.
+        operations: `ip:port` of processes whose status and decisions it reads.
+    """
+
+    key_hash_secret: str
+    platform: PlatformSettings
+    operations: tuple[str, ...] = ()
+
+
+S = TypeVar("S", EntrySettings, SidecarSettings, OperatorSettings)
+
+
+def read_settings(kind: type[S], path: Path) -> S:
+    """Returns the checked settings in a file of JSON with comments.
+
+    Raises:
+        SettingsInvalid: With every fault of the file.
+    """
+    settings = _read_document(kind, path)
+    faults = check_settings(settings, str(path))
+    if faults:
+        raise SettingsInvalid(faults)
+    return settings
+
+
+def check_settings(settings: Any, place: str) -> list[Fault]:
+    """Returns the faults of settings whose types are right."""
+    faults: list[Fault] = []
+    for name in settings.__dataclass_fields__:
+        value = getattr(settings, name)
+        faults.extend(_check_value(name, value, f"{place}.{name}"))
+    if isinstance(settings, FleetSettings) and settings.lease_margin * 2 >= settings.lease_duration:
+        faults.append(Fault(f"{place}.lease_margin", "too long", "under half of lease_duration"))
+    if isinstance(settings, LinkSettings) and settings.silence_limit <= settings.heartbeat_interval:
+        faults.append(Fault(f"{place}.silence_limit", "too short", "more than heartbeat_interval"))
+    return faults
+
+
+def _read_document(kind: type[S], path: Path) -> S:
+    try:
+        document = jsonc.loads(path.read_text(encoding="utf-8"))
+    except OSError as exc:
+        raise SettingsInvalid([Fault(str(path), f"cannot be read: {exc.strerror}")]) from exc
+    except UnicodeDecodeError as exc:
+        raise SettingsInvalid([Fault(str(path), "is not UTF-8 text")]) from exc
+    except ValueError as exc:
+        raise SettingsInvalid([Fault(str(path), f"is not JSON with comments: {exc}")]) from exc
+    reader = DocumentReader()
+    settings = reader.read(kind, document, str(path))
+    if settings is None:
+        raise SettingsInvalid(reader.faults)
+    return settings
+
+
+def _check_value(name: str, value: Any, place: str) -> list[Fault]:
+    if hasattr(value, "__dataclass_fields__"):
+        return check_settings(value, place)
+    if name in ("listen", "operations_listen"):
+        return _check_address(value, place)
+    if name == "operations":
+        return [fault for address in value for fault in _check_address(address, place)]
+    if name in _URL_NAMES:
+        return _check_url(value, place)
+    if name in ("fleet_key", "key_hash_secret") and len(value) < MIN_FLEET_KEY_CHARS:
+        return [Fault(place, "too short", f"at least {MIN_FLEET_KEY_CHARS} characters")]
+    if name == "policy" and value not in _POLICIES:
+        return [Fault(place, f"is {value!r}", "one of " + ", ".join(_POLICIES))]
+    if name == "level" and value not in _LEVELS:
+        return [Fault(place, f"is {value!r}", "one of " + ", ".join(_LEVELS))]
+    if name in ("name", "zone", "upstream") and not value:
+        return [Fault(place, "is empty", "a name")]
+    if isinstance(value, (int, float)) and not isinstance(value, bool):
+        return _check_number(name, value, place)
+    return []
+
+
+def _check_number(name: str, value: float, place: str) -> list[Fault]:
+    if name in _SHARES and not 0 <= value <= 1:
+        return [Fault(place, f"is {value}", "0 to 1")]
+    if name not in _SHARES and value <= 0:
+        return [Fault(place, f"is {value}", "more than 0")]
+    return []
+
+
+def _check_address(value: str, place: str) -> list[Fault]:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) <= MAX_PORT
+    except ValueError:
+        valid = False
+    return [] if valid else [Fault(place, f"is {value!r}", "an IP number and port, as ip:port")]
+
+
+def _check_url(value: str, place: str) -> list[Fault]:
+    if not value.startswith("http://"):
+        return [Fault(place, f"is {value!r}", "http://ip:port")]
+    return _check_address(value.removeprefix("http://").rstrip("/"), place)
+
+
+_URL_NAMES = (
+    "table",
+    "object_store",
+    "upstream_orders",
+    "usage_reports",
+    "host_list",
+    "upstream_url",
+)
+_SHARES = ("long_prefill_share", "wasted_work_budget", "retry_ratio")
+_POLICIES = ("tiered", "fifo", "informed", "round_robin")
+_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/errors.py
@@ -0,0 +1,43 @@
+"""Typed failures with codes, and the reasons for refusals and retries."""
+
+from bilberryplank_core._errors import (
+    REFUSAL_STATUS,
+    BilberryplankError,
+    ConfigurationInvalid,
+    Conflict,
+    Fault,
+    FrameInvalid,
+    HandshakeFailed,
+    LeaseLost,
+    LinkClosed,
+    OrderRejected,
+    PlatformError,
+    PlatformUnavailable,
+    RefusalReason,
+    Refused,
+    ReportRejected,
+    RetryReason,
+    SelectorInvalid,
+    SettingsInvalid,
+)
+
+__all__ = [
+    "REFUSAL_STATUS",
+    "BilberryplankError",
+    "ConfigurationInvalid",
+    "Conflict",
+    "Fault",
+    "FrameInvalid",
+    "HandshakeFailed",
+    "LeaseLost",
+    "LinkClosed",
+    "OrderRejected",
+    "PlatformError",
+    "PlatformUnavailable",
+    "RefusalReason",
+    "Refused",
+    "ReportRejected",
+    "RetryReason",
+    "SelectorInvalid",
+    "SettingsInvalid",
+]
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/settings.py
@@ -0,0 +1,31 @@
+"""Settings of every process, with their defaults and checks."""
+
+from bilberryplank_core._settings import (
+    CallerSettings,
+    EntrySettings,
+    FleetSettings,
+    LinkSettings,
+    LogSettings,
+    OperatorSettings,
+    PlatformSettings,
+    QueueSettings,
+    RoutingSettings,
+    SidecarSettings,
+    check_settings,
+    read_settings,
+)
+
+__all__ = [
+    "CallerSettings",
+    "EntrySettings",
+    "FleetSettings",
+    "LinkSettings",
+    "LogSettings",
+    "OperatorSettings",
+    "PlatformSettings",
+    "QueueSettings",
+    "RoutingSettings",
+    "SidecarSettings",
+    "check_settings",
+    "read_settings",
+]
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_frames.py
@@ -0,0 +1,67 @@
+import unittest
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberryplank_core.errors import FrameInvalid
+from bilberryplank_core.messages import (
+    LENGTH_BYTES,
+    MESSAGE_TYPES,
+    AttemptId,
+    Body,
+    Dispatch,
+    Load,
+    NotRun,
+    decode,
+    encode,
+    payload_length,
+)
+
+ATTEMPT = AttemptId("r1", 1, "e1")
+
+
+def round_trip(message):
+    frame = encode(message)
+    assert payload_length(frame[:LENGTH_BYTES]) == len(frame) - LENGTH_BYTES
+    return decode(frame[LENGTH_BYTES:])
+
+
+class FrameTest(unittest.TestCase):
+    def test_messages_survive_the_wire(self):
+        messages = [
+            Body(ATTEMPT, 3, b"abc"),
+            NotRun(ATTEMPT, "shed", 1.5, Load(queued=2, leaving=True)),
+            Dispatch(ATTEMPT, "org", "k", "c", "r", "POST", "/v1", [["a", "b"]], b"{}", 2.0),
+        ]
+        for message in messages:
+            self.assertEqual(round_trip(message), message)
+
+    def test_wrong_types_are_refused(self):
+        cases = [
+            b"",
+            b"\xc1",
+            msgpack.packb({}),
+            msgpack.packb([]),
+            msgpack.packb([len(MESSAGE_TYPES)]),
+            msgpack.packb([True]),
+            msgpack.packb([6, ["r", 1, "e"], "0", b""]),
+            msgpack.packb([7, ["r", 1], 0, b""]),
+            msgpack.packb([7, ["r", 1, "e"], True, b""]),
+        ]
+        for payload in cases:
+            with self.subTest(payload=payload), self.assertRaises(FrameInvalid):
+                decode(payload)
+
+    def test_lengths_out_of_range_are_refused(self):
+        for header in (b"\0\0\0\0", b"\xff\xff\xff\xff"):
+            with self.subTest(header=header), self.assertRaises(FrameInvalid):
+                payload_length(header)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.binary(max_size=200))
+    def test_any_bytes_give_a_message_or_a_typed_error(self, payload):
+        try:
+            decode(payload)
+        except FrameInvalid:
+            pass
--- /dev/null
+++ b/packages/bilberryplank-testing/bilberryplank_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes, load tool and scenario steps; never imported by the other packages."""
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of bilberryplank: entry and sidecar."""
--- /dev/null
+++ b/packages/bilberryplankctl/bilberryplankctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command of bilberryplank."""
