--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -0,0 +1,285 @@
+"""Counters, histograms and gauges of one process.
+
+Label values come from closed lists: the typed reasons, and the class names of the configuration.
+There is no label for organisations: thousands of them times the classes and reasons would hold more
+memory than a process may use for control. Usage by organisation is in the usage reports.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    disable_created_metrics,
+    generate_latest,
+)
+
+from bilberryplank_core.errors import RefusalReason, RetryReason
+
+NO_CLASS = "none"
+FIRST_TOKEN_BUCKETS_SECONDS = (0.05, 0.1, 0.2, 0.38, 0.75, 1.5, 3.0, 6.0, 15.0, 30.0, 60.0)
+TOKEN_GAP_BUCKETS_SECONDS = (0.01, 0.02, 0.03, 0.048, 0.075, 0.15, 0.5, 2.0)
+QUEUE_WAIT_BUCKETS_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.38, 0.75, 1.5, 5.0, 20.0, 60.0)
+PLATFORM_BUCKETS_SECONDS = (0.002, 0.005, 0.02, 0.05, 0.2, 0.5, 1.0, 2.0)
+
+# Each counter would otherwise bring a second series with the time of its creation.
+disable_created_metrics()
+
+
+class RequestOutcome(Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    CALLER_GONE = "caller_gone"
+
+
+class FrameDropCause(Enum):
+    """Why a frame of a peer was dropped."""
+
+    LATE = "late"
+    DOUBLED = "doubled"
+    FOREIGN = "foreign"
+    INVALID = "invalid"
+
+
+class PlatformService(Enum):
+    """A service of the platform."""
+
+    TABLE = "table"
+    OBJECT_STORE = "object_store"
+    UPSTREAM_ORDERS = "upstream_orders"
+    USAGE_REPORTS = "usage_reports"
+    HOST_LIST = "host_list"
+
+
+class PlatformOutcome(Enum):
+    """How a call to the platform ended."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    REJECTED = "rejected"
+    UNAVAILABLE = "unavailable"
+    LEASE_LOST = "lease_lost"
+
+
+class TokenUse(Enum):
+    """What became of generated tokens."""
+
+    DELIVERED = "delivered"
+    WASTED = "wasted"
+
+
+class UsageEvent(Enum):
+    """What became of usage records."""
+
+    STORED = "stored"
+    SPILLED = "spilled"
+    LOST = "lost"
+
+
+class ProcessMetrics:
+    """All metrics of one process, in a registry of their own."""
+
+    def __init__(self, registry: CollectorRegistry | None = None) -> None:
+        self.registry = registry or CollectorRegistry()
+        self._classes = {NO_CLASS}
+        ProcessCollector(registry=self.registry)
+        self._build_request_metrics()
+        self._build_link_metrics()
+        self._build_platform_metrics()
+        self._create_reasons()
+        self._create_class(NO_CLASS)
+
+    def declare_classes(self, names: Iterable[str]) -> None:
+        """Creates the series of the configuration's classes, so that each exists at 0.
+
+        A class that was never declared is counted under `none`.
+        """
+        for name in names:
+            if name not in self._classes:
+                self._classes.add(name)
+                self._create_class(name)
+
+    def render(self) -> bytes:
+        """Returns all metrics in Prometheus's text format."""
+        return generate_latest(self.registry)
+
+    def request_ended(self, class_name: str, outcome: RequestOutcome) -> None:
+        """Counts a request at its end."""
+        self._requests.labels(self._class_label(class_name), outcome.value).inc()
+
+    def refused(self, reason: RefusalReason, class_name: str = NO_CLASS) -> None:
+        """Counts a refusal; without a class where it came before the class was known."""
+        self._refusals.labels(reason.value, self._class_label(class_name)).inc()
+
+    def retried(self, reason: RetryReason) -> None:
+        """Counts a further attempt."""
+        self._retries.labels(reason.value).inc()
+
+    def preempted(self, class_name: str) -> None:
+        """Counts a running request that made way for a higher tier."""
+        self._preemptions.labels(self._class_label(class_name)).inc()
+
+    def target_judged(self, class_name: str, met: bool) -> None:
+        """Counts whether a request met the latency targets of its class."""
+        self._targets.labels(self._class_label(class_name), str(met).lower()).inc()
+
+    def tokens_generated(self, class_name: str, use: TokenUse, count: int) -> None:
+        """Counts generated tokens by what became of them."""
+        self._tokens.labels(self._class_label(class_name), use.value).inc(count)
+
+    def first_token(self, class_name: str, seconds: float) -> None:
+        """Observes the seconds from a request's arrival to the first byte of its answer."""
+        self._first_token.labels(self._class_label(class_name)).observe(seconds)
+
+    def token_gap(self, class_name: str, seconds: float) -> None:
+        """Observes the mean seconds between the tokens of one answer."""
+        self._token_gap.labels(self._class_label(class_name)).observe(seconds)
+
+    def queue_waited(self, class_name: str, seconds: float) -> None:
+        """Observes the seconds that a request waited in a sidecar's queue."""
+        self._queue_wait.labels(self._class_label(class_name)).observe(seconds)
+
+    def set_load(self, queued: int, running: int) -> None:
+        """Sets how many requests wait and run in this process."""
+        self._queued.set(queued)
+        self._running.set(running)
+
+    def set_links(self, count: int) -> None:
+        """Sets the number of open links to other processes."""
+        self._links.set(count)
+
+    def frame_dropped(self, cause: FrameDropCause) -> None:
+        """Counts a frame that was dropped."""
+        self._frames_dropped.labels(cause.value).inc()
+
+    def handshake_failed(self) -> None:
+        """Counts a peer that did not prove that it belongs to the fleet."""
+        self._handshakes_failed.inc()
+
+    def upstream_ejected(self) -> None:
+        """Counts an upstream taken out of choice as a straggler."""
+        self._ejections.inc()
+
+    def platform_called(
+        self, service: PlatformService, outcome: PlatformOutcome, seconds: float
+    ) -> None:
+        """Counts and times a call to the platform."""
+        self._platform_calls.labels(service.value, outcome.value).inc()
+        self._platform_seconds.labels(service.value).observe(seconds)
+
+    def set_configuration(self, version: int, confirmed_age: float) -> None:
+        """Sets the version in force and the seconds since a store read confirmed it."""
+        self._version.set(version)
+        self._confirmed_age.set(confirmed_age)
+
+    def set_lease(self, lease: str, held: bool) -> None:
+        """Sets whether this process holds a lease."""
+        self._leases.labels(lease).set(int(held))
+
+    def set_usage_waiting(self, count: int) -> None:
+        """Sets the number of usage records that the store has not confirmed."""
+        self._usage_waiting.set(count)
+
+    def usage_records(self, event: UsageEvent, count: int) -> None:
+        """Counts usage records by what became of them."""
+        self._usage_records.labels(event.value).inc(count)
+
+    def _class_label(self, name: str) -> str:
+        return name if name in self._classes else NO_CLASS
+
+    def _build_request_metrics(self) -> None:
+        self._requests = self._counter(
+            "requests", "Requests by class and how they ended.", "class", "outcome"
+        )
+        self._refusals = self._counter(
+            "refusals", "Refusals by typed reason and class.", "reason", "class"
+        )
+        self._retries = self._counter("retries", "Further attempts by typed reason.", "reason")
+        self._preemptions = self._counter("preemptions", "Requests preempted.", "class")
+        self._targets = self._counter(
+            "targets", "Answers by whether they met the targets of their class.", "class", "met"
+        )
+        self._tokens = self._counter("tokens", "Generated tokens by their use.", "class", "use")
+        self._first_token = self._histogram(
+            "first_token_seconds", "Arrival to first byte.", FIRST_TOKEN_BUCKETS_SECONDS, "class"
+        )
+        self._token_gap = self._histogram(
+            "token_gap_seconds", "Mean gap between tokens.", TOKEN_GAP_BUCKETS_SECONDS, "class"
+        )
+        self._queue_wait = self._histogram(
+            "queue_wait_seconds", "Wait in the queue.", QUEUE_WAIT_BUCKETS_SECONDS, "class"
+        )
+        self._queued = self._gauge("queued_requests", "Requests that wait.")
+        self._running = self._gauge("running_requests", "Requests that run.")
+
+    def _build_link_metrics(self) -> None:
+        self._links = self._gauge("links", "Open links to other processes.")
+        self._frames_dropped = self._counter("frames_dropped", "Frames dropped by cause.", "cause")
+        self._handshakes_failed = self._counter("handshakes_failed", "Peers turned away.")
+        self._ejections = self._counter("upstream_ejections", "Stragglers taken out of choice.")
+
+    def _build_platform_metrics(self) -> None:
+        self._platform_calls = self._counter(
+            "platform_calls", "Calls to the platform by outcome.", "service", "outcome"
+        )
+        self._platform_seconds = self._histogram(
+            "platform_seconds", "Time of calls.", PLATFORM_BUCKETS_SECONDS, "service"
+        )
+        self._version = self._gauge("configuration_version", "Configuration in force.")
+        self._confirmed_age = self._gauge(
+            "configuration_confirmed_age_seconds", "Since a store read confirmed it."
+        )
+        self._leases = self._gauge("lease_held", "1 where this process holds the lease.", "lease")
+        self._usage_waiting = self._gauge("usage_records_waiting", "Records not yet stored.")
+        self._usage_records = self._counter("usage_records", "Usage records by event.", "event")
+
+    def _create_reasons(self) -> None:
+        for retry in RetryReason:
+            self._retries.labels(retry.value)
+        for cause in FrameDropCause:
+            self._frames_dropped.labels(cause.value)
+        for event in UsageEvent:
+            self._usage_records.labels(event.value)
+        for service in PlatformService:
+            self._platform_seconds.labels(service.value)
+            for outcome in PlatformOutcome:
+                self._platform_calls.labels(service.value, outcome.value)
+
+    def _create_class(self, name: str) -> None:
+        for reason in RefusalReason:
+            self._refusals.labels(reason.value, name)
+        for outcome in RequestOutcome:
+            self._requests.labels(name, outcome.value)
+        for use in TokenUse:
+            self._tokens.labels(name, use.value)
+        for met in ("true", "false"):
+            self._targets.labels(name, met)
+        for series in (self._preemptions, self._first_token, self._token_gap, self._queue_wait):
+            series.labels(name)
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(name, text, labels, namespace="bilberryplank", registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(name, text, labels, namespace="bilberryplank", registry=self.registry)
+
+    def _histogram(
+        self, name: str, text: str, buckets: tuple[float, ...], *labels: str
+    ) -> Histogram:
+        return Histogram(
+            name,
+            text,
+            labels,
+            namespace="bilberryplank",
+            registry=self.registry,
+            buckets=buckets,
+        )
