--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue_baseline.py
@@ -0,0 +1,123 @@
+"""The baseline queue of measurements: first come, first served, refusing only when full."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from bilberryplank_core._admission import WaitEstimator
+from bilberryplank_core._errors import RefusalReason
+from bilberryplank_core._estimates import cost_of
+from bilberryplank_core._messages import AttemptId, Load
+from bilberryplank_core._queue_types import QueuedRequest, Rejection, RequestQueue
+from bilberryplank_core._settings import QueueSettings
+from bilberryplank_core._slots import RunningRequest, SlotTable
+
+BASELINE_OUTPUT_TOKENS = 128
+"""Output tokens that the baseline assumes for every answer."""
+
+
+class FifoQueue(RequestQueue):
+    """One queue in order of arrival, without tiers, shares, shedding or preemption."""
+
+    def __init__(self, settings: QueueSettings) -> None:
+        self._max_queued = settings.max_queued
+        self._slots = SlotTable(settings.slots, 1.0)
+        self._waits = WaitEstimator()
+        self._waiting: dict[AttemptId, QueuedRequest] = {}
+        self._queued_cost = 0.0
+
+    @classmethod
+    def from_settings(cls, settings: QueueSettings) -> FifoQueue:
+        """Returns an empty queue."""
+        return cls(settings)
+
+    def offer(self, req: QueuedRequest, now: float) -> list[Rejection]:
+        """Queues a request, or refuses it where the queue is full."""
+        if len(self._waiting) >= self._max_queued:
+            return [self._rejection(req, RefusalReason.QUEUE_FULL)]
+        req.cost = cost_of(req.prompt_tokens, req.output_limit or BASELINE_OUTPUT_TOKENS)
+        self._queued_cost += req.cost
+        self._waiting[req.attempt] = req
+        return []
+
+    def take(self, now: float) -> QueuedRequest | None:
+        """Returns the request that came first, or None."""
+        req = next(iter(self._waiting.values()), None)
+        if req is None or self._slots.free <= 0:
+            return None
+        self._remove(req)
+        self._slots.add(RunningRequest(req, long=False, by_floor=False))
+        return req
+
+    def started(self, attempt: AttemptId, now: float) -> None:
+        """Notes that a taken request was sent to the upstream."""
+        entry = self._slots.get(attempt)
+        if entry is not None:
+            entry.started = now
+
+    def finished(
+        self,
+        attempt: AttemptId,
+        now: float,
+        prompt_tokens: int,
+        completion_tokens: int,
+        whole: bool = True,
+    ) -> None:
+        """Frees the slot of a taken request, with the tokens it really used."""
+        entry = self._slots.remove(attempt)
+        if entry is not None and entry.started is not None:
+            cost = cost_of(prompt_tokens, completion_tokens)
+            self._waits.observe(entry.req.class_name, cost, now - entry.started)
+
+    def cancel(self, attempt: AttemptId) -> bool:
+        """Removes a queued request; True only where it was still queued and never will run."""
+        req = self._waiting.get(attempt)
+        if req is not None:
+            self._remove(req)
+        return req is not None
+
+    def expire(self, now: float) -> list[Rejection]:
+        """Removes the queued requests whose deadline has passed."""
+        late = [req for req in self._waiting.values() if req.deadline <= now]
+        return self._reject_all(late, RefusalReason.DEADLINE_PASSED)
+
+    def next_expiry(self) -> float | None:
+        """Returns the earliest deadline of a queued request, or None."""
+        return min((req.deadline for req in self._waiting.values()), default=None)
+
+    def drop_keys(self, withdrawn: Iterable[str]) -> list[Rejection]:
+        """Removes the queued requests of withdrawn keys."""
+        keys = frozenset(withdrawn)
+        dropped = [req for req in self._waiting.values() if req.key_id in keys]
+        return self._reject_all(dropped, RefusalReason.KEY_WITHDRAWN)
+
+    def preempt(self, now: float) -> AttemptId | None:
+        """Returns None: the baseline never preempts."""
+        return None
+
+    def load(self, now: float) -> Load:
+        """Returns queued, running, slots, queued cost and drain rate; the rest at its defaults."""
+        return Load(
+            queued=len(self._waiting),
+            running=len(self._slots),
+            slots=self._slots.slots,
+            queued_cost=self._queued_cost,
+            drain_rate=self._waits.drain_rate(self._slots.slots),
+        )
+
+    def set_slots(self, slots: int) -> None:
+        """Sets the requests that the upstream runs at once; running ones stay."""
+        self._slots.slots = max(1, slots)
+
+    def _remove(self, req: QueuedRequest) -> None:
+        del self._waiting[req.attempt]
+        self._queued_cost -= req.cost
+
+    def _reject_all(self, reqs: list[QueuedRequest], reason: RefusalReason) -> list[Rejection]:
+        for req in reqs:
+            self._remove(req)
+        return [self._rejection(req, reason) for req in reqs]
+
+    def _rejection(self, req: QueuedRequest, reason: RefusalReason) -> Rejection:
+        retry_after = self._waits.retry_after(self._queued_cost, self._slots.slots)
+        return Rejection(req.attempt, reason, retry_after)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_slots.py
@@ -0,0 +1,77 @@
+"""The slots of an upstream and what runs in them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bilberryplank_core._messages import AttemptId
+from bilberryplank_core._queue_types import QueuedRequest
+
+
+@dataclass(slots=True, eq=False)
+class RunningRequest:
+    """A request that holds a slot.
+
+    Attributes:
+        req: The request.
+        long: True where its prompt is long.
+        by_floor: True where its class's floor put it ahead of a higher tier.
+        started: When it was sent to the upstream; None before.
+        reserved_waste: Tokens set aside in the budget once it is being preempted; None before.
+    """
+
+    req: QueuedRequest
+    long: bool
+    by_floor: bool
+    started: float | None = None
+    reserved_waste: float | None = None
+
+
+class SlotTable:
+    """Counts free slots, and those that long prompts may still take."""
+
+    __slots__ = ("_long_running", "_long_share", "_running", "slots")
+
+    def __init__(self, slots: int, long_share: float) -> None:
+        self.slots = slots
+        self._long_share = long_share
+        self._running: dict[AttemptId, RunningRequest] = {}
+        self._long_running = 0
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    @property
+    def free(self) -> int:
+        """Slots that nothing holds."""
+        return self.slots - len(self._running)
+
+    @property
+    def long_limit(self) -> int:
+        """Slots that long prompts may hold together; at least one."""
+        return max(1, int(self.slots * self._long_share))
+
+    @property
+    def long_room(self) -> int:
+        """Long prompts that may still run within their bound, free slots or not."""
+        return self.long_limit - self._long_running
+
+    def add(self, running: RunningRequest) -> None:
+        """Gives a slot to a request."""
+        self._running[running.req.attempt] = running
+        self._long_running += running.long
+
+    def get(self, attempt: AttemptId) -> RunningRequest | None:
+        """Returns the request that holds a slot, or None."""
+        return self._running.get(attempt)
+
+    def remove(self, attempt: AttemptId) -> RunningRequest | None:
+        """Frees the slot of a request; returns None where it held none."""
+        running = self._running.pop(attempt, None)
+        if running is not None:
+            self._long_running -= running.long
+        return running
+
+    def running(self) -> list[RunningRequest]:
+        """Returns all requests that hold a slot."""
+        return list(self._running.values())
