Keep the configuration in the table as a head row, changes and checkpoints

Cause: the processes need one configuration that never reverts and whose changes cost each of them little. Ruled out: one row with the whole document, which every change would send to every process. The holder never goes down, and only word of the version in force confirms it.

--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_delta.py
@@ -0,0 +1,152 @@
+"""Differences between configurations, so that a change costs each process only what changed."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import MISSING, Field, dataclass, field, fields
+from enum import Enum
+from typing import Any
+
+from bilberryplank_core._configuration import Configuration, ConfigurationParts
+from bilberryplank_core._documents import DocumentReader
+from bilberryplank_core._errors import ConfigurationInvalid, Fault
+from bilberryplank_core._world import Key
+
+PART_NAMES = tuple(part.name for part in fields(ConfigurationParts))
+
+
+@dataclass(slots=True, frozen=True)
+class ConfigurationDelta:
+    """What turns one version into a later one.
+
+    Attributes:
+        from_version: Version to which it applies.
+        to_version: Version that it gives.
+        upserts: Items that are new or changed.
+        removals: Identities of removed items, by list.
+        replaced: Lists that `upserts` holds whole, because their order changed.
+    """
+
+    from_version: int
+    to_version: int
+    upserts: ConfigurationParts = field(default_factory=ConfigurationParts)
+    removals: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    replaced: tuple[str, ...] = ()
+
+    @classmethod
+    def between(cls, old: Configuration, new: Configuration) -> ConfigurationDelta:
+        """Returns the difference between two configurations."""
+        upserts: dict[str, tuple[Any, ...]] = {}
+        removals: dict[str, tuple[str, ...]] = {}
+        replaced = []
+        for name in PART_NAMES:
+            before, after = getattr(old.parts, name), getattr(new.parts, name)
+            upserts[name], removals[name] = _differences(before, after)
+            if _merge(before, upserts[name], removals[name]) != after:
+                upserts[name], removals[name] = after, ()
+                replaced.append(name)
+        removals = {name: gone for name, gone in removals.items() if gone}
+        parts = ConfigurationParts(**upserts)
+        return cls(old.version, new.version, parts, removals, tuple(replaced))
+
+    @classmethod
+    def from_document(cls, document: Any) -> ConfigurationDelta:
+        """Returns the difference in a parsed JSON document.
+
+        Raises:
+            ConfigurationInvalid: With every fault of the document.
+        """
+        reader = DocumentReader()
+        delta = reader.read(cls, document, "change")
+        if delta is None:
+            raise ConfigurationInvalid(reader.faults)
+        return delta
+
+    def to_document(self) -> dict[str, Any]:
+        """Returns the difference as plain JSON values."""
+        upserts = {name: plain_items(getattr(self.upserts, name)) for name in PART_NAMES}
+        return {
+            "from_version": self.from_version,
+            "to_version": self.to_version,
+            "upserts": {name: items for name, items in upserts.items() if items},
+            "removals": {name: list(gone) for name, gone in self.removals.items()},
+            "replaced": list(self.replaced),
+        }
+
+    def to_bytes(self) -> bytes:
+        """Returns the difference as JSON bytes."""
+        return json.dumps(self.to_document(), separators=(",", ":")).encode()
+
+    def apply(self, old: Configuration) -> Configuration:
+        """Returns the later configuration; it was checked before it was accepted.
+
+        Raises:
+            ConfigurationInvalid: `old` is another version.
+        """
+        if old.version != self.from_version:
+            fault = Fault("change.from_version", f"is {self.from_version}", str(old.version))
+            raise ConfigurationInvalid([fault])
+        merged = {name: self._merged(name, old) for name in PART_NAMES}
+        return Configuration(self.to_version, ConfigurationParts(**merged))
+
+    def _merged(self, name: str, old: Configuration) -> tuple[Any, ...]:
+        upserts = getattr(self.upserts, name)
+        if name in self.replaced:
+            return upserts
+        return _merge(getattr(old.parts, name), upserts, self.removals.get(name, ()))
+
+
+def identity_of(item: Any) -> str:
+    """Returns what identifies an item within its list."""
+    return item.key_id if isinstance(item, Key) else item.name
+
+
+def plain_items(items: tuple[Any, ...]) -> list[dict[str, Any]]:
+    """Returns items as plain JSON values, without members that have their default."""
+    return [
+        {
+            part.name: _plain(getattr(item, part.name))
+            for part in fields(item)
+            if _is_set(part, item)
+        }
+        for item in items
+    ]
+
+
+def _is_set(part: Field[Any], item: Any) -> bool:
+    value = getattr(item, part.name)
+    if part.default_factory is not MISSING:
+        return value != part.default_factory()
+    return value != part.default
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Enum):
+        return value.value
+    return list(value) if isinstance(value, tuple) else value
+
+
+def _differences(
+    before: tuple[Any, ...], after: tuple[Any, ...]
+) -> tuple[tuple[Any, ...], tuple[str, ...]]:
+    if before is after:
+        return (), ()
+    known = {identity_of(item): item for item in before}
+    upserts = []
+    for item in after:
+        if known.pop(identity_of(item), None) != item:
+            upserts.append(item)
+    return tuple(upserts), tuple(known)
+
+
+def _merge(
+    before: tuple[Any, ...], upserts: tuple[Any, ...], removals: tuple[str, ...]
+) -> tuple[Any, ...]:
+    if not upserts and not removals:
+        return before
+    merged = {identity_of(item): item for item in before}
+    for identity in removals:
+        merged.pop(identity, None)
+    for item in upserts:
+        merged[identity_of(item)] = item
+    return tuple(merged.values())
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
@@ -0,0 +1,145 @@
+"""The configuration that a process has in force, and how its peers' versions move it on."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from bilberryplank_core._configuration import Configuration
+from bilberryplank_core._configuration_delta import ConfigurationDelta
+from bilberryplank_core._errors import ConfigurationInvalid, Fault
+
+KEPT_DELTAS = 256
+
+Subscriber = Callable[[Configuration], None]
+
+
+class ConfigurationHolder:
+    """Holds the newest configuration that a process has met; its version never goes down.
+
+    A confirmation is the time, on this process's clock, at which a read of the store showed the
+    version in force here as the newest.
+    """
+
+    __slots__ = ("_clock", "_configuration", "_confirmed_at", "_deltas", "_subscribers")
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._configuration = Configuration()
+        self._confirmed_at: float | None = None
+        self._deltas: deque[ConfigurationDelta] = deque(maxlen=KEPT_DELTAS)
+        self._subscribers: list[Subscriber] = []
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force; version 0 before the first."""
+        return self._configuration
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first."""
+        return self._configuration.version
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Has `subscriber` called with each new configuration."""
+        self._subscribers.append(subscriber)
+
+    def offer(self, version: int, configuration: Configuration, confirmed_at: float) -> bool:
+        """Takes a whole configuration where it is newer; returns True where it did."""
+        if version < self.version:
+            return False
+        if version == self.version:
+            self._confirm(confirmed_at)
+            return False
+        self._deltas.clear()
+        self._take(configuration, confirmed_at)
+        return True
+
+    def offer_delta(self, delta: ConfigurationDelta, confirmed_at: float) -> bool:
+        """Takes a difference that applies to the version in force; returns True where it did."""
+        if delta.from_version != self.version or delta.to_version <= self.version:
+            return False
+        self._deltas.append(delta)
+        self._take(delta.apply(self._configuration), confirmed_at)
+        return True
+
+    def seen(self, version: int, confirmed_age: float) -> bool:
+        """Notes what a peer's message says; returns True where a fetch is due.
+
+        Args:
+            version: Version in force at the peer.
+            confirmed_age: Seconds since a store read confirmed it there.
+        """
+        if version == self.version:
+            self._confirm(self._clock() - confirmed_age)
+        return version > self.version
+
+    def confirmed_age(self, now: float) -> float:
+        """Returns the seconds since the version in force was confirmed; infinite before."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return max(0.0, now - self._confirmed_at)
+
+    def stale(self, now: float, limit: float) -> bool:
+        """Returns True where nothing confirmed the configuration for `limit` seconds."""
+        return self.confirmed_age(now) > limit
+
+    def update_since(self, version: int) -> bytes:
+        """Returns what brings a peer from `version` to the one in force, as JSON bytes."""
+        deltas = self._deltas_since(version)
+        if deltas is None:
+            value: dict[str, Any] = {"document": self._configuration.to_document()}
+        else:
+            value = {"changes": [delta.to_document() for delta in deltas]}
+        value["version"] = self.version
+        return json.dumps(value, separators=(",", ":")).encode()
+
+    def accept_update(self, update: bytes, confirmed_age: float) -> bool:
+        """Takes a peer's `update_since`; returns True where the version went up.
+
+        Raises:
+            ConfigurationInvalid: The bytes are no update.
+        """
+        value = _parse_update(update)
+        confirmed_at = self._clock() - confirmed_age
+        before = self.version
+        if "document" in value and value["version"] > before:
+            configuration = Configuration.from_document(value["version"], value["document"])
+            self.offer(configuration.version, configuration, confirmed_at)
+        for change in value.get("changes", []):
+            self.offer_delta(ConfigurationDelta.from_document(change), float("-inf"))
+        if value["version"] == self.version:
+            self._confirm(confirmed_at)
+        return self.version > before
+
+    def _deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
+        if version == self.version:
+            return []
+        deltas = [delta for delta in self._deltas if delta.from_version >= version]
+        if not deltas or deltas[0].from_version != version:
+            return None
+        return deltas
+
+    def _take(self, configuration: Configuration, confirmed_at: float) -> None:
+        self._configuration = configuration
+        self._confirmed_at = confirmed_at
+        for subscriber in self._subscribers:
+            subscriber(configuration)
+
+    def _confirm(self, confirmed_at: float) -> None:
+        if self._confirmed_at is None or confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+
+
+def _parse_update(update: bytes) -> dict[str, Any]:
+    try:
+        value = json.loads(update)
+    except ValueError as exc:
+        raise ConfigurationInvalid([Fault("update", f"is not JSON: {exc}")]) from exc
+    if not isinstance(value, dict) or type(value.get("version")) is not int:
+        raise ConfigurationInvalid([Fault("update", "has no version", "an update")])
+    if not isinstance(value.get("changes", []), list):
+        raise ConfigurationInvalid([Fault("update.changes", "is no list", "a list")])
+    return value
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_pollers.py
@@ -0,0 +1,66 @@
+"""Which processes read the configuration's head row, and when.
+
+A few processes of each zone poll; all others learn versions from their peers' messages. A process
+that no confirmation reached for a while polls by itself. Its waits grow with the size of the
+fleet, so that a whole fleet cut off from its pollers stays within one budget of reads.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+
+from bilberryplank_core._ranking import is_ranked
+from bilberryplank_core._world import Host
+
+POLL_JITTER = 0.2
+SELF_POLL_AFTER = 6.0
+"""Seconds without a confirmation after which a process polls by itself."""
+SELF_POLL_BUDGET = 50.0
+"""Reads a second for all processes that poll by themselves."""
+
+
+def polls(name: str, zone: str, members: Iterable[Host], pollers_per_zone: int) -> bool:
+    """Returns True where the process `name` is a poller of its zone."""
+    neighbours = (member.name for member in members if member.zone == zone)
+    return is_ranked(f"poll/{zone}", name, neighbours, pollers_per_zone)
+
+
+class PollSchedule:
+    """Says when a process next reads the configuration's head row."""
+
+    __slots__ = ("_interval", "_next_poll", "_rng")
+
+    def __init__(self, interval: float, rng: Random) -> None:
+        self._interval = interval
+        self._rng = rng
+        self._next_poll: float | None = None
+
+    def due(self, now: float, elected: bool, fleet_size: int, confirmed_age: float) -> bool:
+        """Returns True where a read is due now; the next one is then planned.
+
+        Args:
+            now: Seconds, monotonic.
+            elected: True where this process `polls` for its zone.
+            fleet_size: Number of live processes.
+            confirmed_age: Seconds since the version in force was confirmed.
+        """
+        if elected:
+            return self._due_each(now, self._jittered(self._interval))
+        if confirmed_age < SELF_POLL_AFTER:
+            self._next_poll = None
+            return False
+        spread = 2 * fleet_size / SELF_POLL_BUDGET
+        wait = self._rng.uniform(0, max(spread, 2 * self._interval))
+        if self._next_poll is None:
+            self._next_poll = now + wait
+        return self._due_each(now, wait)
+
+    def _due_each(self, now: float, wait: float) -> bool:
+        if self._next_poll is not None and now < self._next_poll:
+            return False
+        self._next_poll = now + wait
+        return True
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -0,0 +1,19 @@
+"""What the processes share: configuration, membership, leases, orders, usage, scaling."""
+
+from bilberryplank_core._configuration_delta import ConfigurationDelta
+from bilberryplank_core._configuration_holder import ConfigurationHolder
+from bilberryplank_core._configuration_store import ConfigurationHead, ConfigurationStore
+from bilberryplank_core._pollers import PollSchedule, polls
+from bilberryplank_core._ranking import is_ranked, ranked, weight
+
+__all__ = [
+    "ConfigurationDelta",
+    "ConfigurationHead",
+    "ConfigurationHolder",
+    "ConfigurationStore",
+    "PollSchedule",
+    "is_ranked",
+    "polls",
+    "ranked",
+    "weight",
+]
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
@@ -0,0 +1,104 @@
+"""In-memory platform services with faults, for the tests of this package."""
+
+import copy
+from collections import deque
+from enum import Enum
+
+from bilberryplank_core.contracts import ObjectStore, Put, Row, Table
+from bilberryplank_core.errors import Conflict, PlatformUnavailable
+
+
+class TableFault(Enum):
+    DOWN = "down"
+    LOST_ANSWER = "lost_answer"
+
+
+class MemoryTable(Table):
+    """A table; `faults` strike the next commits in order, `down` every call.
+
+    While `stale` is set, reads and scans answer from the rows as they were when it was set.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.down = False
+        self.faults = deque()
+        self.reads = self.writes = 0
+        self.on_commit = None
+        self._revision = 0
+        self._stale_rows = None
+
+    def freeze_reads(self):
+        self._stale_rows = dict(self.rows)
+
+    def thaw_reads(self):
+        self._stale_rows = None
+
+    def _seen(self):
+        if self.down:
+            raise PlatformUnavailable("table is down")
+        return self.rows if self._stale_rows is None else self._stale_rows
+
+    async def read(self, table, key):
+        self.reads += 1
+        row = self._seen().get((table, key))
+        return copy.deepcopy(row)
+
+    async def scan(self, table, prefix="", limit=1000):
+        self.reads += 1
+        found = sorted(k for k in self._seen() if k[0] == table and k[1].startswith(prefix))
+        return [copy.deepcopy(self._seen()[k]) for k in found[:limit]]
+
+    async def commit(self, conditions, writes):
+        fault = self.faults.popleft() if self.faults else None
+        if self.down or fault is TableFault.DOWN:
+            raise PlatformUnavailable("table is down")
+        if self.on_commit is not None:
+            hook, self.on_commit = self.on_commit, None
+            await hook()
+        revision = self._apply(conditions, writes)
+        if fault is TableFault.LOST_ANSWER:
+            raise PlatformUnavailable("answer lost")
+        return revision
+
+    def _apply(self, conditions, writes):
+        for condition in conditions:
+            row = self.rows.get((condition.table, condition.key))
+            if (row.revision if row else 0) != condition.revision:
+                raise Conflict(f"{condition.key} has another revision")
+        self._revision += 1
+        self.writes += 1
+        for write in writes:
+            place = (write.table, write.key)
+            if isinstance(write, Put):
+                value = copy.deepcopy(write.value)
+                self.rows[place] = Row(write.table, write.key, value, self._revision)
+            else:
+                self.rows.pop(place, None)
+        return self._revision
+
+
+class MemoryObjectStore(ObjectStore):
+    def __init__(self):
+        self.objects = {}
+        self.down = False
+
+    def _check(self):
+        if self.down:
+            raise PlatformUnavailable("object store is down")
+
+    async def put(self, name, data):
+        self._check()
+        self.objects[name] = data
+
+    async def get(self, name):
+        self._check()
+        return self.objects.get(name)
+
+    async def names(self, prefix=""):
+        self._check()
+        return sorted(name for name in self.objects if name.startswith(prefix))
+
+    async def delete(self, name):
+        self._check()
+        self.objects.pop(name, None)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_holder.py
@@ -0,0 +1,72 @@
+import json
+import unittest
+
+from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.errors import ConfigurationInvalid
+from bilberryplank_core.fleet import ConfigurationDelta, ConfigurationHolder
+from bilberryplank_core.tests.test_configuration_store import DOCUMENT
+
+
+def configuration(version):
+    return Configuration.from_document(version, {**DOCUMENT, "limits": [{"name": f"l{version}"}]})
+
+
+class ConfigurationHolderTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.holder = ConfigurationHolder(lambda: self.now)
+        self.taken = []
+        self.holder.subscribe(lambda taken: self.taken.append(taken.version))
+
+    def test_version_never_goes_down(self):
+        for version in (3, 2, 3, 1, 5, 4):
+            self.holder.offer(version, configuration(version), self.now)
+        stale = ConfigurationDelta.between(configuration(2), configuration(3))
+        self.assertFalse(self.holder.offer_delta(stale, self.now))
+        down = ConfigurationDelta.between(configuration(5), configuration(4))
+        self.assertFalse(self.holder.offer_delta(down, self.now))
+        gap = ConfigurationDelta.between(configuration(6), configuration(7))
+        self.assertFalse(self.holder.offer_delta(gap, self.now))
+        self.assertEqual(self.taken, [3, 5])
+
+    def test_only_word_of_the_same_version_confirms(self):
+        self.assertEqual(self.holder.confirmed_age(self.now), float("inf"))
+        self.holder.offer(2, configuration(2), 90.0)
+        cases = [(1, 0.0, False, 10.0), (3, 0.0, True, 10.0), (2, 4.0, False, 4.0)]
+        cases.append((2, 8.0, False, 4.0))
+        for version, age, due, confirmed in cases:
+            with self.subTest(version=version, age=age):
+                self.assertEqual(self.holder.seen(version, age), due)
+                self.assertEqual(self.holder.confirmed_age(self.now), confirmed)
+        self.holder.offer(1, configuration(1), self.now)
+        self.assertTrue(self.holder.stale(self.now, 3.0))
+        self.assertFalse(self.holder.stale(self.now, 5.0))
+
+    def test_peers_bring_each_other_up_to_date(self):
+        for version in range(1, 5):
+            delta = ConfigurationDelta.between(self.holder.configuration, configuration(version))
+            self.holder.offer_delta(delta, self.now)
+        cases = {0: "changes", 2: "changes", 4: "changes", 7: "document"}
+        for version, kind in cases.items():
+            with self.subTest(version=version):
+                peer = ConfigurationHolder(lambda: self.now)
+                start = configuration(version) if version else Configuration()
+                peer.offer(version, start, 0.0)
+                update = self.holder.update_since(version)
+                self.assertIn(kind, json.loads(update))
+                self.assertEqual(peer.accept_update(update, 1.0), version < 4)
+                self.assertEqual(peer.version, max(4, version))
+                if version <= 4:
+                    self.assertEqual(peer.configuration, self.holder.configuration)
+                    self.assertEqual(peer.confirmed_age(self.now), 1.0)
+
+    def test_whole_document_where_changes_are_not_kept(self):
+        self.holder.offer(5, configuration(5), self.now)
+        peer = ConfigurationHolder(lambda: self.now)
+        self.assertTrue(peer.accept_update(self.holder.update_since(3), 0.0))
+        self.assertEqual(peer.configuration, self.holder.configuration)
+
+    def test_foreign_bytes_are_refused(self):
+        for update in (b"", b"[]", b'{"version":"1"}', b'{"version":1,"changes":{}}'):
+            with self.subTest(update=update), self.assertRaises(ConfigurationInvalid):
+                self.holder.accept_update(update, 0.0)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_pollers.py
@@ -0,0 +1,37 @@
+import unittest
+from random import Random
+
+from bilberryplank_core.fleet import PollSchedule, polls, ranked
+from bilberryplank_core.world import Host, Role
+
+ZONES = "abcde"
+MEMBERS = [Host(f"h{n}", ZONES[n % 5], Role.SIDECAR, "10.0.0.1:1") for n in range(1040)]
+
+
+class PollersTest(unittest.TestCase):
+    def test_few_processes_of_each_zone_poll(self):
+        for zone in ZONES:
+            pollers = [m for m in MEMBERS if m.zone == zone and polls(m.name, zone, MEMBERS, 2)]
+            self.assertEqual(len(pollers), 2)
+
+    def test_a_leaving_member_moves_only_its_own_place(self):
+        names = [member.name for member in MEMBERS]
+        first = ranked("job", names, 3)
+        names.remove(first[1])
+        self.assertEqual([n for n in ranked("job", names, 3) if n in first], [first[0], first[2]])
+
+    def test_a_fleet_cut_off_from_its_pollers_keeps_to_the_budget(self):
+        schedules = [PollSchedule(1.0, Random(number)) for number in range(1030)]
+        reads = [0] * 60
+        for tenth in range(600):
+            now = tenth / 10
+            reads[tenth // 10] += sum(s.due(now, False, 1040, now) for s in schedules)
+        self.assertEqual(sum(reads[:6]), 0)
+        self.assertLess(max(reads), 2.2 * 50)
+        self.assertGreater(sum(reads[6:]), 0.5 * 50 * 54)
+
+    def test_confirmed_processes_do_not_poll(self):
+        schedule = PollSchedule(1.0, Random(1))
+        self.assertFalse(any(schedule.due(now, False, 1040, 5.0) for now in range(100)))
+        polled = sum(schedule.due(now / 10, True, 1040, 5.0) for now in range(1000, 2000))
+        self.assertAlmostEqual(polled, 100, delta=20)
