--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -0,0 +1,111 @@
+"""HTTP calls to one of the platform's services, with every failure turned into a typed one."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import aiohttp
+from yarl import URL
+
+from bilberryplank_core.errors import PlatformUnavailable
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Status and whole body of an HTTP answer."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the body as JSON; raises `PlatformUnavailable` where it is none."""
+        try:
+            return json.loads(self.body)
+        except ValueError as exc:
+            raise PlatformUnavailable(f"answer is not JSON: {exc}") from exc
+
+    def expect(self, *statuses: HTTPStatus) -> None:
+        """Raises `PlatformUnavailable` where the status is none of those."""
+        if self.status not in statuses:
+            raise PlatformUnavailable(f"answered with status {self.status}")
+
+
+class ServiceClient:
+    """Calls one service of the platform over a shared session.
+
+    Args:
+        session: Session whose connections it shares.
+        base_url: `http://ip:port` of the service.
+        timeout: Seconds that a whole call may take.
+    """
+
+    __slots__ = ("_base_url", "_session", "_timeout")
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str, timeout: float) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+
+    async def call(self, method: str, path: str, body: bytes | None = None) -> Answer:
+        """Returns the answer to one call.
+
+        Raises:
+            PlatformUnavailable: Timeout, connection failure or a 5xx status.
+        """
+        url = URL(self._base_url + path, encoded=True)
+        with unavailable_on_failure():
+            async with self._session.request(
+                method, url, data=body, timeout=self._timeout, allow_redirects=False
+            ) as resp:
+                answer = Answer(resp.status, await resp.read())
+        check_status(answer)
+        return answer
+
+
+def check_status(answer: Answer) -> None:
+    """Raises `PlatformUnavailable` on a 5xx status."""
+    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        raise PlatformUnavailable(f"answered with status {answer.status}")
+
+
+@contextmanager
+def unavailable_on_failure() -> Iterator[None]:
+    """Turns the HTTP library's failures into `PlatformUnavailable`."""
+    try:
+        yield
+    except TimeoutError as exc:
+        raise PlatformUnavailable("no answer in time") from exc
+    except (aiohttp.ClientError, OSError) as exc:
+        raise PlatformUnavailable(f"{type(exc).__name__}: {exc}") from exc
+
+
+@contextmanager
+def unavailable_on_malformed() -> Iterator[None]:
+    """Turns an answer of another shape than agreed into `PlatformUnavailable`."""
+    try:
+        yield
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        raise PlatformUnavailable(f"malformed answer: {exc!r}") from exc
+
+
+def segment(text: str) -> str:
+    """Returns text as one percent-encoded segment of a path."""
+    encoded = quote(text, safe="")
+    # A segment of dots alone would be resolved away as a relative path.
+    return encoded.replace(".", "%2E") if encoded.strip(".") == "" else encoded
+
+
+def query(**parameters: str | int) -> str:
+    """Returns an encoded query string with its question mark."""
+    return "?" + urlencode(parameters, quote_via=quote)
+
+
+def dump_json(value: Any) -> bytes:
+    """Returns compact JSON bytes."""
+    return json.dumps(value, separators=(",", ":")).encode()
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/engine.py
@@ -0,0 +1,5 @@
+"""HTTP client of engines."""
+
+from bilberryplank._engine_http import HttpEngineControl
+
+__all__ = ["HttpEngineControl"]
