--- a/packages/bilberryplank-core/bilberryplank_core/_messages.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_messages.py
@@ -262,6 +262,14 @@
     record_ids: list[str]
 
 
+@dataclass(slots=True)
+class Credit:
+    """The entry took `size` bytes of an answer; the sidecar may send that many more."""
+
+    attempt: AttemptId
+    size: int
+
+
 @dataclass(slots=True)
 class Goodbye:
     """The sender closes the link on purpose."""
@@ -287,6 +295,7 @@
     | ConfigurationDocument
     | UsageStored
     | Goodbye
+    | Credit
 )
 
 MESSAGE_TYPES: tuple[type, ...] = (
@@ -307,5 +316,6 @@
     ConfigurationDocument,
     UsageStored,
     Goodbye,
+    Credit,
 )
 """Message types; the place in this tuple is the tag on the wire, so new ones go to the end."""
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_answer_stream.py
@@ -0,0 +1,134 @@
+"""An answer on its way from a sidecar to an entry, kept until the entry has it whole."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bilberryplank._link import Link
+from bilberryplank_core.messages import (
+    AttemptId,
+    Body,
+    End,
+    Failed,
+    Head,
+    Headers,
+    Load,
+    Usage,
+)
+
+WINDOW_BYTES = 256 * 1024
+PART_BYTES = 64 * 1024
+
+
+class AnswerStream:
+    """Sends one answer in parts, within the window that the entry's credits leave.
+
+    The parts stay here, so that the answer can be sent again over another link.
+
+    Attributes:
+        attempt: Identity of the attempt.
+        size: Bytes of the body so far.
+        ended: True once `finish` or `fail` was called.
+    """
+
+    __slots__ = (
+        "attempt",
+        "size",
+        "ended",
+        "_link",
+        "_head",
+        "_parts",
+        "_cursor",
+        "_unacknowledged",
+        "_closing",
+        "_closing_sent",
+        "_moved",
+        "_keep_bytes",
+    )
+
+    def __init__(self, attempt: AttemptId, link: Link | None, keep_bytes: int) -> None:
+        self.attempt = attempt
+        self.size = 0
+        self.ended = False
+        self._link = link
+        self._head: Head | None = None
+        self._parts: list[bytes] = []
+        self._cursor = 0
+        self._unacknowledged = 0
+        self._closing: End | Failed | None = None
+        self._closing_sent = False
+        self._moved = asyncio.Event()
+        self._keep_bytes = keep_bytes
+
+    @property
+    def link(self) -> Link | None:
+        """The link that the answer goes to; None while its entry is gone."""
+        return self._link
+
+    def head(self, status: int, headers: Headers, load: Load) -> None:
+        """Sends status and headers."""
+        self._head = Head(self.attempt, status, headers, load)
+        if self._link is not None:
+            self._link.send(self._head)
+
+    async def part(self, data: bytes) -> None:
+        """Sends bytes of the body; waits while the entry, or the room to keep them, is short."""
+        for start in range(0, len(data), PART_BYTES):
+            self._parts.append(data[start : start + PART_BYTES])
+        self.size += len(data)
+        self._pump()
+        while self._must_wait():
+            self._moved.clear()
+            await self._moved.wait()
+
+    def finish(self, usage: Usage, load: Load) -> None:
+        """Says that the answer is whole."""
+        self._close(End(self.attempt, len(self._parts), usage, load))
+
+    def fail(self, reason: str, load: Load) -> None:
+        """Says that the answer broke off."""
+        self._close(Failed(self.attempt, reason, load))
+
+    def attach(self, link: Link) -> None:
+        """Sends the whole answer again, from its start, over another link."""
+        self._link = link
+        self._cursor = 0
+        self._unacknowledged = 0
+        self._closing_sent = False
+        if self._head is not None:
+            link.send(self._head)
+        self._pump()
+
+    def detach(self) -> None:
+        """Stops sending; the answer is still kept."""
+        self._link = None
+        self._moved.set()
+
+    def credit(self, size: int) -> None:
+        """Takes the entry's word that it took `size` bytes."""
+        self._unacknowledged = max(0, self._unacknowledged - size)
+        self._pump()
+
+    def _close(self, closing: End | Failed) -> None:
+        self.ended = True
+        self._closing = closing
+        self._pump()
+
+    def _must_wait(self) -> bool:
+        if self._link is None:
+            return self.size > self._keep_bytes
+        return self._cursor < len(self._parts)
+
+    def _pump(self) -> None:
+        link = self._link
+        if link is None:
+            return
+        while self._cursor < len(self._parts) and self._unacknowledged < WINDOW_BYTES:
+            data = self._parts[self._cursor]
+            link.send(Body(self.attempt, self._cursor, data))
+            self._cursor += 1
+            self._unacknowledged += len(data)
+        if self._cursor == len(self._parts) and self._closing and not self._closing_sent:
+            link.send(self._closing)
+            self._closing_sent = True
+        self._moved.set()
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_link_pool.py
@@ -0,0 +1,179 @@
+"""The links of an entry to the sidecars of its subset."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from mode import Service
+
+from bilberryplank._link import Identity, Link, LinkHandler
+from bilberryplank_core.errors import BilberryplankError, LinkClosed
+from bilberryplank_core.messages import Heartbeat, Message
+from bilberryplank_core.settings import LinkSettings
+
+MIN_BACKOFF_SECONDS = 0.2
+MAX_BACKOFF_SECONDS = 5.0
+
+
+@dataclass(slots=True)
+class _Peer:
+    address: str
+    link: Link | None = None
+    connecting: asyncio.Future[Link] | None = None
+    backoff: float = 0.0
+    not_before: float = 0.0
+
+
+@dataclass(slots=True)
+class VersionShown:
+    """What heartbeats say of the sender's configuration."""
+
+    version: int = 0
+    confirmed_age: float = 0.0
+
+
+@dataclass(slots=True)
+class LinkPool:
+    """Opens one link per sidecar on demand and keeps it.
+
+    Attributes:
+        identity: Who this process is.
+        fleet_key: Shared secret of the system's processes.
+        settings: Link settings.
+        handler: Gets the links' events.
+    """
+
+    identity: Identity
+    fleet_key: str
+    settings: LinkSettings
+    handler: LinkHandler
+    _peers: dict[str, _Peer] = field(default_factory=dict)
+
+    def link_ready(self, link: Link) -> None:
+        """Passes the event on."""
+        self.handler.link_ready(link)
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """Passes the event on."""
+        self.handler.link_message(link, message)
+
+    def link_closed(self, link: Link, exc: BilberryplankError) -> None:
+        """Forgets the link and passes the event on."""
+        for peer in self._peers.values():
+            if peer.link is link:
+                peer.link = None
+        self.handler.link_closed(link, exc)
+
+    async def get(self, address: str, timeout: float) -> Link:
+        """Returns an open link to the sidecar at `address` (`ip:port`).
+
+        Raises:
+            LinkClosed: It cannot be reached, or failed a moment ago.
+            HandshakeFailed: It did not prove itself.
+        """
+        peer = self._peers.setdefault(address, _Peer(address))
+        if peer.link is not None and peer.link.is_open:
+            return peer.link
+        if peer.connecting is None:
+            self._start_connecting(peer)
+        assert peer.connecting is not None
+        try:
+            return await asyncio.wait_for(asyncio.shield(peer.connecting), timeout)
+        except TimeoutError as exc:
+            raise LinkClosed(f"no link to {address} in time") from exc
+
+    def open_links(self) -> list[Link]:
+        """Returns the links whose handshake succeeded."""
+        links = [peer.link for peer in self._peers.values() if peer.link is not None]
+        return [link for link in links if link.is_open]
+
+    def retain(self, addresses: set[str]) -> None:
+        """Closes links to sidecars that are not among `addresses`."""
+        for address in [known for known in self._peers if known not in addresses]:
+            peer = self._peers.pop(address)
+            if peer.link is not None:
+                peer.link.close_gently("no longer used")
+
+    def send_heartbeats(self, now: float, shown: VersionShown) -> None:
+        """Sends heartbeats on silent links and ends those silent for too long."""
+        for link in self.open_links():
+            silence = now - link.last_received
+            if silence > self.settings.silence_limit:
+                link.close(LinkClosed(f"silent for {silence:.1f} s"))
+            elif silence > self.settings.heartbeat_interval:
+                link.send(Heartbeat(shown.version, shown.confirmed_age))
+
+    def close(self) -> None:
+        """Ends every link."""
+        self.retain(set())
+
+    def _start_connecting(self, peer: _Peer) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() < peer.not_before:
+            raise LinkClosed(f"{peer.address} failed a moment ago")
+        peer.connecting = loop.create_task(self._connect(peer))
+        peer.connecting.add_done_callback(lambda fut: self._connected(peer, fut))
+
+    def _connected(self, peer: _Peer, fut: asyncio.Future[Link]) -> None:
+        peer.connecting = None
+        if fut.cancelled():
+            return
+        if fut.exception() is None:
+            peer.backoff = 0.0
+            return
+        doubled = max(MIN_BACKOFF_SECONDS, peer.backoff * 2)
+        peer.backoff = min(doubled, MAX_BACKOFF_SECONDS)
+        peer.not_before = asyncio.get_running_loop().time() + peer.backoff
+
+    async def _connect(self, peer: _Peer) -> Link:
+        host, _, port = peer.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self.settings.connect_timeout):
+                _, link = await loop.create_connection(self._new_link, host.strip("[]"), int(port))
+                await link.ready()
+        except (OSError, TimeoutError) as exc:
+            raise LinkClosed(f"{peer.address} cannot be reached: {exc}") from exc
+        if self._peers.get(peer.address) is not peer:
+            link.close_gently("no longer used")
+            raise LinkClosed(f"{peer.address} is no longer used")
+        peer.link = link
+        return link
+
+    def _new_link(self) -> Link:
+        return Link(self.identity, self.fleet_key, self.settings, self)
+
+
+class LinkListener(Service):
+    """The listening socket of a sidecar."""
+
+    def __init__(
+        self,
+        address: str,
+        identity: Identity,
+        fleet_key: str,
+        settings: LinkSettings,
+        handler: LinkHandler,
+    ) -> None:
+        super().__init__()
+        self._address = address
+        self._identity = identity
+        self._fleet_key = fleet_key
+        self._settings = settings
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def on_start(self) -> None:
+        """Begins to listen."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._new_link, host.strip("[]"), int(port))
+
+    async def on_stop(self) -> None:
+        """Stops listening; open links are their owner's."""
+        if self._server is not None:
+            self._server.close()
+
+    def _new_link(self) -> Link:
+        return Link(self._identity, self._fleet_key, self._settings, self._handler)
