Decide class, route, upstream and attempts of a request

The entry needs its decisions without I/O. Classes attach by selector and the most requirements win; equal precedence that could overlap is found for apply. Keys are stripped from headers, query and cookies. Upstreams are chosen by two choices over load hints, with zone spill, ejection and affinity; round robin stays as the baseline. Attempts repeat a non-idempotent request only after NotRun, and settle an unknown outcome first.

--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempts.py
@@ -0,0 +1,334 @@
+"""Attempts to run one request: what to do after each outcome.
+
+A non-idempotent request is sent again only once its last attempt is known not to have run. An
+attempt whose link was lost is settled with its sidecar first. The entry is the only layer that
+retries. A refused attempt cost its upstream no work, so it spends nothing of the retry budget and
+is bounded by asking each upstream once; a failed one spends a token.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from bilberryplank_core._choice import UpstreamChooser
+from bilberryplank_core._errors import RefusalReason, Refused, RetryReason
+from bilberryplank_core._messages import AttemptId, End, Failed, Head, NotRun
+from bilberryplank_core._retry_budget import RetryBudget
+from bilberryplank_core._steps import (
+    NOTHING_DELIVERED,
+    Deliver,
+    GiveUp,
+    Ignore,
+    Progress,
+    SendTo,
+    SettleWith,
+    Step,
+)
+from bilberryplank_core._world import Upstream
+
+REPLY_MARGIN_SECONDS = 0.05
+SETTLE_DELAYS_SECONDS = (0.0, 0.05, 0.1, 0.2, 0.4, 0.8)
+FINAL_REASONS = frozenset(
+    (
+        RefusalReason.MALFORMED_REQUEST,
+        RefusalReason.BODY_TOO_LARGE,
+        RefusalReason.KEY_UNKNOWN,
+        RefusalReason.KEY_WITHDRAWN,
+        RefusalReason.KEY_NOT_ALLOWED,
+        RefusalReason.RATE_LIMITED,
+        RefusalReason.DEADLINE_PASSED,
+        RefusalReason.DUPLICATE_IN_PROGRESS,
+        RefusalReason.DUPLICATE_UNSETTLED,
+        RefusalReason.IDEMPOTENCY_CONFLICT,
+        RefusalReason.CANCELLED,
+    )
+)
+"""Reasons that another upstream would only repeat."""
+
+
+OVERLOAD_REASONS = frozenset(
+    (RefusalReason.SHED, RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE_UNREACHABLE)
+)
+"""Reasons that tell a caller more than what other upstreams said."""
+
+NO_UPSTREAM_RETRY_SECONDS = 1.0
+_ASK_ONCE = (None, RetryReason.NOT_RUN, RetryReason.LINK_FAILED)
+
+
+class _Outcome(Enum):
+    PENDING = "pending"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+@dataclass(slots=True, frozen=True)
+class RequestTraits:
+    """What the attempts need to know of a request.
+
+    Attributes:
+        request: Request id.
+        epoch: Epoch of the entry process.
+        idempotent: False where it may run at most once.
+        deadline: Monotonic time by which it must be answered.
+        asks_all: True where every eligible upstream is asked before a refusal for overload; for
+            all tiers but the lowest.
+        affinity: Key of the prompt's prefix; None without affinity.
+        cost: Estimated tokens.
+    """
+
+    request: str
+    epoch: str
+    idempotent: bool
+    deadline: float
+    asks_all: bool = True
+    affinity: bytes | None = None
+    cost: float = 0.0
+
+
+class RequestAttempts:
+    """Decides the next step of one request; all times are monotonic seconds.
+
+    Args:
+        traits: What is known of the request.
+        candidates: Eligible upstreams.
+        chooser: Chooses among them.
+        retry_budget: Shared by the requests of the entry.
+        max_attempts: Bound on attempts that may have run, and on all of a lowest-tier request.
+    """
+
+    __slots__ = (
+        "_asked",
+        "_candidates",
+        "_chooser",
+        "_current",
+        "_last_refusal",
+        "_max_attempts",
+        "_outcomes",
+        "_retry_after",
+        "_retry_budget",
+        "_settles",
+        "_traits",
+        "_upstream",
+        "ignored",
+    )
+
+    def __init__(
+        self,
+        traits: RequestTraits,
+        candidates: Sequence[Upstream],
+        chooser: UpstreamChooser,
+        retry_budget: RetryBudget,
+        max_attempts: int,
+    ) -> None:
+        self._traits = traits
+        self._candidates = candidates
+        self._chooser = chooser
+        self._retry_budget = retry_budget
+        self._max_attempts = max_attempts
+        self._asked: set[str] = set()
+        self._outcomes: list[_Outcome] = []
+        self._current: AttemptId | None = None
+        self._upstream: Upstream | None = None
+        self._settles = 0
+        self._last_refusal: RefusalReason | None = None
+        self._retry_after: float | None = None
+        self.ignored = 0
+
+    @property
+    def current(self) -> AttemptId | None:
+        """The attempt whose frames count; None before the first and after the last."""
+        return self._current
+
+    @property
+    def upstream(self) -> Upstream | None:
+        """Where the current attempt was sent."""
+        return self._upstream
+
+    @property
+    def none_ran(self) -> bool:
+        """True where no attempt ran or ever will run."""
+        return all(outcome is _Outcome.NOT_RUN for outcome in self._outcomes)
+
+    def start(self, now: float) -> Step:
+        """Returns the first step."""
+        return self._send(None, NOTHING_DELIVERED, now)
+
+    def not_sent(self, attempt: AttemptId, now: float) -> Step:
+        """Takes in that there was no link, so that not a byte of the attempt was sent."""
+        if attempt != self._current:
+            return self._ignore(attempt)
+        self._note_refusal(RefusalReason.NO_UPSTREAM, None)
+        return self._retry_not_run(RetryReason.LINK_FAILED, now)
+
+    def not_run(
+        self,
+        attempt: AttemptId,
+        reason: RefusalReason,
+        retry_after: float | None,
+        now: float,
+        progress: Progress = NOTHING_DELIVERED,
+    ) -> Step:
+        """Takes in `NotRun`: the sidecar never dispatched the attempt and never will."""
+        if attempt != self._current:
+            return self._ignore(attempt)
+        retry = RetryReason.SETTLED_NOT_RUN if self._settles else RetryReason.NOT_RUN
+        if progress.started:
+            return self.failed(attempt, RefusalReason.UPSTREAM_FAILED, now, progress)
+        self._note_refusal(reason, retry_after)
+        if reason in FINAL_REASONS:
+            self._outcomes[-1] = _Outcome.NOT_RUN
+            return self._give_up(reason)
+        return self._retry_not_run(retry, now)
+
+    def failed(
+        self,
+        attempt: AttemptId,
+        reason: RefusalReason,
+        now: float,
+        progress: Progress = NOTHING_DELIVERED,
+    ) -> Step:
+        """Takes in `Failed`: the attempt was dispatched and may have run."""
+        if attempt != self._current:
+            return self._ignore(attempt)
+        self._outcomes[-1] = _Outcome.MAY_HAVE_RUN
+        if reason in FINAL_REASONS:
+            return self._give_up(reason)
+        preempted = reason is RefusalReason.PREEMPTED
+        retry = RetryReason.PREEMPTED if preempted else RetryReason.IDEMPOTENT_FAILURE
+        return self._retry_failure(retry, reason, progress, now)
+
+    def link_lost(
+        self, attempt: AttemptId, now: float, progress: Progress = NOTHING_DELIVERED
+    ) -> Step:
+        """Takes in that the link went after the request was sent, or while settling."""
+        if attempt != self._current:
+            return self._ignore(attempt)
+        self._outcomes[-1] = _Outcome.MAY_HAVE_RUN
+        if progress.complete or (self._may_repeat(progress) and self._retry_budget.tokens >= 1):
+            retry, reason = RetryReason.IDEMPOTENT_FAILURE, RefusalReason.UPSTREAM_FAILED
+            return self._retry_failure(retry, reason, progress, now)
+        return self._settle(now)
+
+    def settled(
+        self,
+        attempt: AttemptId,
+        answer: Head | End | NotRun | Failed,
+        now: float,
+        progress: Progress = NOTHING_DELIVERED,
+    ) -> Step:
+        """Takes in the sidecar's answer to `Settle`."""
+        match answer:
+            case NotRun(reason=reason, retry_after=retry_after):
+                known = parse_reason(reason)
+                return self.not_run(attempt, known, retry_after, now, progress)
+            case Failed(reason=reason):
+                return self.failed(attempt, parse_reason(reason), now, progress)
+            case _:
+                return Deliver(attempt) if attempt == self._current else self._ignore(attempt)
+
+    def expired(self, now: float) -> Step:
+        """Takes in that the deadline passed while an attempt was pending."""
+        pending = bool(self._outcomes) and self._outcomes[-1] is _Outcome.PENDING
+        if pending:
+            self._outcomes[-1] = _Outcome.MAY_HAVE_RUN
+        return self._give_up(RefusalReason.DEADLINE_PASSED)
+
+    def finished(self, attempt: AttemptId) -> Step:
+        """Takes in that the whole answer of an attempt was delivered."""
+        if attempt != self._current:
+            return self._ignore(attempt)
+        self._outcomes[-1] = _Outcome.MAY_HAVE_RUN
+        self._retry_budget.earn()
+        return self._deliver()
+
+    def _retry_not_run(self, retry: RetryReason, now: float) -> Step:
+        self._outcomes[-1] = _Outcome.NOT_RUN
+        bounded = not self._traits.asks_all and len(self._outcomes) >= self._max_attempts
+        if bounded:
+            return self._give_up(self._last_refusal or RefusalReason.NO_UPSTREAM)
+        return self._send(retry, NOTHING_DELIVERED, now)
+
+    def _retry_failure(
+        self, retry: RetryReason, reason: RefusalReason, progress: Progress, now: float
+    ) -> Step:
+        if progress.complete:
+            return self._deliver()
+        if not self._may_repeat(progress):
+            return self._give_up(reason)
+        if not self._retry_budget.try_spend():
+            return self._give_up(reason)
+        return self._send(RetryReason.RESUMED if progress.started else retry, progress, now)
+
+    def _may_repeat(self, progress: Progress) -> bool:
+        ran = sum(outcome is _Outcome.MAY_HAVE_RUN for outcome in self._outcomes)
+        if not self._traits.idempotent or ran >= self._max_attempts:
+            return False
+        return progress.resumable or not progress.started
+
+    def _send(self, retry: RetryReason | None, progress: Progress, now: float) -> Step:
+        budget = self._traits.deadline - now - REPLY_MARGIN_SECONDS
+        if budget <= 0:
+            return self._give_up(RefusalReason.DEADLINE_PASSED)
+        upstream = self._choose(retry, now)
+        if upstream is None:
+            return self._give_up(self._last_refusal or RefusalReason.NO_UPSTREAM)
+        self._asked.add(upstream.name)
+        self._outcomes.append(_Outcome.PENDING)
+        self._settles = 0
+        self._upstream = upstream
+        number = len(self._outcomes)
+        self._current = AttemptId(self._traits.request, number, self._traits.epoch)
+        tokens, text = (progress.tokens, progress.text) if progress.started else (0, "")
+        return SendTo(upstream, self._current, budget, retry, tokens, text)
+
+    def _choose(self, retry: RetryReason | None, now: float) -> Upstream | None:
+        traits = self._traits
+        arguments = (self._candidates, now, self._asked, traits.affinity, traits.cost)
+        upstream = self._chooser.choose(*arguments)
+        may_ask_again = retry not in _ASK_ONCE and len(self._outcomes) < self._max_attempts
+        if upstream is None and may_ask_again:
+            return self._chooser.choose(self._candidates, now, set(), traits.affinity, traits.cost)
+        return upstream
+
+    def _settle(self, now: float) -> Step:
+        delay = SETTLE_DELAYS_SECONDS[min(self._settles, len(SETTLE_DELAYS_SECONDS) - 1)]
+        budget = self._traits.deadline - now - delay
+        if budget <= 0:
+            return self._give_up(RefusalReason.OUTCOME_UNKNOWN)
+        self._settles += 1
+        return SettleWith(self._upstream, self._current, delay, budget)
+
+    def _deliver(self) -> Deliver:
+        attempt = self._current
+        self._current = None
+        return Deliver(attempt)
+
+    def _give_up(self, reason: RefusalReason) -> GiveUp:
+        self._current = None
+        not_run = self.none_ran
+        retry_after = self._retry_after if not_run else None
+        if reason is RefusalReason.NO_UPSTREAM and not_run and retry_after is None:
+            retry_after = NO_UPSTREAM_RETRY_SECONDS
+        message = "not run" if not_run else "may have run"
+        return GiveUp(Refused(reason, message, not_run=not_run, retry_after=retry_after))
+
+    def _note_refusal(self, reason: RefusalReason, retry_after: float | None) -> None:
+        if self._last_refusal not in OVERLOAD_REASONS or reason in OVERLOAD_REASONS:
+            self._last_refusal = reason
+        if retry_after is not None:
+            known = self._retry_after
+            self._retry_after = retry_after if known is None else min(known, retry_after)
+
+    def _ignore(self, attempt: AttemptId) -> Ignore:
+        self.ignored += 1
+        return Ignore(attempt)
+
+
+def parse_reason(text: str) -> RefusalReason:
+    """Returns the reason that a peer sent; `INTERNAL` where this version does not know it."""
+    try:
+        return RefusalReason(text)
+    except ValueError:
+        return RefusalReason.INTERNAL
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_ejection.py
@@ -0,0 +1,155 @@
+"""Ejection of stragglers: latency quantiles against the pool, re-admission by trickle.
+
+Outlier detection as service meshes do it, with a bound on how much of a pool may be ejected: an
+upstream's median first-token time over its last answers is compared with the median of the
+others' medians.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from statistics import median
+
+WINDOW_ANSWERS = 24
+MIN_ANSWERS = 5
+SLOWNESS_LIMIT = 4.0
+MIN_EXCESS_SECONDS = 0.15
+FAILURES_LIMIT = 3
+MAX_EJECTED_SHARE = 0.34
+EJECTION_SECONDS = 4.0
+MAX_EJECTION_SECONDS = 60.0
+TRICKLE_INTERVAL_SECONDS = 1.0
+TRICKLE_SUCCESSES = 3
+SAMPLE_LIFETIME_SECONDS = 30.0
+
+
+@dataclass(slots=True)
+class _Record:
+    samples: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=WINDOW_ANSWERS)
+    )
+    failures: int = 0
+    ejected_until: float | None = None
+    ejections: int = 0
+    trickled_at: float = float("-inf")
+    successes: int = 0
+
+
+class StragglerDetector:
+    """Tells which upstreams of a pool are ejected.
+
+    Args:
+        max_ejected_share: Most of a pool that may be ejected at once, 0 to 1.
+    """
+
+    __slots__ = ("_max_share", "_records")
+
+    def __init__(self, max_ejected_share: float = MAX_EJECTED_SHARE) -> None:
+        self._max_share = max_ejected_share
+        self._records: dict[str, _Record] = {}
+
+    def record(
+        self, upstream: str, seconds: float | None, ok: bool, pool: Iterable[str], now: float
+    ) -> None:
+        """Takes in one answer and ejects or re-admits its upstream.
+
+        Args:
+            upstream: Name of the upstream.
+            seconds: Time until the first token; None where none came.
+            ok: False where the attempt failed.
+            pool: Names of the upstreams that it is compared with, itself included.
+            now: Monotonic time.
+        """
+        record = self._records.setdefault(upstream, _Record())
+        if seconds is not None:
+            record.samples.append((now, seconds))
+        record.failures = 0 if ok else record.failures + 1
+        suspect = self._is_suspect(upstream, record, pool, now)
+        if record.ejected_until is not None:
+            self._judge_trickle(record, ok, seconds, upstream, pool, now)
+        elif suspect and self._may_eject(pool):
+            self._eject(record, now)
+
+    def is_ejected(self, upstream: str) -> bool:
+        """Returns True while the upstream gets no more than a trickle."""
+        record = self._records.get(upstream)
+        return record is not None and record.ejected_until is not None
+
+    def take_trickle(self, upstream: str, now: float) -> bool:
+        """Returns True, once an interval, where an ejected upstream may be tried again."""
+        record = self._records.get(upstream)
+        if record is None or record.ejected_until is None or now < record.ejected_until:
+            return False
+        if now - record.trickled_at < TRICKLE_INTERVAL_SECONDS:
+            return False
+        record.trickled_at = now
+        return True
+
+    def ejected(self, pool: Iterable[str]) -> set[str]:
+        """Returns the names in the pool that are ejected."""
+        return {name for name in pool if self.is_ejected(name)}
+
+    def typical_seconds(self, pool: Iterable[str], now: float) -> float | None:
+        """Returns the median of the pool's median first-token times, or None without samples."""
+        medians = [value for name in pool if (value := self._median(name, now)) is not None]
+        return median(medians) if medians else None
+
+    def forget(self, upstream: str) -> None:
+        """Drops what is known of an upstream, as when it was replaced."""
+        self._records.pop(upstream, None)
+
+    def _median(self, upstream: str, now: float) -> float | None:
+        record = self._records.get(upstream)
+        if record is None:
+            return None
+        recent = [seconds for at, seconds in record.samples if now - at <= SAMPLE_LIFETIME_SECONDS]
+        return median(recent) if len(recent) >= MIN_ANSWERS else None
+
+    def _is_suspect(self, upstream: str, record: _Record, pool: Iterable[str], now: float) -> bool:
+        if record.failures >= FAILURES_LIMIT:
+            return True
+        own = self._median(upstream, now)
+        return own is not None and self._is_slow(own, upstream, pool, now)
+
+    def _is_slow(self, seconds: float, upstream: str, pool: Iterable[str], now: float) -> bool:
+        others = (name for name in pool if name != upstream and not self.is_ejected(name))
+        typical = self.typical_seconds(others, now)
+        if typical is None:
+            return False
+        return seconds > max(typical * SLOWNESS_LIMIT, typical + MIN_EXCESS_SECONDS)
+
+    def _may_eject(self, pool: Iterable[str]) -> bool:
+        names = set(pool)
+        return len(self.ejected(names)) + 1 <= self._max_share * len(names)
+
+    def _eject(self, record: _Record, now: float) -> None:
+        seconds = min(EJECTION_SECONDS * 2**record.ejections, MAX_EJECTION_SECONDS)
+        record.ejected_until = now + seconds
+        record.ejections += 1
+        record.successes = 0
+
+    def _judge_trickle(
+        self,
+        record: _Record,
+        ok: bool,
+        seconds: float | None,
+        upstream: str,
+        pool: Iterable[str],
+        now: float,
+    ) -> None:
+        if now < record.ejected_until:
+            return
+        slow = seconds is None or self._is_slow(seconds, upstream, pool, now)
+        if slow or not ok:
+            self._eject(record, now)
+            return
+        record.successes += 1
+        if record.successes >= TRICKLE_SUCCESSES:
+            self._readmit(record)
+
+    def _readmit(self, record: _Record) -> None:
+        record.ejected_until = None
+        record.failures = 0
+        record.samples.clear()
--- a/packages/bilberryplank-core/bilberryplank_core/_selectors.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_selectors.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -73,6 +74,81 @@
         """Returns True where every requirement holds for the labels."""
         return all(_holds(requirement, labels) for requirement in self.requirements)
 
+    def __str__(self) -> str:
+        return ", ".join(_print(requirement) for requirement in self.requirements)
+
+
+def could_match_both(first: Selector, second: Selector, present: frozenset[str]) -> bool:
+    """Returns True where some labels match both selectors.
+
+    Args:
+        first: One selector.
+        second: The other one.
+        present: Labels that always exist.
+    """
+    requirements = (*first.requirements, *second.requirements)
+    names = {requirement.label for requirement in requirements}
+    return all(_satisfiable(name, requirements, name in present) for name in names)
+
+
+class LabelProjection:
+    """Reduces labels to what a set of selectors can tell apart."""
+
+    __slots__ = ("_values",)
+
+    def __init__(self, values: dict[str, frozenset[str]]) -> None:
+        self._values = tuple(values.items())
+
+    @classmethod
+    def from_selectors(cls, selectors: Iterable[Selector]) -> LabelProjection:
+        """Returns the projection for these selectors."""
+        values: dict[str, frozenset[str]] = {}
+        for selector in selectors:
+            for requirement in selector.requirements:
+                named = getattr(requirement, "values", frozenset())
+                values[requirement.label] = values.get(requirement.label, frozenset()) | named
+        return cls(values)
+
+    def project(self, labels: Labels) -> tuple[str | None, ...]:
+        """Returns equal tuples for labels that every selector judges alike."""
+        return tuple(
+            value if (value := labels.get(name)) is None or value in named else ""
+            for name, named in self._values
+        )
+
+
+def _satisfiable(name: str, requirements: Iterable[Requirement], present: bool) -> bool:
+    allowed: frozenset[str] | None = None
+    barred: frozenset[str] = frozenset()
+    missing = False
+    for requirement in requirements:
+        if requirement.label != name:
+            continue
+        match requirement:
+            case In(_, values):
+                allowed = values if allowed is None else allowed & values
+            case NotIn(_, values):
+                barred |= values
+            case Exists():
+                present = True
+            case Missing():
+                missing = True
+    if missing:
+        return not present and allowed is None
+    return allowed is None or bool(allowed - barred)
+
+
+def _print(requirement: Requirement) -> str:
+    match requirement:
+        case In(label, values):
+            return f"{label} in ({', '.join(sorted(values))})"
+        case NotIn(label, values):
+            return f"{label} notin ({', '.join(sorted(values))})"
+        case Exists(label):
+            return label
+        case Missing(label):
+            return f"!{label}"
+
 
 def _holds(requirement: Requirement, labels: Labels) -> bool:
     match requirement:
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/routing.py
@@ -0,0 +1,54 @@
+"""Decisions of an entry: what a request is, where it goes, and what follows each outcome."""
+
+from bilberryplank_core._affinity import affinity_key
+from bilberryplank_core._ambiguity import find_ambiguities
+from bilberryplank_core._attempts import RequestAttempts, RequestTraits, parse_reason
+from bilberryplank_core._choice import InformedChooser, RoundRobinChooser, UpstreamChooser
+from bilberryplank_core._classification import (
+    CallerRequest,
+    Classified,
+    RequestClassifier,
+)
+from bilberryplank_core._credentials import Credentials, extract_credentials
+from bilberryplank_core._ejection import StragglerDetector
+from bilberryplank_core._retry_budget import RetryBudget
+from bilberryplank_core._route_table import is_model_path, route_labels, upstream_labels
+from bilberryplank_core._steps import (
+    NOTHING_DELIVERED,
+    Deliver,
+    GiveUp,
+    Ignore,
+    Progress,
+    SendTo,
+    SettleWith,
+    Step,
+)
+
+__all__ = [
+    "NOTHING_DELIVERED",
+    "CallerRequest",
+    "Classified",
+    "Credentials",
+    "Deliver",
+    "GiveUp",
+    "Ignore",
+    "InformedChooser",
+    "Progress",
+    "RequestAttempts",
+    "RequestClassifier",
+    "RequestTraits",
+    "RetryBudget",
+    "RoundRobinChooser",
+    "SendTo",
+    "SettleWith",
+    "Step",
+    "StragglerDetector",
+    "UpstreamChooser",
+    "affinity_key",
+    "extract_credentials",
+    "find_ambiguities",
+    "is_model_path",
+    "parse_reason",
+    "route_labels",
+    "upstream_labels",
+]
--- a/packages/bilberryplank-core/bilberryplank_core/selectors.py
+++ b/packages/bilberryplank-core/bilberryplank_core/selectors.py
@@ -1,5 +1,23 @@
 """Selectors over labels."""
 
-from bilberryplank_core._selectors import Exists, In, Missing, NotIn, Requirement, Selector
+from bilberryplank_core._selectors import (
+    Exists,
+    In,
+    LabelProjection,
+    Missing,
+    NotIn,
+    Requirement,
+    Selector,
+    could_match_both,
+)
 
-__all__ = ["Exists", "In", "Missing", "NotIn", "Requirement", "Selector"]
+__all__ = [
+    "Exists",
+    "In",
+    "LabelProjection",
+    "Missing",
+    "NotIn",
+    "Requirement",
+    "Selector",
+    "could_match_both",
+]
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
@@ -0,0 +1,109 @@
+import random
+import unittest
+from collections import Counter
+
+from bilberryplank_core.messages import Load
+from bilberryplank_core.routing import InformedChooser, RoundRobinChooser, affinity_key
+from bilberryplank_core.settings import RoutingSettings
+from bilberryplank_core.world import Upstream, UpstreamKind
+
+ENGINE = UpstreamKind.ENGINE
+
+
+def upstream(name, zone="a", draining=False):
+    return Upstream(name, zone, ENGINE, "127.0.0.1:1", draining=draining)
+
+
+NEAR = [upstream(f"a{index}") for index in range(3)]
+FAR = [upstream(f"b{index}", "b") for index in range(3)]
+ALL = NEAR + FAR
+
+
+def load(queued=0, running=0, **more):
+    cost = more.pop("cost", queued * 100.0)
+    return Load(queued, running, 4, cost, drain_rate=200.0, **more)
+
+
+def chooser(loads=None, now=0.0, zone="a"):
+    subject = InformedChooser.from_settings(RoutingSettings(), zone, random.Random(1))
+    for name, hint in (loads or {}).items():
+        subject.record_load(name, hint, now)
+    return subject
+
+
+def counts(subject, candidates, now=0.1, draws=200, affinity=None):
+    found = Counter()
+    for _ in range(draws):
+        found[subject.choose(candidates, now, set(), affinity).name] += 1
+    return found
+
+
+class InformedChooserTest(unittest.TestCase):
+    def test_zone_preference_and_spill(self):
+        idle = {item.name: load() for item in ALL}
+        self.assertEqual(sum(counts(chooser(idle), ALL)[item.name] for item in FAR), 0)
+        busy = {**idle, **{item.name: load(queued=9, running=4) for item in NEAR}}
+        self.assertEqual(sum(counts(chooser(busy), ALL)[item.name] for item in NEAR), 0)
+
+    def test_power_of_two_avoids_the_longest_queue(self):
+        loads = {"a0": load(), "a1": load(), "a2": load(queued=5, running=4)}
+        found = counts(chooser(loads), NEAR)
+        self.assertEqual(found["a2"], 0)
+        self.assertGreater(min(found["a0"], found["a1"]), 60)
+
+    def test_own_requests_count_between_hints(self):
+        subject = chooser({item.name: load() for item in NEAR})
+        for _ in range(30):
+            subject.record_sent(subject.choose(NEAR, 0.1, set()).name, 100, 0.1)
+        waits = [subject._track(item.name).in_flight for item in NEAR]
+        self.assertLessEqual(max(waits) - min(waits), 4)
+
+    def test_what_takes_no_new_work(self):
+        loads = {"a0": load(leaving=True), "a1": load()}
+        candidates = [NEAR[0], NEAR[1], upstream("a9", draining=True)]
+        for subject in (chooser(loads), RoundRobinChooser()):
+            with self.subTest(type(subject).__name__):
+                subject.record_load("a0", load(leaving=True), 0.0)
+                self.assertEqual(set(counts(subject, candidates)), {"a1"})
+                self.assertIsNone(subject.choose(candidates, 0.1, {"a1"}))
+                subject.record_lost("a0", 0.2)
+                self.assertIsNone(subject.choose(candidates, 60.0, {"a1"}))
+
+    def test_a_lost_link_cools_down_but_is_the_last_resort(self):
+        subject = chooser({item.name: load() for item in NEAR})
+        subject.record_lost("a0", 0.0)
+        self.assertEqual(counts(subject, NEAR)["a0"], 0)
+        self.assertEqual(subject.choose([NEAR[0]], 0.1, set()).name, "a0")
+        self.assertGreater(counts(subject, NEAR, now=1.0)["a0"], 0)
+
+    def test_probes_only_for_a_stale_pool(self):
+        subject = chooser({item.name: load() for item in NEAR})
+        subject.choose(NEAR, 0.1, set())
+        self.assertIsNone(subject.wants_probe(0.1))
+        subject.choose(NEAR, 50.0, set())
+        probed = {subject.wants_probe(50.0) for _ in range(3)}
+        self.assertEqual(probed, {"a0", "a1", "a2"})
+        self.assertIsNone(subject.wants_probe(50.0))
+
+    def test_affinity_keeps_to_one_until_it_is_full(self):
+        key = affinity_key("org", b"prefix")
+        subject = chooser({item.name: load() for item in ALL})
+        found = counts(subject, ALL, affinity=key)
+        self.assertEqual(len(found), 1)
+        favourite = next(iter(found))
+        subject.record_load(favourite, load(queued=3, running=4), 0.1)
+        self.assertNotIn(favourite, counts(subject, ALL, affinity=key))
+        self.assertNotEqual(key, affinity_key("other", b"prefix"))
+
+    def test_stragglers_get_a_trickle(self):
+        subject = chooser({item.name: load() for item in NEAR})
+        subject.choose(NEAR, 0.0, set())
+        for step in range(10):
+            for item in NEAR:
+                seconds = 2.0 if item.name == "a0" else 0.2
+                subject.record_answer(item.name, seconds, True, step * 0.1)
+        self.assertTrue(subject.is_ejected("a0"))
+        self.assertEqual(counts(subject, NEAR, now=1.1)["a0"], 0)
+        for item in NEAR:
+            subject.record_load(item.name, load(), 7.0)
+        self.assertEqual(counts(subject, NEAR, now=7.0)["a0"], 1)
