Remember attempts and fencing numbers at a sidecar

Cause: after a lost link nobody could say whether an attempt ran, and an engine that checks no numbers obeyed a holder whose lease had lapsed. Ruled out: forgetting by time alone (a delayed question would find nothing and swear to it), and dropping tombstones by count (a late dispatch would run after the oath). Change: KeptAnswers keeps answers by age and bytes, marks of what it forgot, and tombstones for as long as a link may still bring the dispatch. FenceRegister refuses all until it learned a number. Tests: a state machine compares every oath with a log that forgets nothing.

--- a/packages/bilberryplank-core/bilberryplank_core/scheduling.py
+++ b/packages/bilberryplank-core/bilberryplank_core/scheduling.py
@@ -1,14 +1,34 @@
 """Scheduling at a sidecar: the queue, its baseline, fences and kept answers."""
 
+from bilberryplank_core._fences import FenceRegister, FenceStale, FenceUnlearned
+from bilberryplank_core._kept_answers import KeptAnswers
 from bilberryplank_core._queue import TieredPolicy, TieredQueue
 from bilberryplank_core._queue_baseline import FifoQueue
 from bilberryplank_core._queue_types import QueuedRequest, Rejection, RequestQueue
+from bilberryplank_core._settlement import (
+    KeptAnswer,
+    NeverRan,
+    Reception,
+    Running,
+    Settlement,
+    Undecidable,
+)
 
 __all__ = [
+    "FenceRegister",
+    "FenceStale",
+    "FenceUnlearned",
     "FifoQueue",
+    "KeptAnswer",
+    "KeptAnswers",
+    "NeverRan",
     "QueuedRequest",
+    "Reception",
     "Rejection",
     "RequestQueue",
+    "Running",
+    "Settlement",
     "TieredPolicy",
     "TieredQueue",
+    "Undecidable",
 ]
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_kept_answers.py
@@ -0,0 +1,237 @@
+"""What a sidecar swears of an attempt is true, whatever it has forgotten."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
+
+from bilberryplank_core.messages import AttemptId, Head, Load, Usage
+from bilberryplank_core.scheduling import (
+    KeptAnswer,
+    KeptAnswers,
+    NeverRan,
+    Reception,
+    Running,
+    Undecidable,
+)
+
+EPOCH = "sidecar-1"
+LIFETIME = 10.0
+MAX_BYTES = 4096
+OLD_LINK, NEW_LINK = 1, 2
+
+
+def attempt_of(request: str, epoch: str = "entry-1") -> AttemptId:
+    return AttemptId(request, 1, epoch)
+
+
+def run_whole(kept: KeptAnswers, attempt: AttemptId, now: float = 0.0, size: int = 10) -> None:
+    kept.receive(attempt)
+    kept.dispatch(attempt)
+    kept.keep_head(attempt, Head(attempt, 200, [], Load()))
+    kept.keep_part(attempt, b"x" * size)
+    kept.end(attempt, Usage(1, 2), now)
+
+
+class KeptAnswersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.kept = KeptAnswers(MAX_BYTES, LIFETIME, max_marks=4, max_tombstones=2)
+
+    def settle(self, attempt: AttemptId, now: float = 0.0):
+        return self.kept.settle(attempt, EPOCH, EPOCH, now, NEW_LINK)
+
+    def test_settles_by_state(self) -> None:
+        def nothing(attempt: AttemptId) -> None:
+            pass
+
+        def queued(attempt: AttemptId) -> None:
+            self.kept.receive(attempt)
+
+        def dispatched(attempt: AttemptId) -> None:
+            self.kept.receive(attempt)
+            self.kept.dispatch(attempt)
+
+        def refused(attempt: AttemptId) -> None:
+            self.kept.receive(attempt)
+            self.assertTrue(self.kept.refuse(attempt, 0.0))
+
+        def failed(attempt: AttemptId) -> None:
+            dispatched(attempt)
+            self.assertFalse(self.kept.refuse(attempt, 0.0))
+            self.kept.fail(attempt)
+
+        def expired(attempt: AttemptId) -> None:
+            run_whole(self.kept, attempt)
+            self.kept.expire(LIFETIME)
+
+        def too_large(attempt: AttemptId) -> None:
+            run_whole(self.kept, attempt, size=MAX_BYTES)
+
+        cases = (
+            (nothing, NeverRan()),
+            (queued, Running(queued=True)),
+            (dispatched, Running(queued=False)),
+            (refused, NeverRan()),
+            (failed, Undecidable()),
+            (expired, Undecidable()),
+            (too_large, Undecidable()),
+        )
+        for prepare, expected in cases:
+            with self.subTest(prepare.__name__):
+                self.setUp()
+                attempt = attempt_of("r")
+                prepare(attempt)
+                self.assertEqual(expected, self.settle(attempt, LIFETIME))
+                reception = self.kept.receive(attempt)
+                self.assertNotEqual(Reception.NEW, reception)
+
+    def test_returns_whole_answer_until_acknowledged(self) -> None:
+        attempt = attempt_of("r")
+        run_whole(self.kept, attempt)
+        answer = self.settle(attempt)
+        self.assertIsInstance(answer, KeptAnswer)
+        self.assertEqual((b"x" * 10,), answer.parts)
+        self.kept.acknowledge(attempt)
+        self.assertEqual(0, self.kept.kept_bytes)
+        self.assertEqual(Undecidable(), self.settle(attempt))
+        self.assertIs(Reception.DUPLICATE, self.kept.receive(attempt))
+
+    def test_older_sidecar_epoch_is_undecidable(self) -> None:
+        outcome = self.kept.settle(attempt_of("r"), "sidecar-0", EPOCH, 0.0, NEW_LINK)
+        self.assertEqual(Undecidable(), outcome)
+
+    def test_tombstone_outlives_a_link_that_may_still_bring_the_dispatch(self) -> None:
+        attempt = attempt_of("r")
+        self.kept.link_opened(OLD_LINK, "entry-1")
+        self.kept.link_opened(NEW_LINK, "entry-1")
+        self.assertEqual(NeverRan(), self.settle(attempt))
+        self.kept.expire(100 * LIFETIME)
+        self.assertIs(Reception.TOMBSTONE, self.kept.receive(attempt))
+        self.kept.link_closed(OLD_LINK)
+        self.kept.expire(100 * LIFETIME)
+        self.assertIs(Reception.NEW, self.kept.receive(attempt))
+
+    def test_without_room_for_a_tombstone_nothing_is_sworn(self) -> None:
+        self.kept.link_opened(OLD_LINK, "entry-1")
+        outcomes = [self.settle(attempt_of(name), 100 * LIFETIME) for name in "abc"]
+        self.assertEqual([NeverRan(), NeverRan(), Undecidable()], outcomes)
+
+    def test_lost_marks_cloud_only_their_entry(self) -> None:
+        for number in range(5):
+            run_whole(self.kept, attempt_of(f"r{number}"))
+        self.kept.expire(LIFETIME)
+        self.assertEqual(Undecidable(), self.settle(attempt_of("r0")))
+        self.assertEqual(Undecidable(), self.settle(attempt_of("fresh")))
+        self.assertEqual(NeverRan(), self.settle(attempt_of("fresh", "entry-2")))
+
+
+class TruthMachine(RuleBasedStateMachine):
+    """Compares what is sworn with a log that forgets nothing.
+
+    Each entry has one link at a time for new dispatches; an older one may bring a late dispatch
+    until it is closed, and questions come over the newest.
+    """
+
+    attempts = Bundle("attempts")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.kept = KeptAnswers(MAX_BYTES, LIFETIME, max_marks=3, max_tombstones=3)
+        self.newest: dict[str, int] = {}
+        self.open: set[int] = set()
+        self.sent: dict[AttemptId, int] = {}
+        self.arrived: set[AttemptId] = set()
+        self.links = 0
+        for epoch in "ab":
+            self.reconnect(epoch)
+        self.now = 0.0
+        self.count = 0
+        self.ran: set[AttemptId] = set()
+        self.sworn: set[AttemptId] = set()
+
+    @rule(epoch=st.sampled_from("ab"))
+    def reconnect(self, epoch: str) -> None:
+        self.links += 1
+        self.newest[epoch] = self.links
+        self.open.add(self.links)
+        self.kept.link_opened(self.links, epoch)
+
+    @rule(index=st.integers(0, 3))
+    def close(self, index: int) -> None:
+        old = sorted(self.open - set(self.newest.values()))
+        if index < len(old):
+            self.open.discard(old[index])
+            self.kept.link_closed(old[index])
+
+    @rule(target=attempts, epoch=st.sampled_from("ab"))
+    def send(self, epoch: str) -> AttemptId:
+        self.count += 1
+        attempt = AttemptId(f"r{self.count}", 1, epoch)
+        self.sent[attempt] = self.newest[epoch]
+        return attempt
+
+    @rule(attempt=attempts)
+    def arrive(self, attempt: AttemptId) -> None:
+        if attempt in self.arrived or self.sent[attempt] not in self.open:
+            return
+        self.arrived.add(attempt)
+        if self.kept.receive(attempt) is Reception.NEW:
+            assert attempt not in self.sworn
+
+    @rule(attempt=attempts)
+    def dispatch(self, attempt: AttemptId) -> None:
+        if self.kept.dispatch(attempt):
+            assert attempt not in self.ran, "ran twice"
+            self.ran.add(attempt)
+
+    @rule(attempt=attempts)
+    def refuse(self, attempt: AttemptId) -> None:
+        if self.kept.refuse(attempt, self.now):
+            self.sworn.add(attempt)
+
+    @rule(attempt=attempts, size=st.sampled_from((1, 500, 5000)))
+    def answer(self, attempt: AttemptId, size: int) -> None:
+        self.kept.keep_head(attempt, Head(attempt, 200, [], Load()))
+        self.kept.keep_part(attempt, b"x" * size)
+        self.kept.end(attempt, Usage(), self.now)
+
+    @rule(attempt=attempts, size=st.sampled_from((1, 5000)))
+    def run_whole(self, attempt: AttemptId, size: int) -> None:
+        self.arrive(attempt)
+        self.dispatch(attempt)
+        self.answer(attempt, size)
+
+    @rule(attempt=attempts)
+    def fail(self, attempt: AttemptId) -> None:
+        self.kept.fail(attempt)
+
+    @rule(attempt=consumes(attempts))
+    def acknowledge(self, attempt: AttemptId) -> None:
+        self.kept.acknowledge(attempt)
+
+    @rule(attempt=attempts)
+    def settle(self, attempt: AttemptId) -> None:
+        if self.newest[attempt.epoch] == self.sent[attempt]:
+            self.reconnect(attempt.epoch)
+        link = self.newest[attempt.epoch]
+        if self.kept.settle(attempt, EPOCH, EPOCH, self.now, link) == NeverRan():
+            self.sworn.add(attempt)
+
+    @rule(seconds=st.sampled_from((1.0, 11.0)))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.kept.expire(self.now)
+
+    @invariant()
+    def no_oath_is_broken(self) -> None:
+        assert not self.sworn & self.ran
+        assert self.kept.kept_bytes <= MAX_BYTES + 512 * self.count
+
+
+TruthMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None, database=None
+)
+TruthTest = TruthMachine.TestCase
