Check settings and configuration whole, with exact lines and paths

Cause: faults of JSON with comments carried lines shifted by the removed comments; a repeated name silently won; NaN, 1e999, a 400-digit number and deep nesting got through or ended in an untyped error; a queue could be given the policy of routing; two keys could share a digest; a key itself could stand in a digest; repr showed the fleet key.

Ruled out: a parser of our own (comments are blanked in place, the library parses); checks between items while single items are faulty (follow-on faults that mislead); a hexadecimal check of digests (a mistyped digest only fails to match).

Change: one strict parse of JSON; field checks run while reading, so that type and range faults come together; configuration checks for names, labels, digests, shares, addresses, paths. Secrets and platform addresses are out of repr. Type hints are looked up once for each class.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration.py
@@ -6,9 +6,10 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from bilberryplank_core._configuration_checks import check_item, check_parts
 from bilberryplank_core._documents import DocumentReader
-from bilberryplank_core._errors import ConfigurationInvalid, SelectorInvalid
-from bilberryplank_core._selectors import Selector
+from bilberryplank_core._errors import ConfigurationInvalid, Fault
+from bilberryplank_core._json_text import parse_json
 from bilberryplank_core._world import (
     Key,
     Labels,
@@ -21,6 +22,8 @@
     Upstream,
 )
 
+PLACE = "configuration"
+
 
 @dataclass(slots=True, frozen=True)
 class ConfigurationParts:
@@ -69,27 +72,28 @@
         Raises:
             ConfigurationInvalid: With every fault of the document.
         """
-        reader = DocumentReader()
-        parts = reader.read(ConfigurationParts, document, "configuration")
-        if parts is not None:
-            _check(parts, reader)
-        if parts is None or reader.faults:
+        reader = DocumentReader(check_item)
+        parts = reader.read(ConfigurationParts, document, PLACE)
+        if parts is None:
             raise ConfigurationInvalid(reader.faults)
+        if faults := check_parts(parts, PLACE):
+            raise ConfigurationInvalid(faults)
         return cls(version, parts)
 
     @classmethod
     def from_bytes(cls, version: int, data: bytes) -> Configuration:
-        """Returns the checked configuration in JSON bytes.
+        """Returns the checked configuration in bytes of JSON, with or without comments.
 
         Raises:
             ConfigurationInvalid: With every fault of the document.
         """
-        reader = DocumentReader()
         try:
-            document = json.loads(data)
-        except ValueError as exc:
-            reader.fault("configuration", f"is not JSON: {exc}")
-            raise ConfigurationInvalid(reader.faults) from exc
+            text = data.decode()
+        except UnicodeDecodeError as exc:
+            raise ConfigurationInvalid([Fault(PLACE, "is not UTF-8 text")]) from exc
+        document, faults = parse_json(text, PLACE)
+        if faults:
+            raise ConfigurationInvalid(faults)
         return cls.from_document(version, document)
 
     def to_document(self) -> dict[str, Any]:
@@ -111,46 +115,3 @@
     def rank(self, class_name: str) -> int:
         """Returns the rank of a class's tier; 0 is the highest."""
         return self.tiers[self.classes[class_name].tier].rank
-
-
-def _check(parts: ConfigurationParts, reader: DocumentReader) -> None:
-    for name in parts.__dataclass_fields__:
-        items = getattr(parts, name)
-        _check_unique(name, items, reader)
-        for index, item in enumerate(items):
-            _check_selectors(item, f"configuration.{name}[{index}]", reader)
-    _check_references(parts, reader)
-
-
-def _check_unique(name: str, items: tuple[Any, ...], reader: DocumentReader) -> None:
-    seen = set()
-    for index, item in enumerate(items):
-        identity = item.key_id if isinstance(item, Key) else item.name
-        if identity in seen:
-            reader.fault(f"configuration.{name}[{index}]", f"second {identity!r}", "unique names")
-        seen.add(identity)
-
-
-def _check_selectors(item: Any, place: str, reader: DocumentReader) -> None:
-    for name in ("organisations", "routes", "upstreams"):
-        text = getattr(item, name, "")
-        try:
-            Selector.parse(text)
-        except SelectorInvalid as exc:
-            reader.fault(f"{place}.{name}", str(exc), "a selector")
-
-
-def _check_references(parts: ConfigurationParts, reader: DocumentReader) -> None:
-    organisations = {item.name for item in parts.organisations}
-    tiers = {item.name for item in parts.tiers}
-    classes = {item.name for item in parts.classes}
-    for index, key in enumerate(parts.keys):
-        if key.organisation not in organisations:
-            reader.fault(f"configuration.keys[{index}].organisation", "no such organisation")
-    for index, request_class in enumerate(parts.classes):
-        if request_class.tier not in tiers:
-            reader.fault(f"configuration.classes[{index}].tier", "no such tier")
-    for index, limit in enumerate(parts.limits):
-        for name in limit.classes:
-            if name not in classes:
-                reader.fault(f"configuration.limits[{index}].classes", f"no class {name!r}")
--- a/packages/bilberryplank-core/bilberryplank_core/_documents.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_documents.py
@@ -3,22 +3,43 @@
 from __future__ import annotations
 
 import types
-from dataclasses import MISSING, fields
+from collections.abc import Callable
+from dataclasses import MISSING, Field, fields
 from enum import Enum
+from functools import cache
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
 
 from bilberryplank_core._errors import Fault
 
 T = TypeVar("T")
+Check = Callable[[Any, str], list[Fault]]
+"""Returns the faults of an object, given its path."""
+
+FieldCheck = Callable[[str, Any, str], list[Fault]]
+"""Returns the faults of a field's value, given its name and path."""
+
+MAX_SHOWN_CHARS = 60
 
 
 class DocumentReader:
-    """Builds data classes from parsed JSON and collects faults instead of stopping at the first."""
+    """Builds data classes from parsed JSON and collects faults instead of stopping at the first.
+
+    Attributes:
+        faults: Every fault so far.
+    """
 
-    __slots__ = ("faults",)
+    __slots__ = ("_check", "_check_field", "faults")
 
-    def __init__(self) -> None:
+    def __init__(self, check: Check | None = None, check_field: FieldCheck | None = None) -> None:
+        """Makes a reader.
+
+        Args:
+            check: Called with each object that could be built.
+            check_field: Called with each plain value whose type is right.
+        """
         self.faults: list[Fault] = []
+        self._check = check
+        self._check_field = check_field
 
     def fault(self, place: str, message: str, expected: str = "") -> None:
         """Adds a fault."""
@@ -30,18 +51,29 @@
             self.fault(place, f"is {_name_of(value)}", "an object")
             return None
         before = len(self.faults)
-        known = {part.name: part for part in fields(kind)}
-        hints = get_type_hints(kind)
-        for name in value:
-            if name not in known:
-                self.fault(f"{place}.{name}", "unknown setting", ", ".join(sorted(known)))
+        shape = _shape_of(kind)
+        for name in value.keys() - shape.keys():
+            self.fault(f"{place}.{name}", "unknown name", ", ".join(sorted(shape)))
         arguments = {}
-        for name, part in known.items():
+        for name, (part, annotation) in shape.items():
             if name in value:
-                arguments[name] = self._convert(hints[name], value[name], f"{place}.{name}")
+                arguments[name] = self._read_field(annotation, name, value[name], place)
             elif part.default is MISSING and part.default_factory is MISSING:
-                self.fault(f"{place}.{name}", "missing", _describe(hints[name]))
-        return kind(**arguments) if len(self.faults) == before else None
+                self.fault(f"{place}.{name}", "missing", _describe(annotation))
+        if len(self.faults) > before:
+            return None
+        built = kind(**arguments)
+        if self._check is not None:
+            self.faults.extend(self._check(built, place))
+        return built if len(self.faults) == before else None
+
+    def _read_field(self, annotation: Any, name: str, value: Any, place: str) -> Any:
+        before = len(self.faults)
+        path = f"{place}.{name}"
+        converted = self._convert(annotation, value, path)
+        if self._check_field is not None and len(self.faults) == before:
+            self.faults.extend(self._check_field(name, converted, path))
+        return converted
 
     def _convert(self, annotation: Any, value: Any, place: str) -> Any:
         origin = get_origin(annotation)
@@ -83,19 +115,36 @@
     def _convert_enum(self, annotation: type[Enum], value: Any, place: str) -> Any:
         allowed = [member.value for member in annotation]
         if value not in allowed:
-            self.fault(place, f"is {value!r}", "one of " + ", ".join(allowed))
+            self.fault(place, f"is {show(value)}", "one of " + ", ".join(allowed))
             return None
         return annotation(value)
 
     def _convert_scalar(self, annotation: Any, value: Any, place: str) -> Any:
+        if type(value) is annotation:
+            return value
         if annotation is float and type(value) is int:
+            return self._convert_whole_number(value, place)
+        self.fault(place, f"is {_name_of(value)}", _describe(annotation))
+        return None
+
+    def _convert_whole_number(self, value: int, place: str) -> float | None:
+        try:
             return float(value)
-        if type(value) is not annotation:
-            self.fault(place, f"is {_name_of(value)}", _describe(annotation))
+        except OverflowError:
+            self.fault(place, "is too large", "a number")
             return None
-        if annotation is float and value != value:
-            self.fault(place, "is not a number", "a number")
-        return value
+
+
+def show(value: Any) -> str:
+    """Returns a value as faults show it, cut where it is long."""
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN_CHARS else text[:MAX_SHOWN_CHARS] + "..."
+
+
+@cache
+def _shape_of(kind: type) -> dict[str, tuple[Field[Any], Any]]:
+    hints = get_type_hints(kind)
+    return {part.name: (part, hints[part.name]) for part in fields(kind)}
 
 
 def _name_of(value: Any) -> str:
@@ -107,4 +156,8 @@
 
 def _describe(annotation: Any) -> str:
     names = {str: "text", int: "a whole number", float: "a number", bool: "true or false"}
+    if hasattr(annotation, "__dataclass_fields__"):
+        return "an object"
+    if get_origin(annotation) in (list, tuple):
+        return "a list"
     return names.get(annotation, "a value")
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-import ipaddress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, TypeVar
-
-import jsonc
+from typing import TypeVar
 
 from bilberryplank_core._documents import DocumentReader
 from bilberryplank_core._errors import Fault, SettingsInvalid
+from bilberryplank_core._json_text import parse_json
+from bilberryplank_core._settings_checks import check_field, check_object
 from bilberryplank_core._world import UpstreamKind
 
-MIN_FLEET_KEY_CHARS = 16
-MAX_PORT = 65535
-
 
 @dataclass(slots=True, frozen=True)
 class PlatformSettings:
@@ -150,9 +146,9 @@
     zone: str
     listen: str
     operations_listen: str
-    fleet_key: str
-    key_hash_secret: str
-    platform: PlatformSettings
+    fleet_key: str = field(repr=False)
+    key_hash_secret: str = field(repr=False)
+    platform: PlatformSettings = field(repr=False)
     drain_timeout: float = 120.0
     callers: CallerSettings = CallerSettings()
     links: LinkSettings = LinkSettings()
@@ -187,8 +183,8 @@
     upstream: str
     upstream_kind: UpstreamKind
     upstream_url: str
-    fleet_key: str
-    platform: PlatformSettings
+    fleet_key: str = field(repr=False)
+    platform: PlatformSettings = field(repr=False)
     checks_fencing: bool = False
     drain_timeout: float = 120.0
     answer_lifetime: float = 30.0
@@ -209,8 +205,8 @@
         operations: `ip:port` of processes whose status and decisions it reads.
     """
 
-    key_hash_secret: str
-    platform: PlatformSettings
+    key_hash_secret: str = field(repr=False)
+    platform: PlatformSettings = field(repr=False)
     operations: tuple[str, ...] = ()
 
 
@@ -223,96 +219,31 @@
     Raises:
         SettingsInvalid: With every fault of the file.
     """
-    settings = _read_document(kind, path)
-    faults = check_settings(settings, str(path))
-    if faults:
-        raise SettingsInvalid(faults)
-    return settings
-
-
-def check_settings(settings: Any, place: str) -> list[Fault]:
-    """Returns the faults of settings whose types are right."""
-    faults: list[Fault] = []
-    for name in settings.__dataclass_fields__:
-        value = getattr(settings, name)
-        faults.extend(_check_value(name, value, f"{place}.{name}"))
-    if isinstance(settings, FleetSettings) and settings.lease_margin * 2 >= settings.lease_duration:
-        faults.append(Fault(f"{place}.lease_margin", "too long", "under half of lease_duration"))
-    if isinstance(settings, LinkSettings) and settings.silence_limit <= settings.heartbeat_interval:
-        faults.append(Fault(f"{place}.silence_limit", "too short", "more than heartbeat_interval"))
-    return faults
-
-
-def _read_document(kind: type[S], path: Path) -> S:
+    place = str(path)
     try:
-        document = jsonc.loads(path.read_text(encoding="utf-8"))
+        text = path.read_text(encoding="utf-8")
     except OSError as exc:
-        raise SettingsInvalid([Fault(str(path), f"cannot be read: {exc.strerror}")]) from exc
+        raise SettingsInvalid([Fault(place, f"cannot be read: {exc.strerror}")]) from exc
     except UnicodeDecodeError as exc:
-        raise SettingsInvalid([Fault(str(path), "is not UTF-8 text")]) from exc
-    except ValueError as exc:
-        raise SettingsInvalid([Fault(str(path), f"is not JSON with comments: {exc}")]) from exc
-    reader = DocumentReader()
-    settings = reader.read(kind, document, str(path))
+        raise SettingsInvalid([Fault(place, "is not UTF-8 text")]) from exc
+    document, faults = parse_json(text, place)
+    if faults:
+        raise SettingsInvalid(faults)
+    reader = DocumentReader(check_object, check_field)
+    settings = reader.read(kind, document, place)
     if settings is None:
         raise SettingsInvalid(reader.faults)
     return settings
 
 
-def _check_value(name: str, value: Any, place: str) -> list[Fault]:
-    if hasattr(value, "__dataclass_fields__"):
-        return check_settings(value, place)
-    if name in ("listen", "operations_listen"):
-        return _check_address(value, place)
-    if name == "operations":
-        return [fault for address in value for fault in _check_address(address, place)]
-    if name in _URL_NAMES:
-        return _check_url(value, place)
-    if name in ("fleet_key", "key_hash_secret") and len(value) < MIN_FLEET_KEY_CHARS:
-        return [Fault(place, "too short", f"at least {MIN_FLEET_KEY_CHARS} characters")]
-    if name == "policy" and value not in _POLICIES:
-        return [Fault(place, f"is {value!r}", "one of " + ", ".join(_POLICIES))]
-    if name == "level" and value not in _LEVELS:
-        return [Fault(place, f"is {value!r}", "one of " + ", ".join(_LEVELS))]
-    if name in ("name", "zone", "upstream") and not value:
-        return [Fault(place, "is empty", "a name")]
-    if isinstance(value, (int, float)) and not isinstance(value, bool):
-        return _check_number(name, value, place)
-    return []
-
-
-def _check_number(name: str, value: float, place: str) -> list[Fault]:
-    if name in _SHARES and not 0 <= value <= 1:
-        return [Fault(place, f"is {value}", "0 to 1")]
-    if name not in _SHARES and value <= 0:
-        return [Fault(place, f"is {value}", "more than 0")]
-    return []
-
-
-def _check_address(value: str, place: str) -> list[Fault]:
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        valid = 0 < int(port) <= MAX_PORT
-    except ValueError:
-        valid = False
-    return [] if valid else [Fault(place, f"is {value!r}", "an IP number and port, as ip:port")]
-
-
-def _check_url(value: str, place: str) -> list[Fault]:
-    if not value.startswith("http://"):
-        return [Fault(place, f"is {value!r}", "http://ip:port")]
-    return _check_address(value.removeprefix("http://").rstrip("/"), place)
-
-
-_URL_NAMES = (
-    "table",
-    "object_store",
-    "upstream_orders",
-    "usage_reports",
-    "host_list",
-    "upstream_url",
-)
-_SHARES = ("long_prefill_share", "wasted_work_budget", "retry_ratio")
-_POLICIES = ("tiered", "fifo", "informed", "round_robin")
-_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+def check_settings(settings: object, place: str) -> list[Fault]:
+    """Returns the faults of settings that were built without a file."""
+    faults = check_object(settings, place)
+    for name in settings.__dataclass_fields__:
+        value = getattr(settings, name)
+        path = f"{place}.{name}"
+        if hasattr(value, "__dataclass_fields__"):
+            faults.extend(check_settings(value, path))
+        else:
+            faults.extend(check_field(name, value, path))
+    return faults
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
@@ -0,0 +1,119 @@
+"""Checks of settings beyond their types: ranges, addresses, and values that depend on others."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from typing import Any
+
+from bilberryplank_core._documents import show
+from bilberryplank_core._errors import Fault
+
+MIN_SECRET_CHARS = 16
+MAX_PORT = 65535
+
+_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+_POLICIES = {
+    "QueueSettings": ("tiered", "fifo"),
+    "RoutingSettings": ("informed", "round_robin"),
+}
+_URL_NAMES = frozenset(
+    {
+        "table",
+        "object_store",
+        "upstream_orders",
+        "usage_reports",
+        "host_list",
+        "upstream_url",
+    }
+)
+_SHARES = frozenset({"long_prefill_share", "wasted_work_budget", "retry_ratio"})
+_NAMES = frozenset({"name", "zone", "upstream"})
+_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
+_PORT = re.compile(r"[0-9]{1,5}")
+
+
+def check_field(name: str, value: Any, place: str) -> list[Fault]:
+    """Returns the faults of one value, told by its name."""
+    if isinstance(value, str):
+        return _check_text(name, value, place)
+    if name == "operations":
+        return [
+            fault
+            for index, address in enumerate(value)
+            for fault in check_address(address, f"{place}[{index}]")
+        ]
+    if isinstance(value, (int, float)) and not isinstance(value, bool):
+        return _check_number(name, value, place)
+    return []
+
+
+def check_object(settings: Any, place: str) -> list[Fault]:
+    """Returns the faults between values of one object."""
+    faults = []
+    kind = type(settings).__name__
+    policies = _POLICIES.get(kind)
+    if policies is not None and settings.policy not in policies:
+        faults.append(_not_one_of(settings.policy, policies, f"{place}.policy"))
+    if kind == "FleetSettings" and settings.lease_margin * 2 >= settings.lease_duration:
+        faults.append(Fault(f"{place}.lease_margin", "too long", "under half of lease_duration"))
+    if kind == "LinkSettings" and settings.silence_limit <= settings.heartbeat_interval:
+        faults.append(Fault(f"{place}.silence_limit", "too short", "more than heartbeat_interval"))
+    listen = getattr(settings, "listen", None)
+    if listen is not None and listen == settings.operations_listen:
+        faults.append(Fault(f"{place}.operations_listen", "is also listen", "a port of its own"))
+    return faults
+
+
+def check_address(value: str, place: str) -> list[Fault]:
+    """Returns a fault unless the value is `ip:port`, or `[ip]:port` for IPv6."""
+    return [] if _is_address(value) else [_not_address(value, place)]
+
+
+def _check_text(name: str, value: str, place: str) -> list[Fault]:
+    if name in ("listen", "operations_listen"):
+        return check_address(value, place)
+    if name in _URL_NAMES:
+        return _check_url(value, place)
+    if name in ("fleet_key", "key_hash_secret") and len(value) < MIN_SECRET_CHARS:
+        return [Fault(place, "too short", f"at least {MIN_SECRET_CHARS} characters")]
+    if name == "level" and value not in _LEVELS:
+        return [_not_one_of(value, _LEVELS, place)]
+    if name in _NAMES and not _NAME.fullmatch(value):
+        return [Fault(place, f"is {show(value)}", "1 to 63 of A-Z a-z 0-9 . _ -")]
+    return []
+
+
+def _check_number(name: str, value: float, place: str) -> list[Fault]:
+    if name in _SHARES and not 0 <= value <= 1:
+        return [Fault(place, f"is {value}", "0 to 1")]
+    if name not in _SHARES and not value > 0:
+        return [Fault(place, f"is {value}", "more than 0")]
+    return []
+
+
+def _check_url(value: str, place: str) -> list[Fault]:
+    address = value.removeprefix("http://").removesuffix("/")
+    if value.startswith("http://") and _is_address(address):
+        return []
+    return [Fault(place, f"is {show(value)}", "http://ip:port")]
+
+
+def _is_address(value: str) -> bool:
+    host, _, port = value.rpartition(":")
+    try:
+        if host.startswith("[") and host.endswith("]"):
+            ipaddress.IPv6Address(host[1:-1])
+        else:
+            ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return bool(_PORT.fullmatch(port)) and 0 < int(port) <= MAX_PORT
+
+
+def _not_address(value: str, place: str) -> Fault:
+    return Fault(place, f"is {show(value)}", "an IP number and port, as ip:port")
+
+
+def _not_one_of(value: str, allowed: tuple[str, ...], place: str) -> Fault:
+    return Fault(place, f"is {show(value)}", "one of " + ", ".join(allowed))
