--- a/packages/bilberryplank-testing/bilberryplank_testing/_faults.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_faults.py
@@ -16,11 +16,23 @@
 
 
 class FaultKind(Enum):
-    """How a fake misbehaves."""
+    """How a fake misbehaves.
+
+    Attributes:
+        NONE: Clears the fault of a service.
+        SLOW: Waits, then handles the call, also where its client has gone.
+        FAIL: Answers 5xx without effect.
+        FAIL_AFTER_EFFECT: Answers 5xx after the effect.
+        DROP_ANSWER: Closes the connection after the effect, without an answer.
+        STALE: Answers reads as of some seconds ago; table and host list only.
+        REFUSE_CONNECTION: Closes the connection without effect.
+        HANG: Never answers after the effect.
+    """
 
     NONE = "none"
     SLOW = "slow"
     FAIL = "fail"
+    FAIL_AFTER_EFFECT = "fail_after_effect"
     DROP_ANSWER = "drop_answer"
     STALE = "stale"
     REFUSE_CONNECTION = "refuse_connection"
@@ -120,6 +132,9 @@
             await board.wait(seconds)
         case Fault(kind=FaultKind.FAIL):
             return web.json_response({"error": "fault"}, status=fail_status)
+        case Fault(kind=FaultKind.FAIL_AFTER_EFFECT):
+            await handler(req)
+            return web.json_response({"error": "fault"}, status=fail_status)
         case Fault(kind=FaultKind.REFUSE_CONNECTION):
             return abort(req)
         case Fault(kind=FaultKind.DROP_ANSWER):
@@ -132,6 +147,14 @@
     return await handler(req)
 
 
+def answer_is_lost(req: web.Request) -> bool:
+    """Returns whether the answer of a request will not reach its client."""
+    match req.get("fault"):
+        case Fault(kind=FaultKind.DROP_ANSWER | FaultKind.HANG | FaultKind.FAIL_AFTER_EFFECT):
+            return True
+    return False
+
+
 def abort(req: web.Request) -> web.Response:
     """Cuts the connection of a request; the returned response reaches nobody."""
     if req.transport is not None:
--- a/packages/bilberryplank-testing/bilberryplank_testing/_run_log.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_run_log.py
@@ -14,7 +14,17 @@
 
 
 class RunEnd(str, Enum):
-    """How the handling of a request ended."""
+    """How the handling of a request ended.
+
+    Attributes:
+        OPEN: It has not.
+        WHOLE: Handled and answered.
+        CANCELLED: Stopped by its client, or by its id.
+        FAILED: The fake crashed under it.
+        REFUSED: Answered with an error status; see `effect`.
+        CUT_SHORT: Its body never arrived whole.
+        ANSWER_LOST: Handled whole, but a fault kept the answer back.
+    """
 
     OPEN = "open"
     WHOLE = "whole"
@@ -22,6 +32,7 @@
     FAILED = "failed"
     REFUSED = "refused"
     CUT_SHORT = "cut_short"
+    ANSWER_LOST = "answer_lost"
 
 
 @dataclass(slots=True)
--- a/packages/bilberryplank-testing/bilberryplank_testing/_server.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_server.py
@@ -5,11 +5,18 @@
 import asyncio
 import signal
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
 
-from bilberryplank_testing._faults import FaultBoard, Handler, abort, fault_middleware
+from bilberryplank_testing._faults import (
+    FaultBoard,
+    Handler,
+    abort,
+    answer_is_lost,
+    fault_middleware,
+)
 from bilberryplank_testing._run_log import LogEntry, RunEnd, RunLog, read_body
 
 LOOPBACK = "127.0.0.1"
@@ -100,6 +107,9 @@
     except asyncio.CancelledError:
         entry.finish(RunEnd.CANCELLED)
         raise
+    except ConnectionError:
+        entry.finish(RunEnd.CANCELLED)
+        return abort(req)
     except web.HTTPException as exc:
         entry.status = exc.status
         entry.finish(RunEnd.REFUSED)
@@ -108,7 +118,9 @@
         entry.finish(RunEnd.FAILED)
         raise
     entry.status = resp.status
-    entry.finish(RunEnd.WHOLE if resp.status < 400 else RunEnd.REFUSED)
+    if answer_is_lost(req):
+        entry.finish(RunEnd.ANSWER_LOST)
+    entry.finish(RunEnd.WHOLE if resp.status < HTTPStatus.BAD_REQUEST else RunEnd.REFUSED)
     return resp
 
 
