Assemble the caller's answer over attempts, and resume cut streams

Frames of other attempts are dropped and counted, parts are put in order, and streams are passed on event by event, so that a resumed attempt goes on at an event boundary with one id and one usage. Short answers with a declared length are held until whole, so that a cut one can be asked for again. Ruled out: rewriting events of an attempt that was not resumed; it changed bytes for nothing.

--- a/packages/bilberryplank-core/bilberryplank_core/routing.py
+++ b/packages/bilberryplank-core/bilberryplank_core/routing.py
@@ -2,6 +2,15 @@
 
 from bilberryplank_core._affinity import affinity_key
 from bilberryplank_core._ambiguity import find_ambiguities
+from bilberryplank_core._answers import (
+    AnswerAssembler,
+    AnswerBroken,
+    AnswerEnd,
+    AnswerOutput,
+    AnswerPart,
+    AnswerStart,
+    FrameCounts,
+)
 from bilberryplank_core._attempts import RequestAttempts, RequestTraits, parse_reason
 from bilberryplank_core._choice import InformedChooser, RoundRobinChooser, UpstreamChooser
 from bilberryplank_core._classification import (
@@ -11,6 +20,7 @@
 )
 from bilberryplank_core._credentials import Credentials, extract_credentials
 from bilberryplank_core._ejection import StragglerDetector
+from bilberryplank_core._resume import merge_usage
 from bilberryplank_core._retry_budget import RetryBudget
 from bilberryplank_core._route_table import is_model_path, route_labels, upstream_labels
 from bilberryplank_core._steps import (
@@ -26,10 +36,17 @@
 
 __all__ = [
     "NOTHING_DELIVERED",
+    "AnswerAssembler",
+    "AnswerBroken",
+    "AnswerEnd",
+    "AnswerOutput",
+    "AnswerPart",
+    "AnswerStart",
     "CallerRequest",
     "Classified",
     "Credentials",
     "Deliver",
+    "FrameCounts",
     "GiveUp",
     "Ignore",
     "InformedChooser",
@@ -48,6 +65,7 @@
     "extract_credentials",
     "find_ambiguities",
     "is_model_path",
+    "merge_usage",
     "parse_reason",
     "route_labels",
     "upstream_labels",
