Pick links by rendezvous from both sides, and share limits between entries

An upstream that no entry happened to choose would idle. Limits are token buckets with debt; each entry has an equal share, or one by demand.

--- a/packages/bilberryplank-core/bilberryplank_core/_ejection.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_ejection.py
@@ -152,4 +152,5 @@
     def _readmit(self, record: _Record) -> None:
         record.ejected_until = None
         record.failures = 0
+        record.ejections -= 1
         record.samples.clear()
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_shares.py
@@ -0,0 +1,62 @@
+"""Division of limits between entries in proportion to their demand.
+
+One process gathers what each entry reports every few seconds and gives each its shares. A part is
+kept for equal shares, so that an entry whose callers have just come is not left with nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from math import exp
+
+EQUAL_PART = 0.1
+DEMAND_SECONDS = 5.0
+LEAST_DEMAND = 0.01
+
+
+class DemandMeter:
+    """Rate of requests, exponentially weighted over `DEMAND_SECONDS`."""
+
+    __slots__ = ("_rate", "_seen")
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._seen = float("-inf")
+
+    def add(self, count: float, now: float) -> None:
+        """Takes in requests, admitted or not."""
+        self._decay(now)
+        self._rate += count / DEMAND_SECONDS
+
+    def rate(self, now: float) -> float:
+        """Returns requests a second; 0 once there are next to none."""
+        self._decay(now)
+        return self._rate if self._rate >= LEAST_DEMAND else 0.0
+
+    def _decay(self, now: float) -> None:
+        if now > self._seen:
+            self._rate *= exp((self._seen - now) / DEMAND_SECONDS)
+            self._seen = now
+
+
+def divide_shares(
+    demands: Mapping[str, Mapping[tuple[str, str], float]],
+) -> dict[str, dict[tuple[str, str], float]]:
+    """Returns each entry's share of each limit; the shares of a limit add up to 1.
+
+    Args:
+        demands: For each entry, requests a second by limit.
+    """
+    totals: dict[tuple[str, str], float] = {}
+    for reported in demands.values():
+        for limit_id, rate in reported.items():
+            totals[limit_id] = totals.get(limit_id, 0.0) + rate
+    equal = EQUAL_PART / max(len(demands), 1)
+    return {
+        entry: {
+            limit_id: equal + (1 - EQUAL_PART) * reported.get(limit_id, 0.0) / total
+            for limit_id, total in totals.items()
+            if total > 0
+        }
+        for entry, reported in demands.items()
+    }
--- a/packages/bilberryplank-core/bilberryplank_core/routing.py
+++ b/packages/bilberryplank-core/bilberryplank_core/routing.py
@@ -20,9 +20,11 @@
 )
 from bilberryplank_core._credentials import Credentials, extract_credentials
 from bilberryplank_core._ejection import StragglerDetector
+from bilberryplank_core._limits import Admission, LimitId, OrganisationLimits
 from bilberryplank_core._resume import merge_usage
 from bilberryplank_core._retry_budget import RetryBudget
 from bilberryplank_core._route_table import is_model_path, route_labels, upstream_labels
+from bilberryplank_core._shares import divide_shares
 from bilberryplank_core._steps import (
     NOTHING_DELIVERED,
     Deliver,
@@ -33,9 +35,11 @@
     SettleWith,
     Step,
 )
+from bilberryplank_core._subsets import subset
 
 __all__ = [
     "NOTHING_DELIVERED",
+    "Admission",
     "AnswerAssembler",
     "AnswerBroken",
     "AnswerEnd",
@@ -50,6 +54,8 @@
     "GiveUp",
     "Ignore",
     "InformedChooser",
+    "LimitId",
+    "OrganisationLimits",
     "Progress",
     "RequestAttempts",
     "RequestClassifier",
@@ -62,11 +68,13 @@
     "StragglerDetector",
     "UpstreamChooser",
     "affinity_key",
+    "divide_shares",
     "extract_credentials",
     "find_ambiguities",
     "is_model_path",
     "merge_usage",
     "parse_reason",
     "route_labels",
+    "subset",
     "upstream_labels",
 ]
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_ejection.py
@@ -0,0 +1,79 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberryplank_core.routing import RetryBudget, StragglerDetector
+
+POOL = tuple("abcdef")
+
+
+def feed(subject, slow=(), failing=(), start=0.0, rounds=10, pool=POOL):
+    for index in range(rounds):
+        for name in pool:
+            ok = name not in failing
+            seconds = (2.0 if name in slow else 0.2) if ok else None
+            subject.record(name, seconds, ok, pool, start + index * 0.1)
+
+
+class StragglerTest(unittest.TestCase):
+    def test_who_is_ejected(self):
+        cases = [
+            ("none", {}, set()),
+            ("one slow", {"slow": "a"}, {"a"}),
+            ("one failing", {"failing": "b"}, {"b"}),
+            ("one of each", {"slow": "a", "failing": "b"}, {"a", "b"}),
+            ("all slow alike", {"slow": POOL}, set()),
+        ]
+        for name, options, ejected in cases:
+            with self.subTest(name):
+                subject = StragglerDetector()
+                feed(subject, **options)
+                self.assertEqual(subject.ejected(POOL), ejected)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(
+        st.integers(1, 8),
+        st.lists(
+            st.tuples(st.integers(0, 7), st.floats(0, 9), st.booleans(), st.floats(0, 3)),
+            max_size=120,
+        ),
+    )
+    def test_never_more_than_a_share(self, size, answers):
+        pool = tuple(f"u{index}" for index in range(size))
+        subject = StragglerDetector()
+        now = 0.0
+        for index, seconds, ok, gap in answers:
+            now += gap
+            subject.record(pool[index % size], seconds if ok else None, ok, pool, now)
+            self.assertLessEqual(len(subject.ejected(pool)), 0.34 * size)
+
+    def test_readmission_by_trickle(self):
+        subject = StragglerDetector()
+        feed(subject, slow="a")
+        self.assertFalse(subject.take_trickle("a", 2.0))
+        for now in (6.0, 7.5, 9.0):
+            self.assertTrue(subject.is_ejected("a"))
+            self.assertTrue(subject.take_trickle("a", now))
+            self.assertFalse(subject.take_trickle("a", now + 0.5))
+            subject.record("a", 0.2, True, POOL, now + 0.7)
+        self.assertFalse(subject.is_ejected("a"))
+
+    def test_still_slow_is_ejected_for_longer(self):
+        subject = StragglerDetector()
+        feed(subject, slow="a")
+        self.assertTrue(subject.take_trickle("a", 6.0))
+        subject.record("a", 2.0, True, POOL, 8.0)
+        self.assertFalse(subject.take_trickle("a", 13.0))
+        self.assertTrue(subject.take_trickle("a", 16.5))
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_successes_earn_and_retries_spend(self):
+        subject = RetryBudget(0.5, 2.0)
+        self.assertEqual([subject.try_spend() for _ in range(3)], [True, True, False])
+        subject.earn()
+        self.assertFalse(subject.try_spend())
+        for _ in range(9):
+            subject.earn()
+        self.assertEqual(subject.tokens, 2.0)
