--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -139,7 +139,9 @@
         operations_listen: `ip:port` for health, metrics and decisions.
         fleet_key: Shared secret of the system's processes.
         key_hash_secret: Secret under which callers' keys are hashed.
-        drain_timeout: Seconds that running requests get after SIGTERM.
+        lame_duck: Seconds after SIGTERM in which new connections are still taken, so that the
+            balancer can look elsewhere first.
+        drain_timeout: Seconds that running requests get after that.
     """
 
     name: str
@@ -149,6 +151,7 @@
     fleet_key: str = field(repr=False)
     key_hash_secret: str = field(repr=False)
     platform: PlatformSettings = field(repr=False)
+    lame_duck: float = 2.0
     drain_timeout: float = 120.0
     callers: CallerSettings = CallerSettings()
     links: LinkSettings = LinkSettings()
--- a/packages/bilberryplank/bilberryplank/_answer_stream.py
+++ b/packages/bilberryplank/bilberryplank/_answer_stream.py
@@ -23,18 +23,19 @@
 class AnswerStream:
     """Sends one answer in parts, within the window that the entry's credits leave.
 
-    The parts stay here, so that the answer can be sent again over another link.
+    The parts stay here, so that the answer can be sent again over another link, until it outgrows
+    `keep_bytes`: from then on only what is unsent stays.
 
     Attributes:
         attempt: Identity of the attempt.
         size: Bytes of the body so far.
-        ended: True once `finish` or `fail` was called.
+        replayable: True while all parts are still here.
     """
 
     __slots__ = (
         "attempt",
         "size",
-        "ended",
+        "replayable",
         "_link",
         "_head",
         "_parts",
@@ -49,7 +50,7 @@
     def __init__(self, attempt: AttemptId, link: Link | None, keep_bytes: int) -> None:
         self.attempt = attempt
         self.size = 0
-        self.ended = False
+        self.replayable = True
         self._link = link
         self._head: Head | None = None
         self._parts: list[bytes] = []
@@ -65,6 +66,18 @@
         """The link that the answer goes to; None while its entry is gone."""
         return self._link
 
+    @classmethod
+    def from_kept(
+        cls, attempt: AttemptId, link: Link, head: Head, parts: tuple[bytes, ...], usage: Usage
+    ) -> AnswerStream:
+        """Returns a stream that sends a whole answer again; its load hints are the old ones."""
+        stream = cls(attempt, None, sum(len(part) for part in parts))
+        stream._head = head
+        stream._parts = list(parts)
+        stream.finish(usage, head.load)
+        stream.attach(link)
+        return stream
+
     def head(self, status: int, headers: Headers, load: Load) -> None:
         """Sends status and headers."""
         self._head = Head(self.attempt, status, headers, load)
@@ -89,6 +102,11 @@
         """Says that the answer broke off."""
         self._close(Failed(self.attempt, reason, load))
 
+    @property
+    def delivered(self) -> bool:
+        """True once the answer's end was sent."""
+        return self._closing_sent
+
     def attach(self, link: Link) -> None:
         """Sends the whole answer again, from its start, over another link."""
         self._link = link
@@ -110,7 +128,6 @@
         self._pump()
 
     def _close(self, closing: End | Failed) -> None:
-        self.ended = True
         self._closing = closing
         self._pump()
 
@@ -128,7 +145,16 @@
             link.send(Body(self.attempt, self._cursor, data))
             self._cursor += 1
             self._unacknowledged += len(data)
+        if self.size > self._keep_bytes:
+            self._drop_sent()
         if self._cursor == len(self._parts) and self._closing and not self._closing_sent:
             link.send(self._closing)
             self._closing_sent = True
         self._moved.set()
+
+    def _drop_sent(self) -> None:
+        self.replayable = False
+        for index in range(self._cursor - 1, -1, -1):
+            if not self._parts[index]:
+                break
+            self._parts[index] = b""
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_caller_answer.py
@@ -0,0 +1,93 @@
+"""The answer to one caller, begun once and sent whole or cut off."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from bilberryplank._refusals import REQUEST_ID_HEADER, refusal_event
+from bilberryplank_core.errors import Refused
+from bilberryplank_core.messages import Headers
+
+EVENT_STREAM = "text/event-stream"
+
+
+class CallerGone(ConnectionError):
+    """The caller closed its connection before the answer was whole."""
+
+
+class CallerAnswer:
+    """Writes an answer to a caller; `closes` ends the connection after it.
+
+    Attributes:
+        first_byte: Loop time in seconds of the first byte of the body; None before.
+        last_byte: Loop time in seconds of the last byte of the body; None before.
+    """
+
+    __slots__ = ("first_byte", "last_byte", "_closes", "_request", "_request_id", "_resp")
+
+    def __init__(self, request: web.BaseRequest, request_id: str, closes: bool = False) -> None:
+        self.first_byte: float | None = None
+        self.last_byte: float | None = None
+        self._closes = closes
+        self._request = request
+        self._request_id = request_id
+        self._resp: web.StreamResponse | None = None
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Sends status and headers.
+
+        Raises:
+            CallerGone: The caller closed its connection.
+        """
+        fields = CIMultiDict((name, value) for name, value in headers)
+        fields[REQUEST_ID_HEADER] = self._request_id
+        self._resp = web.StreamResponse(status=status, headers=fields)
+        if self._closes:
+            self._resp.force_close()
+        try:
+            await self._resp.prepare(self._request)
+        except ConnectionError as exc:
+            raise CallerGone(str(exc)) from exc
+
+    async def write(self, data: bytes) -> None:
+        """Sends bytes of the body; waits where the caller is slow.
+
+        Raises:
+            CallerGone: The caller closed its connection.
+        """
+        assert self._resp is not None
+        now = asyncio.get_running_loop().time()
+        self.first_byte = self.first_byte or now
+        self.last_byte = now
+        try:
+            await self._resp.write(data)
+        except ConnectionError as exc:
+            raise CallerGone(str(exc)) from exc
+
+    async def finish(self) -> web.StreamResponse:
+        """Ends the answer and returns it.
+
+        Raises:
+            CallerGone: The caller closed its connection.
+        """
+        assert self._resp is not None
+        try:
+            await self._resp.write_eof()
+        except ConnectionError as exc:
+            raise CallerGone(str(exc)) from exc
+        return self._resp
+
+    async def cut_off(self, refused: Refused) -> None:
+        """Says why where the answer has a place for it, and ends the connection.
+
+        The HTTP message stays without its end, so that no caller takes it for a whole one.
+        """
+        assert self._resp is not None
+        if self._resp.content_type == EVENT_STREAM:
+            await self.write(refusal_event(refused))
+        if self._request.transport is not None:
+            self._request.transport.close()
+        raise CallerGone(f"cut off: {refused.reason.value}")
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_configuration_feed.py
@@ -0,0 +1,146 @@
+"""Keeps a process's configuration up to date from the table and from its peers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+from mode import Service
+
+from bilberryplank._link import Link
+from bilberryplank._link_pool import VersionShown
+from bilberryplank._logs import log_event
+from bilberryplank._metrics import ProcessMetrics
+from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.errors import ConfigurationInvalid, PlatformError
+from bilberryplank_core.fleet import (
+    ConfigurationHolder,
+    ConfigurationStore,
+    PollSchedule,
+    polls,
+)
+from bilberryplank_core.messages import ConfigurationDocument, FetchConfiguration
+from bilberryplank_core.settings import FleetSettings
+from bilberryplank_core.world import Host
+
+TICK_SECONDS = 0.25
+FETCH_TIMEOUT_SECONDS = 2.0
+NEVER_CONFIRMED_SECONDS = 1e9
+
+Members = Callable[[], Iterable[Host]]
+
+
+class ConfigurationFeed(Service):
+    """Polls the table where this process is elected to, and fetches newer versions from peers.
+
+    Attributes:
+        holder: The configuration in force.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        settings: FleetSettings,
+        store: ConfigurationStore,
+        metrics: ProcessMetrics,
+        members: Members,
+    ) -> None:
+        super().__init__()
+        self.holder = ConfigurationHolder(_now)
+        self._name = name
+        self._zone = zone
+        self._settings = settings
+        self._store = store
+        self._metrics = metrics
+        self._members = members
+        self._schedule = PollSchedule(settings.poll_interval, random.Random(name))
+        self._fetching_until = 0.0
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self.holder.configuration
+
+    def shown(self) -> VersionShown:
+        """Returns the version in force, as messages to peers carry it."""
+        age = min(self.holder.confirmed_age(_now()), NEVER_CONFIRMED_SECONDS)
+        return VersionShown(self.holder.version, age)
+
+    def is_stale(self) -> bool:
+        """Returns True where nothing has confirmed the configuration for too long."""
+        return self.holder.stale(_now(), self._settings.stale_limit)
+
+    def peer_showed(self, link: Link, version: int, confirmed_age: float) -> None:
+        """Takes in what a peer's message says, and fetches what is newer there."""
+        if not self.holder.seen(version, confirmed_age) or _now() < self._fetching_until:
+            return
+        self._fetching_until = _now() + FETCH_TIMEOUT_SECONDS
+        link.send(FetchConfiguration(self.holder.version))
+
+    def peer_fetched(self, link: Link, message: FetchConfiguration) -> None:
+        """Answers a peer with what it lacks."""
+        update = self.holder.update_since(message.version)
+        shown = self.shown()
+        link.send(ConfigurationDocument(shown.version, shown.confirmed_age, update))
+
+    def peer_sent(self, link: Link, message: ConfigurationDocument) -> None:
+        """Takes a peer's update."""
+        self._fetching_until = 0.0
+        try:
+            changed = self.holder.accept_update(message.document, message.confirmed_age)
+        except ConfigurationInvalid as exc:
+            log_event(logger, "configuration_update_invalid", level="ERROR", reason=exc)
+            return
+        if changed:
+            self._log_change("peer")
+
+    async def refresh(self) -> None:
+        """Reads the table once.
+
+        Raises:
+            PlatformError: The table cannot be read.
+        """
+        asked_at = _now()
+        deltas = await self._store.read_since(self.holder.version) if self.holder.version else None
+        before = self.holder.version
+        if deltas is None:
+            configuration = await self._store.read()
+            self.holder.offer(configuration.version, configuration, asked_at)
+        else:
+            for delta in deltas:
+                self.holder.offer_delta(delta, asked_at)
+            self.holder.offer(self.holder.version, self.holder.configuration, asked_at)
+        if self.holder.version != before:
+            self._log_change("table")
+
+    async def on_started(self) -> None:
+        """Begins to poll."""
+        self.add_future(self._poll())
+
+    async def _poll(self) -> None:
+        while not self.should_stop:
+            await self._poll_once()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _poll_once(self) -> None:
+        members = list(self._members())
+        elected = polls(self._name, self._zone, members, self._settings.pollers_per_zone)
+        age = self.holder.confirmed_age(_now())
+        self._metrics.set_configuration(self.holder.version, age)
+        if not self._schedule.due(_now(), elected, len(members), age):
+            return
+        try:
+            await self.refresh()
+        except (PlatformError, ConfigurationInvalid) as exc:
+            log_event(logger, "configuration_read_failed", level="WARNING", code=exc.code)
+
+    def _log_change(self, source: str) -> None:
+        self._metrics.declare_classes(self.configuration.classes)
+        log_event(logger, "configuration_changed", version=self.holder.version, source=source)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -0,0 +1,115 @@
+"""The entry: takes callers' requests and has sidecars run them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from loguru import logger
+
+from bilberryplank._caller_server import CallerServer
+from bilberryplank._entry_links import EntryLinks
+from bilberryplank._entry_requests import EntryRequests
+from bilberryplank._intake import Intake
+from bilberryplank._link import Identity
+from bilberryplank._link_pool import LinkPool
+from bilberryplank._logs import log_event
+from bilberryplank._operations_server import ProcessStatus, UpstreamStatus
+from bilberryplank._platform import Platform
+from bilberryplank._process import Process
+from bilberryplank._request_run import EntryParts
+from bilberryplank._seeds import process_rng
+from bilberryplank_core.routing import (
+    InformedChooser,
+    RetryBudget,
+    RoundRobinChooser,
+    UpstreamChooser,
+)
+from bilberryplank_core.settings import EntrySettings
+from bilberryplank_core.world import Role
+
+HEARTBEAT_TICK_SECONDS = 1.0
+
+
+class Entry(Process):
+    """One entry process."""
+
+    abstract = False
+
+    def __init__(self, settings: EntrySettings) -> None:
+        super().__init__(settings)
+        self._settings: EntrySettings = settings
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings) -> Entry:
+        """Returns an entry that is not started yet."""
+        return cls(settings)
+
+    def status(self) -> ProcessStatus:
+        """Returns the state that operators see."""
+        shown = self._feed.shown()
+        return ProcessStatus(
+            name=self._settings.name,
+            role=Role.ENTRY.value,
+            zone=self._settings.zone,
+            epoch=self.epoch,
+            version=shown.version,
+            confirmed_age=shown.confirmed_age,
+            running=self._requests.in_flight,
+            upstreams=self._upstream_statuses(),
+        )
+
+    async def start_work(self, platform: Platform) -> None:
+        """Begins to take requests."""
+        settings = self._settings
+        chooser = self._make_chooser()
+        links = EntryLinks(chooser, self._feed, self.metrics)
+        identity = Identity(Role.ENTRY, settings.name, self.epoch)
+        self._pool = LinkPool(identity, settings.fleet_key, settings.links, links)
+        parts = EntryParts(
+            epoch=self.epoch,
+            pool=self._pool,
+            links=links,
+            chooser=chooser,
+            retry_budget=RetryBudget.from_settings(settings.routing),
+            feed=self._feed,
+            usage=self._usage,
+            metrics=self.metrics,
+            journal=self.journal,
+        )
+        intake = Intake(settings.callers, settings.key_hash_secret, self._feed)
+        self._requests = EntryRequests(intake, parts, settings.routing)
+        self._server = CallerServer(settings.listen, settings.callers, self._requests.handle)
+        await self._start_part(self._server)
+        self.add_future(self._send_heartbeats())
+        log_event(logger, "entry_started", listen=settings.listen, epoch=self.epoch)
+
+    async def drain(self) -> None:
+        """Lets the balancer look elsewhere, then finishes what runs."""
+        if not hasattr(self, "_server"):
+            return
+        self._requests.draining = True
+        await asyncio.sleep(self._settings.lame_duck)
+        self._server.stop_listening()
+        await self._wait_idle(lambda: self._requests.in_flight == 0, self._settings.drain_timeout)
+        self._pool.close()
+        log_event(logger, "entry_drained", left=self._requests.in_flight)
+
+    def _make_chooser(self) -> UpstreamChooser:
+        settings = self._settings
+        if settings.routing.policy == "round_robin":
+            return RoundRobinChooser()
+        rng = process_rng(settings.name)
+        return InformedChooser.from_settings(settings.routing, settings.zone, rng)
+
+    def _upstream_statuses(self) -> tuple[UpstreamStatus, ...]:
+        linked = {link.peer.upstream for link in self._pool.open_links() if link.peer}
+        upstreams = self._feed.configuration.parts.upstreams
+        return tuple(
+            UpstreamStatus(item.name, item.zone, item.name in linked, item.draining, 0, 0)
+            for item in upstreams
+        )
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_TICK_SECONDS)
+            self._pool.send_heartbeats(asyncio.get_running_loop().time(), self._feed.shown())
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -0,0 +1,140 @@
+"""What an entry does with each request of a caller."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Sequence
+
+from aiohttp import web
+from loguru import logger
+
+from bilberryplank._caller_answer import CallerAnswer, CallerGone
+from bilberryplank._decisions import DecisionStep
+from bilberryplank._intake import Call, Intake, is_models_list
+from bilberryplank._logs import log_event
+from bilberryplank._metrics import NO_CLASS, RequestOutcome
+from bilberryplank._refusals import refusal_response
+from bilberryplank._request_run import EntryParts, RequestRun
+from bilberryplank_core.errors import RefusalReason, Refused
+from bilberryplank_core.routing import RequestAttempts, RequestTraits, affinity_key
+from bilberryplank_core.settings import RoutingSettings
+from bilberryplank_core.world import Upstream
+
+REQUEST_ID_BYTES = 12
+
+
+class EntryRequests:
+    """Handles callers' requests.
+
+    Attributes:
+        in_flight: Requests whose final answer is not out yet.
+        draining: True once the entry is about to stop.
+    """
+
+    def __init__(self, intake: Intake, parts: EntryParts, routing: RoutingSettings) -> None:
+        self.in_flight = 0
+        self.draining = False
+        self._intake = intake
+        self._parts = parts
+        self._routing = routing
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Returns the final answer to a request."""
+        self.in_flight += 1
+        request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        try:
+            return await self._handle(request, request_id)
+        except Refused as refused:
+            return self._refuse(request_id, refused, NO_CLASS)
+        finally:
+            self.in_flight -= 1
+
+    async def _handle(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        arrived = asyncio.get_running_loop().time()
+        credentials, key = self._intake.authenticate(request)
+        if is_models_list(request, credentials.path):
+            return self._intake.list_models(key)
+        call = await self._intake.read_call(request, request_id, arrived, credentials, key)
+        class_name = call.classified.request_class.name
+        self._record(call, DecisionStep.CLASSIFIED, f"class={class_name}")
+        try:
+            return await self._run(request, call)
+        except Refused as refused:
+            return self._refuse(request_id, refused, class_name)
+
+    async def _run(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
+        answer = CallerAnswer(request, call.request_id, closes=self.draining)
+        run = RequestRun(self._parts, call, self._attempts(call), answer)
+        try:
+            resp = await run.run()
+        except (CallerGone, asyncio.CancelledError):
+            run.note_caller_gone()
+            self._log(call, "request_left")
+            raise
+        self._log(call, "request_answered")
+        return resp
+
+    def _attempts(self, call: Call) -> RequestAttempts:
+        configuration = self._parts.feed.configuration
+        lowest = max(tier.rank for tier in configuration.parts.tiers)
+        model_call = call.model_call
+        affinity = None
+        if model_call is not None:
+            affinity = affinity_key(call.classified.organisation, model_call.prefix)
+        traits = RequestTraits(
+            request=call.request_id,
+            epoch=self._parts.epoch,
+            idempotent=call.idempotent,
+            deadline=call.arrived + call.classified.request_class.deadline,
+            asks_all=call.classified.rank < lowest,
+            affinity=affinity,
+            cost=float(model_call.prompt_tokens + model_call.output_limit) if model_call else 1.0,
+        )
+        return RequestAttempts(
+            traits,
+            self._candidates(call),
+            self._parts.chooser,
+            self._parts.retry_budget,
+            self._routing.max_attempts,
+        )
+
+    def _candidates(self, call: Call) -> Sequence[Upstream]:
+        upstreams = self._parts.feed.configuration.upstreams
+        return [upstreams[name] for name in call.classified.upstreams]
+
+    def _refuse(self, request_id: str, refused: Refused, class_name: str) -> web.Response:
+        outcome = RequestOutcome.NOT_RUN if refused.not_run else RequestOutcome.MAY_HAVE_RUN
+        self._parts.metrics.refused(refused.reason, class_name)
+        self._parts.metrics.request_ended(class_name, outcome)
+        self._parts.journal.record(request_id, DecisionStep.REFUSED, refused.reason.value)
+        log_event(
+            logger,
+            "request_refused",
+            request=request_id,
+            reason=refused.reason.value,
+            not_run=refused.not_run,
+            message=refused,
+        )
+        resp = refusal_response(refused, request_id)
+        if self.draining or refused.reason in _CLOSING_REASONS:
+            resp.force_close()
+        return resp
+
+    def _log(self, call: Call, event: str) -> None:
+        seconds = asyncio.get_running_loop().time() - call.arrived
+        log_event(
+            logger,
+            event,
+            request=call.request_id,
+            organisation=call.classified.organisation,
+            class_name=call.classified.request_class.name,
+            route=call.classified.route.name,
+            seconds=seconds,
+        )
+
+    def _record(self, call: Call, step: DecisionStep, detail: str = "") -> None:
+        self._parts.journal.record(call.request_id, step, detail)
+
+
+_CLOSING_REASONS = frozenset((RefusalReason.SLOW_SENDER, RefusalReason.BODY_TOO_LARGE))
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_intake.py
@@ -0,0 +1,150 @@
+"""From a caller's HTTP request to a call that is ready to be sent to an upstream."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from bilberryplank._caller_request import MODELS_PATH, ModelCall, read_model_call, receive
+from bilberryplank._configuration_feed import ConfigurationFeed
+from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.errors import RefusalReason, Refused
+from bilberryplank_core.messages import Headers
+from bilberryplank_core.routing import (
+    CallerRequest,
+    Classified,
+    Credentials,
+    RequestClassifier,
+    extract_credentials,
+    is_model_path,
+)
+from bilberryplank_core.settings import CallerSettings
+from bilberryplank_core.world import Key, ServiceRoute
+
+CONFIGURATION_RETRY_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class Call:
+    """A request that may be sent to an upstream.
+
+    Attributes:
+        request_id: Unique id over the fleet.
+        arrived: Loop time in seconds at which the request began.
+        classified: Organisation, class, route and eligible upstreams.
+        method: HTTP method.
+        path: Path and query, without any key.
+        headers: Headers, without any key.
+        body: Whole body.
+        model_call: What the body of a model request says; None for a plain service.
+    """
+
+    request_id: str
+    arrived: float
+    classified: Classified
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    model_call: ModelCall | None
+
+    @property
+    def idempotent(self) -> bool:
+        """False where the call may run at most once."""
+        route = self.classified.route
+        return route.idempotent if isinstance(route, ServiceRoute) else True
+
+    @property
+    def streamed(self) -> bool:
+        """True where the answer is a model's stream of events."""
+        return self.model_call is not None and self.model_call.stream
+
+
+class Intake:
+    """Authenticates, reads and classifies callers' requests."""
+
+    def __init__(
+        self, callers: CallerSettings, key_hash_secret: str, feed: ConfigurationFeed
+    ) -> None:
+        self._callers = callers
+        self._key_hash_secret = key_hash_secret
+        self._feed = feed
+        self._classifier = RequestClassifier(Configuration(), key_hash_secret)
+        feed.holder.subscribe(self._configuration_changed)
+
+    def authenticate(self, request: web.BaseRequest) -> tuple[Credentials, Key]:
+        """Returns the request's headers and path without its key, and that key.
+
+        Raises:
+            Refused: The key is missing, unknown or withdrawn, or no configuration is at hand.
+        """
+        if not self._feed.holder.version or self._feed.is_stale():
+            message = "no confirmed configuration is at hand"
+            raise Refused(
+                RefusalReason.CONFIGURATION_STALE, message, retry_after=CONFIGURATION_RETRY_SECONDS
+            )
+        headers = [(name, value) for name, value in request.headers.items()]
+        credentials = extract_credentials(headers, request.raw_path)
+        return credentials, self._classifier.authenticate(credentials.secret)
+
+    async def read_call(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        arrived: float,
+        credentials: Credentials,
+        key: Key,
+    ) -> Call:
+        """Reads the body and classifies the request.
+
+        Raises:
+            Refused: The request is malformed, or not allowed.
+        """
+        received = await receive(request, self._callers)
+        path = credentials.path
+        model_call = None
+        if is_model_path(path):
+            model_call = read_model_call(path.partition("?")[0], received.body)
+        model = model_call.model if model_call is not None else None
+        caller_request = CallerRequest(request.method, path, credentials.headers, model)
+        key = self._classifier.authenticate(credentials.secret)
+        classified = self._classifier.classify(key, caller_request)
+        headers = [[name, value] for name, value in credentials.headers]
+        return Call(
+            request_id,
+            arrived,
+            classified,
+            request.method,
+            path,
+            headers,
+            received.body,
+            model_call,
+        )
+
+    def list_models(self, key: Key) -> web.Response:
+        """Returns the models that a key may use, in the published shape."""
+        usable = [
+            {"id": route.model, "object": "model", "created": 0, "owned_by": "bilberryplank"}
+            for route in self._feed.configuration.parts.model_routes
+            if self._may_use(key, route.model)
+        ]
+        body = json.dumps({"object": "list", "data": usable}).encode()
+        return web.Response(body=body, content_type="application/json")
+
+    def _may_use(self, key: Key, model: str) -> bool:
+        probe = CallerRequest("POST", "/v1/completions", (), model)
+        try:
+            self._classifier.classify(key, probe)
+        except Refused:
+            return False
+        return True
+
+    def _configuration_changed(self, configuration: Configuration) -> None:
+        self._classifier = RequestClassifier(configuration, self._key_hash_secret)
+
+
+def is_models_list(request: web.BaseRequest, path: str) -> bool:
+    """Returns True for the published call that lists models."""
+    return request.method == "GET" and path.partition("?")[0] == MODELS_PATH
--- a/packages/bilberryplank/bilberryplank/_logs.py
+++ b/packages/bilberryplank/bilberryplank/_logs.py
@@ -22,7 +22,7 @@
 MASK = "***"
 MAX_VALUE_CHARS = 4000
 LIBRARY_EVENT = "library_log"
-QUIET_LIBRARIES = ("mode", "aiohttp.access")
+QUIET_LIBRARIES = ("mode", "bilberryplank", "aiohttp.access")
 SECRET_FIELDS = frozenset(
     {
         "api_key",
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -0,0 +1,128 @@
+"""What entry and sidecar have in common as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from collections.abc import Callable
+
+import aiohttp
+from mode import Service
+
+from bilberryplank._configuration_feed import ConfigurationFeed
+from bilberryplank._decisions import DecisionJournal
+from bilberryplank._host_feed import HostFeed
+from bilberryplank._metrics import ProcessMetrics
+from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
+from bilberryplank._platform import Platform
+from bilberryplank._seeds import process_rng
+from bilberryplank._usage_feed import UsageFeed
+from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.fleet import ConfigurationStore
+from bilberryplank_core.settings import EntrySettings, SidecarSettings
+
+EPOCH_BYTES = 8
+START_RETRY_SECONDS = 0.5
+DRAIN_POLL_SECONDS = 0.05
+
+
+class Process(Service):
+    """Base of both processes: platform, configuration, operators' port and a graceful stop.
+
+    Attributes:
+        epoch: Random id of this run of the process.
+        metrics: Counters.
+        journal: Recent decisions.
+    """
+
+    abstract = True
+
+    def __init__(self, settings: EntrySettings | SidecarSettings) -> None:
+        super().__init__()
+        self.epoch = secrets.token_hex(EPOCH_BYTES)
+        self.metrics = ProcessMetrics()
+        self.journal = DecisionJournal(process=settings.name)
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+        self._operations: OperationsServer | None = None
+
+    def status(self) -> ProcessStatus:
+        """Returns the state that operators see."""
+        raise NotImplementedError
+
+    async def on_start(self) -> None:
+        """Starts the parts, the one that takes work last."""
+        settings = self._settings
+        self._session = aiohttp.ClientSession()
+        platform = Platform.from_settings(settings.platform, self._session)
+        self._operations = OperationsServer(
+            settings.operations_listen, self.metrics, self.journal, self.status
+        )
+        self._hosts = HostFeed(platform.hosts, process_rng(settings.name))
+        self._feed = ConfigurationFeed(
+            settings.name,
+            settings.zone,
+            settings.fleet,
+            ConfigurationStore(platform.table),
+            self.metrics,
+            lambda: self._hosts.hosts,
+        )
+        self._usage = UsageFeed()
+        for part in (self._operations, self._hosts, self._feed, self._usage):
+            await self._start_part(part)
+        await self._hosts.refresh()
+        await self.start_work(platform)
+        self._feed.holder.subscribe(self._configured)
+        if self._feed.holder.version:
+            self._configured(self._feed.configuration)
+
+    async def start_work(self, platform: Platform) -> None:
+        """Starts what takes work."""
+        raise NotImplementedError
+
+    async def drain(self) -> None:
+        """Ends the work without cutting anything off."""
+        raise NotImplementedError
+
+    async def on_stop(self) -> None:
+        """Drains; what is started is stopped afterwards."""
+        if self._operations is not None:
+            self._operations.readiness = Readiness.DRAINING
+        await self.drain()
+
+    async def on_shutdown(self) -> None:
+        """Closes the sessions."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _configured(self, _: Configuration) -> None:
+        operations = self._operations
+        if operations is not None and operations.readiness is Readiness.STARTING:
+            operations.readiness = Readiness.READY
+
+    async def _start_part(self, part: Service) -> None:
+        self.add_dependency(part)
+        await part.maybe_start()
+
+    async def _wait_idle(self, is_idle: Callable[[], bool], timeout: float) -> bool:
+        """Waits until nothing is left to do; returns False where the time is up first."""
+        for _ in range(int(timeout / DRAIN_POLL_SECONDS)):
+            if is_idle():
+                return True
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        return is_idle()
+
+
+async def run_process(process: Process) -> int:
+    """Runs a process until SIGTERM or SIGINT; returns the exit code."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    try:
+        await process.start()
+        await process.wait_first(stopping, process._crashed)
+    finally:
+        await process.stop()
+    return 1 if process.crashed else 0
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -0,0 +1,340 @@
+"""One request from its first attempt to its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from bilberryplank._attempt_channel import AttemptChannel, Frame, LinkLost
+from bilberryplank._caller_answer import CallerAnswer, CallerGone
+from bilberryplank._configuration_feed import ConfigurationFeed
+from bilberryplank._decisions import DecisionJournal, DecisionStep
+from bilberryplank._entry_links import EntryLinks
+from bilberryplank._intake import Call
+from bilberryplank._link import Link
+from bilberryplank._link_pool import LinkPool
+from bilberryplank._metrics import FrameDropCause, ProcessMetrics, RequestOutcome, TokenUse
+from bilberryplank._usage_feed import UsageFeed
+from bilberryplank_core.errors import (
+    HandshakeFailed,
+    LinkClosed,
+    RefusalReason,
+    Refused,
+    RetryReason,
+)
+from bilberryplank_core.messages import (
+    Acknowledge,
+    Cancel,
+    Dispatch,
+    End,
+    Failed,
+    NotRun,
+    Settle,
+    Usage,
+)
+from bilberryplank_core.routing import (
+    AnswerAssembler,
+    AnswerBroken,
+    AnswerEnd,
+    AnswerOutput,
+    AnswerPart,
+    AnswerStart,
+    Deliver,
+    GiveUp,
+    RequestAttempts,
+    RetryBudget,
+    SendTo,
+    SettleWith,
+    Step,
+    UpstreamChooser,
+    parse_reason,
+)
+from bilberryplank_core.world import Upstream
+
+
+@dataclass(slots=True)
+class EntryParts:
+    """What the requests of an entry share.
+
+    Attributes:
+        epoch: Random id of this run of the process.
+        pool: Links to sidecars.
+        links: Where their frames go.
+        chooser: Choice of upstream.
+        retry_budget: Retries left.
+        feed: Configuration.
+        usage: Usage records.
+        metrics: Counters.
+        journal: Recent decisions.
+    """
+
+    epoch: str
+    pool: LinkPool
+    links: EntryLinks
+    chooser: UpstreamChooser
+    retry_budget: RetryBudget
+    feed: ConfigurationFeed
+    usage: UsageFeed
+    metrics: ProcessMetrics
+    journal: DecisionJournal
+
+
+class RequestRun:
+    """Carries out the steps that a request's attempts decide."""
+
+    def __init__(
+        self, parts: EntryParts, call: Call, attempts: RequestAttempts, answer: CallerAnswer
+    ) -> None:
+        self._parts = parts
+        self._call = call
+        self._attempts = attempts
+        self._answer = answer
+        self._deadline = call.arrived + call.classified.request_class.deadline
+        shows_usage = call.model_call is None or call.model_call.include_usage
+        self._assembler = AnswerAssembler(call.model_call is not None, shows_usage)
+        self._sidecar_epoch = ""
+        self._usage: Usage | None = None
+
+    async def run(self) -> web.StreamResponse:
+        """Returns the answer once the caller has it whole.
+
+        Raises:
+            Refused: The request was given up before anything reached the caller.
+            CallerGone: The caller closed its connection, or its answer was cut off.
+        """
+        step = self._attempts.start(_now())
+        while True:
+            match step:
+                case SendTo():
+                    step = await self._send(step)
+                case SettleWith():
+                    step = await self._settle(step)
+                case Deliver():
+                    return await self._deliver()
+                case GiveUp(refused):
+                    await self._give_up(refused)
+                case _:
+                    raise AssertionError(f"no step can follow {step}")
+
+    async def _send(self, step: SendTo) -> Step:
+        upstream, attempt = step.upstream, step.attempt
+        self._note_sending(step)
+        try:
+            link = await self._link_to(upstream, step.budget)
+        except (LinkClosed, HandshakeFailed) as exc:
+            self._parts.chooser.record_lost(upstream.name, _now())
+            self._record(DecisionStep.NOT_RUN, f"{upstream.name}: {exc}")
+            return self._attempts.not_sent(attempt, _now())
+        assert link.peer is not None
+        self._sidecar_epoch = link.peer.epoch
+        self._assembler.begin(attempt)
+        channel = self._parts.links.open_channel(attempt, link)
+        self._parts.chooser.record_sent(upstream.name, self._cost(), _now())
+        try:
+            link.send(self._dispatch(step))
+            return await self._follow(channel, upstream)
+        except (asyncio.CancelledError, CallerGone):
+            link.send(Cancel(attempt))
+            raise
+        finally:
+            self._parts.links.close_channel(channel)
+            self._parts.chooser.record_end(upstream.name, _now())
+
+    async def _settle(self, step: SettleWith) -> Step:
+        await asyncio.sleep(step.delay)
+        attempt = step.attempt
+        try:
+            link = await self._link_to(step.upstream, step.budget)
+        except (LinkClosed, HandshakeFailed):
+            return self._attempts.link_lost(attempt, _now(), self._assembler.progress)
+        channel = self._parts.links.open_channel(attempt, link)
+        self._record(DecisionStep.SETTLED, step.upstream.name)
+        try:
+            link.send(Settle(attempt, self._sidecar_epoch))
+            return await self._follow(channel, step.upstream)
+        finally:
+            self._parts.links.close_channel(channel)
+
+    async def _link_to(self, upstream: Upstream, budget: float) -> Link:
+        link = await self._parts.pool.get(upstream.address, budget)
+        if link.peer is None or link.peer.upstream != upstream.name:
+            raise LinkClosed(f"{upstream.address} is not the sidecar of {upstream.name}")
+        return link
+
+    async def _follow(self, channel: AttemptChannel, upstream: Upstream) -> Step:
+        sent_at = _now()
+        while True:
+            try:
+                event = await channel.get(max(0.0, self._deadline - _now()))
+            except TimeoutError:
+                channel.link.send(Cancel(channel.attempt))
+                return self._attempts.expired(_now())
+            match event:
+                case LinkLost():
+                    return self._attempts.link_lost(
+                        channel.attempt, _now(), self._assembler.progress
+                    )
+                case NotRun() | Failed():
+                    return self._refused_by(event, upstream)
+                case _:
+                    step = await self._take(channel, event, upstream, sent_at)
+                    if step is not None:
+                        return step
+
+    def _refused_by(self, event: NotRun | Failed, upstream: Upstream) -> Step:
+        reason = parse_reason(event.reason)
+        progress = self._assembler.progress
+        if isinstance(event, NotRun):
+            self._record(DecisionStep.NOT_RUN, f"{upstream.name}: {event.reason}")
+            retry_after = event.retry_after
+            return self._attempts.not_run(event.attempt, reason, retry_after, _now(), progress)
+        self._record(DecisionStep.FAILED, f"{upstream.name}: {event.reason}")
+        self._parts.chooser.record_answer(upstream.name, None, False, _now())
+        return self._attempts.failed(event.attempt, reason, _now(), progress)
+
+    async def _take(
+        self, channel: AttemptChannel, frame: Frame, upstream: Upstream, sent_at: float
+    ) -> Step | None:
+        for output in self._assembler.accept(frame):
+            if isinstance(output, AnswerBroken):
+                channel.link.send(Cancel(channel.attempt))
+                reason = RefusalReason.UPSTREAM_FAILED
+                progress = self._assembler.progress
+                return self._attempts.failed(channel.attempt, reason, _now(), progress)
+            begins = isinstance(output, AnswerPart) and self._answer.first_byte is None
+            if begins:
+                seconds = _now() - sent_at
+                self._parts.chooser.record_answer(upstream.name, seconds, True, _now())
+            await self._emit(output)
+        if isinstance(frame, End) and self._usage is not None:
+            channel.link.send(Acknowledge(channel.attempt))
+            return self._attempts.finished(channel.attempt)
+        return None
+
+    async def _emit(self, output: AnswerOutput) -> None:
+        match output:
+            case AnswerStart(status, headers):
+                await self._answer.start(status, headers)
+            case AnswerPart(data):
+                await self._answer.write(data)
+            case AnswerEnd(usage):
+                self._usage = usage
+
+    async def _deliver(self) -> web.StreamResponse:
+        if self._usage is None:
+            for output in self._assembler.complete(self._prompt_tokens()):
+                await self._emit(output)
+        assert self._usage is not None
+        self._record_usage(self._usage)
+        resp = await self._answer.finish()
+        self._note_end()
+        return resp
+
+    async def _give_up(self, refused: Refused) -> None:
+        self._count_dropped()
+        if not self._assembler.progress.started:
+            raise refused
+        tokens = self._assembler.progress.tokens
+        self._record_partial_usage()
+        class_name = self._call.classified.request_class.name
+        self._parts.metrics.tokens_generated(class_name, TokenUse.WASTED, tokens)
+        await self._answer.cut_off(refused)
+
+    def note_caller_gone(self) -> None:
+        """Counts a request whose caller left, and bills what it got."""
+        self._count_dropped()
+        self._record_partial_usage()
+        class_name = self._call.classified.request_class.name
+        self._parts.metrics.request_ended(class_name, RequestOutcome.CALLER_GONE)
+
+    def _record_partial_usage(self) -> None:
+        tokens = self._assembler.progress.tokens
+        if tokens and self._usage is None:
+            usage = Usage(self._prompt_tokens(), tokens, 1)
+            self._record_usage(usage)
+
+    def _record_usage(self, usage: Usage) -> None:
+        classified = self._call.classified
+        class_name = classified.request_class.name
+        self._parts.usage.record(self._call.request_id, classified.organisation, class_name, usage)
+
+    def _dispatch(self, step: SendTo) -> Dispatch:
+        call = self._call
+        shown = self._parts.feed.shown()
+        model_call = call.model_call
+        return Dispatch(
+            attempt=step.attempt,
+            organisation=call.classified.organisation,
+            key_id=call.classified.key_id,
+            class_name=call.classified.request_class.name,
+            route=call.classified.route.name,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            budget=step.budget,
+            idempotent=call.idempotent,
+            prompt_tokens=self._prompt_tokens(),
+            output_limit=model_call.output_limit if model_call else 0,
+            resume_tokens=step.resume_tokens,
+            resume_text=step.resume_text,
+            version=shown.version,
+            confirmed_age=shown.confirmed_age,
+        )
+
+    def _prompt_tokens(self) -> int:
+        return self._call.model_call.prompt_tokens if self._call.model_call else 0
+
+    def _cost(self) -> float:
+        model_call = self._call.model_call
+        return float(model_call.prompt_tokens + model_call.output_limit) if model_call else 1.0
+
+    def _note_sending(self, step: SendTo) -> None:
+        detail = f"{step.upstream.name} attempt={step.attempt.number}"
+        if step.retry is None:
+            self._record(DecisionStep.CHOSEN, detail)
+            return
+        self._parts.metrics.retried(step.retry)
+        resumed = step.retry is RetryReason.RESUMED
+        name = DecisionStep.RESUMED if resumed else DecisionStep.RETRIED
+        self._record(name, f"{detail} why={step.retry.value}")
+
+    def _note_end(self) -> None:
+        self._count_dropped()
+        metrics = self._parts.metrics
+        request_class = self._call.classified.request_class
+        metrics.request_ended(request_class.name, RequestOutcome.ANSWERED)
+        self._record(DecisionStep.ANSWERED)
+        first, last = self._answer.first_byte, self._answer.last_byte
+        if first is None or last is None or self._usage is None:
+            return
+        waited = first - self._call.arrived
+        met = waited <= request_class.first_token_target
+        metrics.first_token(request_class.name, waited)
+        tokens = self._usage.completion_tokens
+        metrics.tokens_generated(request_class.name, TokenUse.DELIVERED, tokens)
+        if self._call.streamed and tokens > 1:
+            gap = (last - first) / (tokens - 1)
+            metrics.token_gap(request_class.name, gap)
+            met = met and gap <= request_class.token_gap_target
+        metrics.target_judged(request_class.name, met)
+
+    def _count_dropped(self) -> None:
+        counts = self._assembler.counts
+        metrics = self._parts.metrics
+        for cause, count in (
+            (FrameDropCause.LATE, counts.late),
+            (FrameDropCause.DOUBLED, counts.doubled),
+            (FrameDropCause.FOREIGN, counts.foreign),
+        ):
+            for _ in range(count):
+                metrics.frame_dropped(cause)
+
+    def _record(self, step: DecisionStep, detail: str = "") -> None:
+        self._parts.journal.record(self._call.request_id, step, detail)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -0,0 +1,439 @@
+"""The work of a sidecar: entries' attempts in, one upstream's answers out."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+
+from loguru import logger
+
+from bilberryplank._answer_stream import AnswerStream
+from bilberryplank._configuration_feed import ConfigurationFeed
+from bilberryplank._decisions import DecisionJournal, DecisionStep
+from bilberryplank._link import Link
+from bilberryplank._logs import log_event
+from bilberryplank._metrics import FrameDropCause, ProcessMetrics, RequestOutcome, TokenUse
+from bilberryplank._sidecar_attempts import HeldAttempt, KeepingSink
+from bilberryplank._upstream_call import UpstreamBroke, UpstreamCaller, UpstreamNotReached
+from bilberryplank._usage_feed import UsageFeed
+from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.errors import BilberryplankError, FrameInvalid, RefusalReason
+from bilberryplank_core.messages import (
+    Acknowledge,
+    AttemptId,
+    Cancel,
+    ConfigurationDocument,
+    Credit,
+    Dispatch,
+    Failed,
+    FetchConfiguration,
+    Goodbye,
+    Heartbeat,
+    Load,
+    LoadReport,
+    Message,
+    NotRun,
+    Settle,
+    Usage,
+    UsageStored,
+)
+from bilberryplank_core.scheduling import (
+    KeptAnswer,
+    KeptAnswers,
+    NeverRan,
+    QueuedRequest,
+    Reception,
+    Rejection,
+    RequestQueue,
+    Running,
+)
+
+LINK_LOSS_GRACE_SECONDS = 5.0
+CONFIGURATION_WAIT_SECONDS = 1.0
+RETRY_ELSEWHERE_SECONDS = 0.1
+
+
+@dataclass(slots=True)
+class SidecarParts:
+    """What the work of a sidecar is made of.
+
+    Attributes:
+        epoch: Random id of this run of the process.
+        queue: Order of dispatch.
+        kept: Memory of attempts and answers.
+        caller: The way to the upstream.
+        feed: Configuration.
+        usage: Usage records.
+        metrics: Counters.
+        journal: Recent decisions.
+        answer_bytes: Bytes of one answer that are kept to be sent again.
+    """
+
+    epoch: str
+    queue: RequestQueue
+    kept: KeptAnswers
+    caller: UpstreamCaller
+    feed: ConfigurationFeed
+    usage: UsageFeed
+    metrics: ProcessMetrics
+    journal: DecisionJournal
+    answer_bytes: int
+
+
+class SidecarRequests:
+    """Queues, runs and answers what entries dispatch over their links."""
+
+    def __init__(self, parts: SidecarParts) -> None:
+        self.leaving = False
+        self._parts = parts
+        self._queue = parts.queue
+        self._kept = parts.kept
+        self._held: dict[AttemptId, HeldAttempt] = {}
+        self._replays: dict[AttemptId, AnswerStream] = {}
+        self._links: set[Link] = set()
+        self._unclassified: list[HeldAttempt] = []
+        self._expiry: asyncio.TimerHandle | None = None
+        parts.feed.holder.subscribe(self._configuration_changed)
+
+    @property
+    def idle(self) -> bool:
+        """True where nothing waits, runs or is on its way."""
+        return not self._held and not self._unclassified
+
+    def load(self) -> Load:
+        """Returns the load that answers carry."""
+        shown = self._parts.feed.shown()
+        load = self._queue.load(_now())
+        self._parts.metrics.set_load(load.queued, load.running)
+        return replace(
+            load,
+            leaving=self.leaving,
+            version=shown.version,
+            confirmed_age=shown.confirmed_age,
+        )
+
+    def leave(self) -> None:
+        """Tells every entry that this upstream takes no new work."""
+        self.leaving = True
+        for link in self._links:
+            link.send(LoadReport(self.load()))
+
+    def close(self) -> None:
+        """Ends the links and stops what runs."""
+        for link in list(self._links):
+            link.close_gently("stopped")
+        for held in list(self._held.values()):
+            held.stop(RefusalReason.CANCELLED)
+
+    def tick(self) -> None:
+        """Forgets what is too old; called every second or so."""
+        self._kept.expire(_now())
+        self._expire_queue()
+
+    def link_ready(self, link: Link) -> None:
+        """Takes a new link and shows the load."""
+        assert link.peer is not None
+        self._links.add(link)
+        self._kept.link_opened(id(link), link.peer.epoch)
+        self._parts.metrics.set_links(len(self._links))
+        link.send(LoadReport(self.load()))
+
+    def link_closed(self, link: Link, exc: BilberryplankError) -> None:
+        """Cancels what the entry had queued; what runs goes on for a while."""
+        self._links.discard(link)
+        self._kept.link_closed(id(link))
+        self._parts.metrics.set_links(len(self._links))
+        for held in [held for held in self._held.values() if held.stream.link is link]:
+            self._entry_lost(held)
+        for attempt in [key for key, stream in self._replays.items() if stream.link is link]:
+            del self._replays[attempt]
+        self._pump()
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """Handles a message of an entry."""
+        match message:
+            case Dispatch():
+                self._parts.feed.peer_showed(link, message.version, message.confirmed_age)
+                self._receive(link, message)
+            case Credit(attempt, size):
+                self._credit(link, attempt, size)
+            case Heartbeat(version, confirmed_age):
+                self._parts.feed.peer_showed(link, version, confirmed_age)
+                link.send(LoadReport(self.load()))
+            case Cancel(attempt):
+                self._cancel(attempt)
+            case Settle():
+                self._settle(link, message)
+            case Acknowledge(attempt):
+                self._kept.acknowledge(attempt)
+                self._replays.pop(attempt, None)
+            case _:
+                self._shared_message(link, message)
+
+    def _shared_message(self, link: Link, message: Message) -> None:
+        match message:
+            case FetchConfiguration():
+                self._parts.feed.peer_fetched(link, message)
+            case ConfigurationDocument():
+                self._parts.feed.peer_sent(link, message)
+            case UsageStored(record_ids):
+                self._parts.usage.peer_stored(record_ids)
+            case Goodbye():
+                return
+            case _:
+                self._parts.metrics.frame_dropped(FrameDropCause.FOREIGN)
+                link.close(FrameInvalid(f"unexpected {type(message).__name__}"))
+
+    def _receive(self, link: Link, dispatch: Dispatch) -> None:
+        attempt = dispatch.attempt
+        match self._kept.receive(attempt):
+            case Reception.DUPLICATE:
+                self._parts.metrics.frame_dropped(FrameDropCause.DOUBLED)
+                return
+            case Reception.TOMBSTONE:
+                reason = RefusalReason.UPSTREAM_FAILED.value
+                link.send(NotRun(attempt, reason, RETRY_ELSEWHERE_SECONDS, self.load()))
+                return
+        now = _now()
+        stream = AnswerStream(attempt, link, self._parts.answer_bytes)
+        held = HeldAttempt(dispatch, 0, now, now + dispatch.budget, stream)
+        self._held[attempt] = held
+        if dispatch.class_name not in self._configuration.classes:
+            self._wait_for_configuration(held)
+            return
+        self._admit(held)
+
+    def _wait_for_configuration(self, held: HeldAttempt) -> None:
+        self._unclassified.append(held)
+        loop = asyncio.get_running_loop()
+        loop.call_later(CONFIGURATION_WAIT_SECONDS, self._configuration_late, held)
+
+    def _configuration_late(self, held: HeldAttempt) -> None:
+        if held in self._unclassified:
+            self._unclassified.remove(held)
+            self._refuse(held, RefusalReason.CONFIGURATION_STALE, RETRY_ELSEWHERE_SECONDS)
+
+    def _admit(self, held: HeldAttempt) -> None:
+        reason = self._reason_to_refuse(held.dispatch)
+        if reason is not None:
+            self._refuse(held, reason, RETRY_ELSEWHERE_SECONDS)
+            return
+        held.rank = self._configuration.rank(held.dispatch.class_name)
+        rejections = self._queue.offer(held.queued(self._configuration), _now())
+        self._record(held, DecisionStep.QUEUED)
+        self._reject(rejections)
+        self._pump()
+
+    def _reason_to_refuse(self, dispatch: Dispatch) -> RefusalReason | None:
+        if self.leaving:
+            return RefusalReason.UPSTREAM_LEAVING
+        if self._parts.feed.is_stale():
+            return RefusalReason.CONFIGURATION_STALE
+        return self._key_refusal(dispatch)
+
+    def _key_refusal(self, dispatch: Dispatch) -> RefusalReason | None:
+        key = self._configuration.keys.get(dispatch.key_id)
+        if key is None:
+            newer = dispatch.version > self._configuration.version
+            return None if newer else RefusalReason.KEY_UNKNOWN
+        if key.withdrawn:
+            return RefusalReason.KEY_WITHDRAWN
+        if key.organisation != dispatch.organisation:
+            return RefusalReason.KEY_NOT_ALLOWED
+        return None
+
+    def _pump(self) -> None:
+        while (req := self._queue.take(_now())) is not None:
+            self._start(req)
+        attempt = self._queue.preempt(_now())
+        if attempt is not None and attempt in self._held:
+            held = self._held[attempt]
+            self._parts.metrics.preempted(held.dispatch.class_name)
+            self._record(held, DecisionStep.PREEMPTED)
+            held.stop(RefusalReason.PREEMPTED)
+        self._plan_expiry()
+
+    def _start(self, req: QueuedRequest) -> None:
+        held = self._held[req.attempt]
+        reason = self._key_refusal(held.dispatch)
+        if reason is not None:
+            self._queue.finished(req.attempt, _now(), 0, 0, False)
+            self._refuse(held, reason, 0.0)
+            return
+        if not self._kept.dispatch(req.attempt):
+            raise AssertionError("a queued attempt is known as queued")
+        self._queue.started(req.attempt, _now())
+        waited = _now() - held.arrived
+        self._parts.metrics.queue_waited(held.dispatch.class_name, waited)
+        self._record(held, DecisionStep.STARTED, f"waited={waited:.3f}")
+        held.task = asyncio.get_running_loop().create_task(self._run(held))
+
+    async def _run(self, held: HeldAttempt) -> None:
+        attempt = held.dispatch.attempt
+        budget = max(0.0, held.deadline - _now())
+        dispatch = replace(held.dispatch, budget=budget)
+        sink = KeepingSink(held, self._kept, self.load(), self._parts.metrics)
+        try:
+            usage = await self._parts.caller.run(dispatch, held.rank, sink)
+        except UpstreamNotReached as exc:
+            self._never_reached(held, exc)
+        except UpstreamBroke as exc:
+            self._broke(held, RefusalReason.UPSTREAM_FAILED, exc)
+        except TimeoutError as exc:
+            self._broke(held, RefusalReason.DEADLINE_PASSED, exc)
+        except asyncio.CancelledError as exc:
+            if held.stopped_for is None:
+                raise
+            self._broke(held, held.stopped_for, exc)
+        else:
+            self._finish(held, usage)
+        finally:
+            self._held.pop(attempt, None)
+            self._pump()
+
+    def _finish(self, held: HeldAttempt, usage: Usage) -> None:
+        attempt = held.dispatch.attempt
+        now = _now()
+        self._queue.finished(attempt, now, usage.prompt_tokens, usage.completion_tokens)
+        self._kept.end(attempt, usage, now)
+        dispatch = held.dispatch
+        self._parts.usage.record(attempt.request, dispatch.organisation, dispatch.class_name, usage)
+        self._parts.metrics.request_ended(held.dispatch.class_name, RequestOutcome.ANSWERED)
+        tokens = usage.completion_tokens
+        self._parts.metrics.tokens_generated(held.dispatch.class_name, TokenUse.DELIVERED, tokens)
+        self._record(held, DecisionStep.ANSWERED)
+        held.stream.finish(usage, self.load())
+
+    def _never_reached(self, held: HeldAttempt, exc: UpstreamNotReached) -> None:
+        attempt = held.dispatch.attempt
+        self._queue.finished(attempt, _now(), 0, 0, False)
+        self._kept.fail(attempt)
+        self._log_failure(held, RefusalReason.UPSTREAM_FAILED, exc)
+        self._send_not_run(held, RefusalReason.UPSTREAM_FAILED, RETRY_ELSEWHERE_SECONDS)
+
+    def _broke(self, held: HeldAttempt, reason: RefusalReason, exc: BaseException) -> None:
+        attempt = held.dispatch.attempt
+        self._queue.finished(attempt, _now(), held.dispatch.prompt_tokens, 0, False)
+        self._kept.fail(attempt)
+        self._log_failure(held, reason, exc)
+        held.stream.fail(reason.value, self.load())
+
+    def _log_failure(self, held: HeldAttempt, reason: RefusalReason, exc: BaseException) -> None:
+        class_name = held.dispatch.class_name
+        self._parts.metrics.request_ended(class_name, RequestOutcome.MAY_HAVE_RUN)
+        self._record(held, DecisionStep.FAILED, f"{reason.value}: {exc}")
+        log_event(
+            logger,
+            "attempt_failed",
+            level="WARNING",
+            request=held.dispatch.attempt.request,
+            attempt=held.dispatch.attempt.number,
+            reason=reason.value,
+            cause=f"{type(exc).__name__}: {exc}",
+        )
+
+    def _refuse(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
+        attempt = held.dispatch.attempt
+        if not self._kept.refuse(attempt, _now()):
+            raise AssertionError("only an attempt that never ran can be refused")
+        self._held.pop(attempt, None)
+        self._parts.metrics.refused(reason, held.dispatch.class_name)
+        self._send_not_run(held, reason, retry_after)
+
+    def _send_not_run(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
+        self._record(held, DecisionStep.NOT_RUN, reason.value)
+        link = held.stream.link
+        if link is not None:
+            link.send(NotRun(held.dispatch.attempt, reason.value, retry_after, self.load()))
+
+    def _reject(self, rejections: list[Rejection]) -> None:
+        for rejection in rejections:
+            held = self._held[rejection.attempt]
+            self._refuse(held, rejection.reason, rejection.retry_after)
+
+    def _expire_queue(self) -> None:
+        self._reject(self._queue.expire(_now()))
+        self._plan_expiry()
+
+    def _plan_expiry(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
+        deadline = self._queue.next_expiry()
+        if deadline is not None:
+            loop = asyncio.get_running_loop()
+            self._expiry = loop.call_at(deadline, self._expire_queue)
+
+    def _cancel(self, attempt: AttemptId) -> None:
+        held = self._held.get(attempt)
+        if held is None:
+            return
+        if held.task is None:
+            self._cancel_queued(held)
+        elif held.dispatch.idempotent:
+            held.stop(RefusalReason.CANCELLED)
+
+    def _cancel_queued(self, held: HeldAttempt) -> None:
+        if held in self._unclassified:
+            self._unclassified.remove(held)
+        else:
+            self._queue.cancel(held.dispatch.attempt)
+        self._refuse(held, RefusalReason.CANCELLED, 0.0)
+
+    def _entry_lost(self, held: HeldAttempt) -> None:
+        held.stream.detach()
+        if held.task is None:
+            self._cancel_queued(held)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINK_LOSS_GRACE_SECONDS, self._stop_if_detached, held)
+
+    def _stop_if_detached(self, held: HeldAttempt) -> None:
+        if held.stream.link is None and held.dispatch.idempotent:
+            held.stop(RefusalReason.CANCELLED)
+
+    def _credit(self, link: Link, attempt: AttemptId, size: int) -> None:
+        held = self._held.get(attempt)
+        stream = held.stream if held is not None else self._replays.get(attempt)
+        if stream is not None and stream.link is link:
+            stream.credit(size)
+
+    def _settle(self, link: Link, message: Settle) -> None:
+        attempt = message.attempt
+        settlement = self._kept.settle(
+            attempt, message.sidecar_epoch, self._parts.epoch, _now(), id(link)
+        )
+        match settlement:
+            case KeptAnswer(head, parts, usage):
+                stream = AnswerStream.from_kept(attempt, link, head, parts, usage)
+                self._replays[attempt] = stream
+            case Running() if attempt in self._held and self._held[attempt].stream.replayable:
+                self._held[attempt].stream.attach(link)
+            case NeverRan():
+                reason = RefusalReason.UPSTREAM_FAILED.value
+                link.send(NotRun(attempt, reason, RETRY_ELSEWHERE_SECONDS, self.load()))
+            case _:
+                link.send(Failed(attempt, RefusalReason.OUTCOME_UNKNOWN.value, self.load()))
+
+    def _configuration_changed(self, configuration: Configuration) -> None:
+        withdrawn = [key.key_id for key in configuration.parts.keys if key.withdrawn]
+        self._reject(self._queue.drop_keys(withdrawn))
+        waiting = self._unclassified
+        self._unclassified = []
+        for held in waiting:
+            if held.dispatch.class_name in configuration.classes:
+                self._admit(held)
+            else:
+                self._unclassified.append(held)
+
+    @property
+    def _configuration(self) -> Configuration:
+        return self._parts.feed.configuration
+
+    def _record(self, held: HeldAttempt, step: DecisionStep, detail: str = "") -> None:
+        attempt = held.dispatch.attempt
+        self._parts.journal.record(attempt.request, step, f"attempt={attempt.number} {detail}")
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_call.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 import aiohttp
+from multidict import CIMultiDict
 from yarl import URL
 
 from bilberryplank._usage_meter import UsageMeter
@@ -20,6 +21,7 @@
 RESUME_HEADER = "X-Resume-Tokens"
 CHUNK_BYTES = 64 * 1024
 OVERLOAD_STATUSES = (429, 503)
+FIRST_SERVER_ERROR = 500
 EVENT_STREAM = "text/event-stream"
 
 _HOP_HEADERS = frozenset(
@@ -130,6 +132,8 @@
         ) as resp:
             if self.kind is UpstreamKind.ENGINE and resp.status in OVERLOAD_STATUSES:
                 raise UpstreamNotReached(f"engine refused with {resp.status}")
+            if self.kind is UpstreamKind.ENGINE and resp.status >= FIRST_SERVER_ERROR:
+                raise UpstreamBroke(f"engine failed with {resp.status}")
             streamed = resp.content_type == EVENT_STREAM
             meter = UsageMeter(streamed)
             await sink.head(resp.status, _answer_headers(resp))
@@ -143,16 +147,18 @@
             return Usage()
         return meter.usage(dispatch.prompt_tokens)
 
-    def _headers(self, dispatch: Dispatch, rank: int) -> Headers:
+    def _headers(self, dispatch: Dispatch, rank: int) -> CIMultiDict[str]:
         headers = [pair for pair in dispatch.headers if pair[0].lower() not in _HOP_HEADERS]
         headers.append([REQUEST_ID_HEADER, dispatch.attempt.request])
         if self.kind is UpstreamKind.ENGINE:
             headers.append([PRIORITY_HEADER, str(rank)])
             if dispatch.resume_tokens:
                 headers.append([RESUME_HEADER, str(dispatch.resume_tokens)])
-        return headers
+        return CIMultiDict((name, value) for name, value in headers)
 
-    def _body(self, dispatch: Dispatch) -> bytes:
+    def _body(self, dispatch: Dispatch) -> bytes | None:
+        if not dispatch.body:
+            return None
         if self.kind is UpstreamKind.SERVICE or b'"stream"' not in dispatch.body:
             return dispatch.body
         document = json.loads(dispatch.body)
