--- a/packages/bilberryplank-core/bilberryplank_core/_configuration.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import asdict, dataclass, field
+from enum import Enum
 from typing import Any
 
 from bilberryplank_core._configuration_checks import check_item, check_parts
@@ -98,10 +99,7 @@
 
     def to_document(self) -> dict[str, Any]:
         """Returns the document as plain JSON values."""
-        document = asdict(self.parts)
-        for upstream in document["upstreams"]:
-            upstream["kind"] = upstream["kind"].value
-        return document
+        return _plain(asdict(self.parts))
 
     def to_bytes(self) -> bytes:
         """Returns the document as JSON bytes."""
@@ -115,3 +113,14 @@
     def rank(self, class_name: str) -> int:
         """Returns the rank of a class's tier; 0 is the highest."""
         return self.tiers[self.classes[class_name].tier].rank
+
+
+def _plain(value: Any) -> Any:
+    match value:
+        case dict():
+            return {name: _plain(item) for name, item in value.items()}
+        case list() | tuple():
+            return [_plain(item) for item in value]
+        case Enum():
+            return value.value
+    return value
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration.py
@@ -39,6 +39,7 @@
         configuration = Configuration.from_document(7, DOCUMENT)
         again = Configuration.from_bytes(7, configuration.to_bytes())
         self.assertEqual(again, configuration)
+        self.assertEqual(Configuration.from_document(7, again.to_document()), configuration)
         self.assertEqual(configuration.rank("batch"), 2)
         key = configuration.keys_by_digest["d1"]
         expected = {"size": "till", "organisation": "org-a"}
