--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_checks.py
@@ -27,7 +27,6 @@
     from bilberryplank_core._configuration import ConfigurationParts
 
 MAX_NAME_CHARS = 128
-RESERVED_LABEL = "organisation"
 RESERVED_PREFIX = "/v1/"
 
 _WORD = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._/-]*[A-Za-z0-9])?")
@@ -41,6 +40,9 @@
     ServiceRoute,
     Upstream,
 )
+_CALLER_LABELS = frozenset({"organisation"})
+_ROUTE_LABELS = frozenset({"route"})
+_UPSTREAM_LABELS = frozenset({"upstream", "zone", "kind"})
 _SELECTABLE = "a word that selectors can name: A-Z a-z 0-9 . _ - /"
 _SELECTORS = ("organisations", "routes", "upstreams")
 
@@ -51,8 +53,13 @@
     if isinstance(item, _NAMED):
         faults.extend(_check_name(item.name, f"{place}.name"))
         faults.extend(_check_selectors(item, place))
-    if isinstance(item, (Organisation, Key, ModelRoute, ServiceRoute, Upstream)):
-        faults.extend(_check_labels(item.labels, f"{place}.labels"))
+    match item:
+        case Organisation(labels=labels) | Key(labels=labels):
+            faults.extend(_check_labels(labels, _CALLER_LABELS, f"{place}.labels"))
+        case ModelRoute(labels=labels) | ServiceRoute(labels=labels):
+            faults.extend(_check_labels(labels, _ROUTE_LABELS, f"{place}.labels"))
+        case Upstream(labels=labels):
+            faults.extend(_check_labels(labels, _UPSTREAM_LABELS, f"{place}.labels"))
     faults.extend(_check_values(item, place))
     return faults
 
@@ -90,13 +97,13 @@
     return faults
 
 
-def _check_labels(labels: Labels, place: str) -> list[Fault]:
+def _check_labels(labels: Labels, reserved: frozenset[str], place: str) -> list[Fault]:
     faults = []
     for name, value in labels.items():
         if not _WORD.fullmatch(name) or not _WORD.fullmatch(value):
             shown = f"{show(name)} is {show(value)}"
             faults.append(Fault(place, shown, _SELECTABLE))
-        if name == RESERVED_LABEL:
+        if name in reserved:
             faults.append(Fault(place, f"{name!r} is set by the router", "another label"))
     return faults
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration.py
@@ -52,6 +52,8 @@
             (changed("organisations", 0, weight=0), "organisations[0].weight: is 0.0"),
             (changed("organisations", 0, labels={"a": "b c"}), "organisations[0].labels: 'a' is"),
             (changed("keys", 0, labels={"organisation": "org-b"}), "keys[0].labels: 'organisation"),
+            (changed("upstreams", 0, labels={"zone": "b"}), "upstreams[0].labels: 'zone' is set"),
+            (changed("model_routes", 0, labels={"route": "b"}), "model_routes[0].labels: 'route'"),
             (changed("keys", 0, organisation="org-z"), "keys[0].organisation: no organisation"),
             (changed("keys", 0, digest=secret), "keys[0].digest: is a key itself"),
             (added("keys", key_id="k2", organisation="org-b", digest="d1"), "keys[1]: second 'd1'"),
--- a/packages/bilberryplankctl/bilberryplankctl/_configuration_commands.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_configuration_commands.py
@@ -7,8 +7,9 @@
 from typing import Any, Literal
 
 from bilberryplank_core.configuration import Configuration
-from bilberryplank_core.errors import Conflict
+from bilberryplank_core.errors import ConfigurationInvalid, Conflict
 from bilberryplank_core.fleet import ConfigurationStore
+from bilberryplank_core.routing import find_ambiguities
 from bilberryplank_core.settings import (
     EntrySettings,
     OperatorSettings,
@@ -39,7 +40,7 @@
     document = None if kind in _SETTINGS_KINDS else read_versioned(path)[0]
     found = kind or _kind_of(document)
     if found == "configuration":
-        Configuration.from_document(0, document)
+        _checked(0, document)
         return Checked(str(path), "configuration")
     read_settings(_SETTINGS_KINDS[found], path)
     return Checked(str(path), f"settings file of {found}")
@@ -86,7 +87,14 @@
     """Returns the file's configuration; without a list of keys it keeps those in force."""
     if isinstance(document, dict) and "keys" not in document:
         document = {**document, "keys": [asdict(key) for key in current.parts.keys]}
-    return Configuration.from_document(current.version + 1, document)
+    return _checked(current.version + 1, document)
+
+
+def _checked(version: int, document: Any) -> Configuration:
+    configuration = Configuration.from_document(version, document)
+    if faults := find_ambiguities(configuration.parts):
+        raise ConfigurationInvalid(faults)
+    return configuration
 
 
 def _kind_of(document: Any) -> Kind:
--- a/packages/bilberryplankctl/bilberryplankctl/tests/test_configuration_commands.py
+++ b/packages/bilberryplankctl/bilberryplankctl/tests/test_configuration_commands.py
@@ -38,6 +38,17 @@
                 self.assertEqual((code, out), (expected, ""))
                 self.assertIn(text, err)
 
+    def test_classes_that_could_both_match_are_a_fault(self):
+        classes = [{"name": name, "tier": "gold"} for name in ("reply", "batch")]
+        path = self.write("file.jsonc", {**DOCUMENT, "classes": classes})
+        for command in (("check", path), ("apply", path, "--expect-version", "0")):
+            with self.subTest(command=command[0]):
+                options = () if command[0] == "check" else ("--settings", self.settings)
+                code, _, err = self.run_local(*command, *options)
+                self.assertEqual(code, 3)
+                self.assertIn("configuration.classes[1]: is ambiguous with 'reply'", err)
+        self.assertEqual(self.table.rows, {})
+
     def test_a_named_kind_goes_first(self):
         path = self.write("file.jsonc", DOCUMENT)
         self.assertEqual(self.run_local("check", path, "--kind", "entry")[0], 2)
