Add leases with fencing numbers over the table service

Cause: jobs that one process at a time may do need a holder that stops in time, also when it was frozen. Ruled out: wall-clock times in the row, and counting from the answer of a renewal. Change: a holder counts from before it sent, a contender from after it saw, and a fence row of its own lets other writes depend on the holder without renewals getting in their way.

--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -3,6 +3,7 @@
 from bilberryplank_core._configuration_delta import ConfigurationDelta
 from bilberryplank_core._configuration_holder import ConfigurationHolder
 from bilberryplank_core._configuration_store import ConfigurationHead, ConfigurationStore
+from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
 from bilberryplank_core._pollers import PollSchedule, polls
 from bilberryplank_core._ranking import is_ranked, ranked, weight
 
@@ -11,6 +12,9 @@
     "ConfigurationHead",
     "ConfigurationHolder",
     "ConfigurationStore",
+    "LeaseGuard",
+    "LeaseHolder",
+    "LeaseRow",
     "PollSchedule",
     "is_ranked",
     "polls",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
@@ -28,6 +28,8 @@
         self._revision = 0
         self._stale_rows = None
 
+    _copy = staticmethod(copy.deepcopy)
+
     def freeze_reads(self):
         self._stale_rows = dict(self.rows)
 
@@ -42,12 +44,12 @@
     async def read(self, table, key):
         self.reads += 1
         row = self._seen().get((table, key))
-        return copy.deepcopy(row)
+        return self._copy(row)
 
     async def scan(self, table, prefix="", limit=1000):
         self.reads += 1
         found = sorted(k for k in self._seen() if k[0] == table and k[1].startswith(prefix))
-        return [copy.deepcopy(self._seen()[k]) for k in found[:limit]]
+        return [self._copy(self._seen()[k]) for k in found[:limit]]
 
     async def commit(self, conditions, writes):
         fault = self.faults.popleft() if self.faults else None
@@ -71,7 +73,7 @@
         for write in writes:
             place = (write.table, write.key)
             if isinstance(write, Put):
-                value = copy.deepcopy(write.value)
+                value = self._copy(write.value)
                 self.rows[place] = Row(write.table, write.key, value, self._revision)
             else:
                 self.rows.pop(place, None)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
@@ -0,0 +1,113 @@
+import unittest
+from random import Random
+
+from bilberryplank_core.errors import LeaseLost, PlatformUnavailable
+from bilberryplank_core.fleet import LeaseHolder
+from bilberryplank_core.tests._memory_platform import MemoryTable, TableFault
+
+DURATION = 6.0
+MARGIN = 1.0
+
+
+class LeaseTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 50.0
+        self.table = MemoryTable()
+        self.first = self.holder("first")
+        self.second = self.holder("second")
+
+    def holder(self, owner):
+        return LeaseHolder("job", owner, self.table, lambda: self.now, DURATION, MARGIN, Random(1))
+
+    async def test_takeover_after_the_duration_and_a_margin(self):
+        self.assertTrue(await self.first.try_acquire())
+        self.assertFalse(await self.second.try_acquire())
+        cases = [(4.9, True, False), (5.0, False, False), (6.9, False, False), (7.0, False, True)]
+        start = self.now
+        for after, held, taken in cases:
+            with self.subTest(after=after):
+                self.now = start + after
+                self.assertEqual(self.first.held(self.now), held)
+                self.assertEqual(await self.second.try_acquire(), taken)
+        self.assertEqual((self.first.fence, self.second.fence), (1, 2))
+
+    async def test_each_renewal_begins_the_wait_anew(self):
+        await self.first.try_acquire()
+        for _ in range(10):
+            self.assertFalse(await self.second.try_acquire())
+            self.now += 2.0
+            self.assertTrue(await self.first.renew())
+        self.assertEqual(self.first.fence, 1)
+
+    async def test_holder_woken_after_a_pause_finds_itself_expired(self):
+        await self.first.try_acquire()
+        guard = self.first.guard()
+        self.assertEqual(guard.remaining(), 5.0)
+        self.now += 5.0
+        with self.assertRaises(LeaseLost):
+            guard.check()
+        self.assertFalse(await self.first.renew())
+        self.assertEqual(guard.remaining(), 0.0)
+        with self.assertRaises(LeaseLost):
+            self.first.fence_condition()
+
+    async def test_renewal_that_lands_after_a_takeover_changes_nothing(self):
+        await self.first.try_acquire()
+        await self.second.try_acquire()
+
+        async def take_over():
+            self.now += DURATION + MARGIN
+            await self.second.try_acquire()
+
+        self.table.on_commit = take_over
+        self.assertFalse(await self.first.renew())
+        self.assertEqual(self.table.rows["leases", "job"].value["holder"], "second")
+        self.assertTrue(await self.second.renew())
+
+    async def test_guard_does_not_outlive_its_fence(self):
+        await self.first.try_acquire()
+        guard = self.first.guard()
+        await self.first.release()
+        await self.first.try_acquire()
+        self.assertEqual(self.first.fence, 2)
+        with self.assertRaises(LeaseLost):
+            guard.check()
+
+    async def test_lost_answers(self):
+        self.table.faults.append(TableFault.LOST_ANSWER)
+        with self.assertRaises(PlatformUnavailable):
+            await self.first.try_acquire()
+        self.assertFalse(self.first.held(self.now))
+        self.now += 1.0
+        self.assertTrue(await self.first.try_acquire())
+        self.assertEqual(self.first.remaining(self.now), 4.0)
+        self.table.faults.append(TableFault.LOST_ANSWER)
+        with self.assertRaises(PlatformUnavailable):
+            await self.first.renew()
+        self.assertEqual(self.first.remaining(self.now), 4.0)
+        self.assertTrue(await self.first.renew())
+        self.assertEqual(self.first.remaining(self.now), 5.0)
+
+    async def test_restarted_process_of_the_same_name_waits(self):
+        await self.first.try_acquire()
+        again = self.holder("first")
+        self.assertFalse(await again.try_acquire())
+        self.now += DURATION + MARGIN
+        self.assertTrue(await again.try_acquire())
+        self.assertEqual(again.fence, 2)
+
+    async def test_released_lease_is_free_at_once(self):
+        await self.first.try_acquire()
+        await self.first.release()
+        self.assertFalse(self.first.held(self.now))
+        self.assertTrue(await self.second.try_acquire())
+
+    async def test_fence_condition_holds_through_renewals_only(self):
+        await self.first.try_acquire()
+        condition = self.first.fence_condition()
+        self.now += 2.0
+        await self.first.renew()
+        self.assertEqual(self.first.fence_condition(), condition)
+        await self.first.release()
+        await self.second.try_acquire()
+        self.assertNotEqual(self.second.fence_condition(), condition)
