Run a non-idempotent call at most once over all entries

Cause: a caller repeats a despatch whose answer was lost, perhaps through another entry; nothing recognised the repeat. Change: an intent row, written conditionally before the dispatch, names the attempt and its sidecar; a repeat gets the stored answer, or settles with that sidecar, which either still has the answer or leaves a tombstone, and only then takes the row over. A call whose caller leaves is followed to its end. Ruled out: acknowledging an answer to its sidecar before the row has it, which leaves no one to ask where the entry dies in between; unconditional take-over after a stale read. Not yet run under kills.

--- a/packages/bilberryplank-core/bilberryplank_core/_messages.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_messages.py
@@ -226,10 +226,13 @@
     Attributes:
         attempt: Identity of the attempt.
         sidecar_epoch: Epoch of the sidecar to which the attempt was sent.
+        takes_answer: False where a running answer must stay with the link that it goes to now; the
+            sidecar then says `Failed` with the reason `duplicate_in_progress`.
     """
 
     attempt: AttemptId
     sidecar_epoch: str
+    takes_answer: bool
 
 
 @dataclass(slots=True)
--- a/packages/bilberryplank/bilberryplank/_caller_answer.py
+++ b/packages/bilberryplank/bilberryplank/_caller_answer.py
@@ -19,29 +19,59 @@
 
 
 class CallerAnswer:
-    """Writes an answer to a caller; `closes` ends the connection after it.
+    """Writes an answer to a caller.
+
+    Args:
+        request: The caller's request.
+        request_id: Id that the entry gave it.
+        closes: True to end the connection after the answer.
+        outlives_caller: True for a call that is followed to its end although its caller left; the
+            rest of its answer is then taken without being sent.
 
     Attributes:
         first_byte: Loop time in seconds of the first byte of the body; None before.
         last_byte: Loop time in seconds of the last byte of the body; None before.
     """
 
-    __slots__ = ("first_byte", "last_byte", "_closes", "_request", "_request_id", "_resp")
-
-    def __init__(self, request: web.BaseRequest, request_id: str, closes: bool = False) -> None:
+    __slots__ = (
+        "first_byte",
+        "last_byte",
+        "_closes",
+        "_discarded",
+        "_outlives_caller",
+        "_request",
+        "_request_id",
+        "_resp",
+    )
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        closes: bool = False,
+        outlives_caller: bool = False,
+    ) -> None:
         self.first_byte: float | None = None
         self.last_byte: float | None = None
         self._closes = closes
+        self._discarded = False
+        self._outlives_caller = outlives_caller
         self._request = request
         self._request_id = request_id
         self._resp: web.StreamResponse | None = None
 
+    def discard(self) -> None:
+        """Drops the rest of the answer."""
+        self._discarded = True
+
     async def start(self, status: int, headers: Headers) -> None:
         """Sends status and headers.
 
         Raises:
             CallerGone: The caller closed its connection.
         """
+        if self._discarded:
+            return
         fields = CIMultiDict((name, value) for name, value in headers)
         fields[REQUEST_ID_HEADER] = self._request_id
         self._resp = web.StreamResponse(status=status, headers=fields)
@@ -50,7 +80,7 @@
         try:
             await self._resp.prepare(self._request)
         except ConnectionError as exc:
-            raise CallerGone(str(exc)) from exc
+            self._caller_left(exc)
 
     async def write(self, data: bytes) -> None:
         """Sends bytes of the body; waits where the caller is slow.
@@ -58,6 +88,8 @@
         Raises:
             CallerGone: The caller closed its connection.
         """
+        if self._discarded:
+            return
         assert self._resp is not None
         now = asyncio.get_running_loop().time()
         self.first_byte = self.first_byte or now
@@ -65,7 +97,7 @@
         try:
             await self._resp.write(data)
         except ConnectionError as exc:
-            raise CallerGone(str(exc)) from exc
+            self._caller_left(exc)
 
     async def finish(self) -> web.StreamResponse:
         """Ends the answer and returns it.
@@ -73,6 +105,8 @@
         Raises:
             CallerGone: The caller closed its connection.
         """
+        if self._discarded:
+            raise CallerGone("the caller left before the end")
         assert self._resp is not None
         try:
             await self._resp.write_eof()
@@ -91,3 +125,8 @@
         if self._request.transport is not None:
             self._request.transport.close()
         raise CallerGone(f"cut off: {refused.reason.value}")
+
+    def _caller_left(self, exc: ConnectionError) -> None:
+        if not self._outlives_caller:
+            raise CallerGone(str(exc)) from exc
+        self.discard()
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -16,8 +16,10 @@
 from bilberryplank._operations_server import ProcessStatus, UpstreamStatus
 from bilberryplank._platform import Platform
 from bilberryplank._process import Process
+from bilberryplank._repeats import RepeatSettler
 from bilberryplank._request_run import EntryParts
 from bilberryplank._seeds import process_rng
+from bilberryplank_core.idempotency import IntentJournal
 from bilberryplank_core.routing import (
     InformedChooser,
     RetryBudget,
@@ -71,6 +73,8 @@
             links=links,
             chooser=chooser,
             retry_budget=RetryBudget.from_settings(settings.routing),
+            intents=IntentJournal(platform.table),
+            repeats=RepeatSettler(self._pool, links, self._feed),
             feed=self._feed,
             usage=self._usage,
             metrics=self.metrics,
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from loguru import logger
 
+from bilberryplank._call_intent import CallIntent
 from bilberryplank._caller_answer import CallerAnswer, CallerGone
 from bilberryplank._decisions import DecisionStep
 from bilberryplank._intake import Call, Intake, is_models_list
@@ -17,9 +18,10 @@
 from bilberryplank._refusals import refusal_response
 from bilberryplank._request_run import EntryParts, RequestRun
 from bilberryplank_core.errors import RefusalReason, Refused
+from bilberryplank_core.idempotency import RequestIdentity, identify
 from bilberryplank_core.routing import RequestAttempts, RequestTraits, affinity_key
 from bilberryplank_core.settings import RoutingSettings
-from bilberryplank_core.world import Upstream
+from bilberryplank_core.world import ServiceRoute, Upstream
 
 REQUEST_ID_BYTES = 12
 
@@ -64,10 +66,14 @@
             return self._refuse(request_id, refused, class_name)
 
     async def _run(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
-        answer = CallerAnswer(request, call.request_id, closes=self.draining)
-        run = RequestRun(self._parts, call, self._attempts(call), answer)
+        answer = CallerAnswer(request, call.request_id, self.draining, not call.idempotent)
+        intent = CallIntent(self._parts.intents, _identity_of(call))
+        run = RequestRun(self._parts, call, self._attempts(call), answer, intent)
         try:
-            resp = await run.run()
+            if call.idempotent:
+                resp = await run.run()
+            else:
+                resp = await self._run_to_end(run, answer)
         except (CallerGone, asyncio.CancelledError):
             run.note_caller_gone()
             self._log(call, "request_left")
@@ -75,6 +81,22 @@
         self._log(call, "request_answered")
         return resp
 
+    async def _run_to_end(self, run: RequestRun, answer: CallerAnswer) -> web.StreamResponse:
+        """Runs a call that may run once; its end is followed even where the caller leaves."""
+        task = asyncio.create_task(run.run())
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            answer.discard()
+            self.in_flight += 1
+            task.add_done_callback(self._left_run_ended)
+            raise
+
+    def _left_run_ended(self, task: asyncio.Task[web.StreamResponse]) -> None:
+        self.in_flight -= 1
+        if not task.cancelled():
+            task.exception()
+
     def _attempts(self, call: Call) -> RequestAttempts:
         configuration = self._parts.feed.configuration
         lowest = max(tier.rank for tier in configuration.parts.tiers)
@@ -137,4 +159,12 @@
         self._parts.journal.record(call.request_id, step, detail)
 
 
+def _identity_of(call: Call) -> RequestIdentity | None:
+    route = call.classified.route
+    if call.idempotent or not isinstance(route, ServiceRoute):
+        return None
+    organisation = call.classified.organisation
+    return identify(route, organisation, call.method, call.path, call.headers, call.body)
+
+
 _CLOSING_REASONS = frozenset((RefusalReason.SLOW_SENDER, RefusalReason.BODY_TOO_LARGE))
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from bilberryplank._attempt_channel import AttemptChannel, Frame, LinkLost
+from bilberryplank._call_intent import CallIntent
 from bilberryplank._caller_answer import CallerAnswer, CallerGone
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._decisions import DecisionJournal, DecisionStep
@@ -16,6 +17,7 @@
 from bilberryplank._link import Link
 from bilberryplank._link_pool import LinkPool
 from bilberryplank._metrics import FrameDropCause, ProcessMetrics, RequestOutcome, TokenUse
+from bilberryplank._repeats import AnswerCollector, RepeatSettler
 from bilberryplank._usage_feed import UsageFeed
 from bilberryplank_core.errors import (
     HandshakeFailed,
@@ -24,6 +26,7 @@
     Refused,
     RetryReason,
 )
+from bilberryplank_core.idempotency import IntentJournal, IntentState, StoredAnswer
 from bilberryplank_core.messages import (
     Acknowledge,
     Cancel,
@@ -64,6 +67,8 @@
         links: Where their frames go.
         chooser: Choice of upstream.
         retry_budget: Retries left.
+        intents: Intents of calls that may run once.
+        repeats: What became of earlier calls.
         feed: Configuration.
         usage: Usage records.
         metrics: Counters.
@@ -75,17 +80,31 @@
     links: EntryLinks
     chooser: UpstreamChooser
     retry_budget: RetryBudget
+    intents: IntentJournal
+    repeats: RepeatSettler
     feed: ConfigurationFeed
     usage: UsageFeed
     metrics: ProcessMetrics
     journal: DecisionJournal
 
 
+@dataclass(slots=True, frozen=True)
+class Replay:
+    """The caller's request ran before; it gets the first answer."""
+
+    answer: StoredAnswer
+
+
 class RequestRun:
     """Carries out the steps that a request's attempts decide."""
 
     def __init__(
-        self, parts: EntryParts, call: Call, attempts: RequestAttempts, answer: CallerAnswer
+        self,
+        parts: EntryParts,
+        call: Call,
+        attempts: RequestAttempts,
+        answer: CallerAnswer,
+        intent: CallIntent,
     ) -> None:
         self._parts = parts
         self._call = call
@@ -94,6 +113,9 @@
         self._deadline = call.arrived + call.classified.request_class.deadline
         shows_usage = call.model_call is None or call.model_call.include_usage
         self._assembler = AnswerAssembler(call.model_call is not None, shows_usage)
+        self._intent = intent
+        self._collector = AnswerCollector()
+        self._answered_by: AttemptChannel | None = None
         self._sidecar_epoch = ""
         self._usage: Usage | None = None
 
@@ -115,10 +137,12 @@
                     return await self._deliver()
                 case GiveUp(refused):
                     await self._give_up(refused)
+                case Replay(answer):
+                    return await self._replay(answer)
                 case _:
                     raise AssertionError(f"no step can follow {step}")
 
-    async def _send(self, step: SendTo) -> Step:
+    async def _send(self, step: SendTo) -> Step | Replay:
         upstream, attempt = step.upstream, step.attempt
         self._note_sending(step)
         try:
@@ -133,6 +157,9 @@
         channel = self._parts.links.open_channel(attempt, link)
         self._parts.chooser.record_sent(upstream.name, self._cost(), _now())
         try:
+            answer = await self._claim(step)
+            if answer is not None:
+                return Replay(answer)
             link.send(self._dispatch(step))
             return await self._follow(channel, upstream)
         except (asyncio.CancelledError, CallerGone):
@@ -142,6 +169,27 @@
             self._parts.links.close_channel(channel)
             self._parts.chooser.record_end(upstream.name, _now())
 
+    async def _claim(self, step: SendTo) -> StoredAnswer | None:
+        """Returns the first answer of a repeated call; otherwise the attempt may be dispatched."""
+        attempt, upstream = step.attempt, step.upstream.name
+        found = await self._intent.before_dispatch(attempt, upstream, self._sidecar_epoch)
+        if found is None:
+            return None
+        answer = await self._parts.repeats.settle(found, step.budget)
+        if answer is None:
+            await self._intent.take_over(found, attempt, upstream, self._sidecar_epoch)
+            return None
+        if found.intent.state is not IntentState.ANSWERED:
+            await self._intent.finish_found(found, answer)
+        return answer
+
+    async def _replay(self, answer: StoredAnswer) -> web.StreamResponse:
+        self._record(DecisionStep.REPLAYED)
+        assert answer.body is not None
+        await self._answer.start(answer.status, answer.headers)
+        await self._answer.write(answer.body)
+        return await self._answer.finish()
+
     async def _settle(self, step: SettleWith) -> Step:
         await asyncio.sleep(step.delay)
         attempt = step.attempt
@@ -152,7 +200,7 @@
         channel = self._parts.links.open_channel(attempt, link)
         self._record(DecisionStep.SETTLED, step.upstream.name)
         try:
-            link.send(Settle(attempt, self._sidecar_epoch))
+            link.send(Settle(attempt, self._sidecar_epoch, True))
             return await self._follow(channel, step.upstream)
         finally:
             self._parts.links.close_channel(channel)
@@ -209,11 +257,13 @@
                 self._parts.chooser.record_answer(upstream.name, seconds, True, _now())
             await self._emit(output)
         if isinstance(frame, End) and self._usage is not None:
-            channel.link.send(Acknowledge(channel.attempt))
+            self._answered_by = channel
             return self._attempts.finished(channel.attempt)
         return None
 
     async def _emit(self, output: AnswerOutput) -> None:
+        if self._intent.has_identity:
+            self._collector.take(output)
         match output:
             case AnswerStart(status, headers):
                 await self._answer.start(status, headers)
@@ -228,12 +278,26 @@
                 await self._emit(output)
         assert self._usage is not None
         self._record_usage(self._usage)
-        resp = await self._answer.finish()
+        try:
+            resp = await self._answer.finish()
+        finally:
+            await self._settle_up()
         self._note_end()
         return resp
 
+    async def _settle_up(self) -> None:
+        """Lets the sidecar forget the answer, once no repeat has to ask it any more."""
+        stored = True
+        if self._intent.has_identity:
+            stored = await self._intent.finish(self._collector.answer())
+        channel = self._answered_by
+        if stored and channel is not None:
+            channel.link.send(Acknowledge(channel.attempt))
+
     async def _give_up(self, refused: Refused) -> None:
         self._count_dropped()
+        if refused.not_run:
+            await self._intent.give_up()
         if not self._assembler.progress.started:
             raise refused
         tokens = self._assembler.progress.tokens
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -407,14 +407,25 @@
             case KeptAnswer(head, parts, usage):
                 stream = AnswerStream.from_kept(attempt, link, head, parts, usage)
                 self._replays[attempt] = stream
-            case Running() if attempt in self._held and self._held[attempt].stream.replayable:
-                self._held[attempt].stream.attach(link)
+            case Running() if attempt in self._held:
+                self._settle_running(link, message, self._held[attempt])
             case NeverRan():
                 reason = RefusalReason.UPSTREAM_FAILED.value
                 link.send(NotRun(attempt, reason, RETRY_ELSEWHERE_SECONDS, self.load()))
             case _:
                 link.send(Failed(attempt, RefusalReason.OUTCOME_UNKNOWN.value, self.load()))
 
+    def _settle_running(self, link: Link, message: Settle, held: HeldAttempt) -> None:
+        stream = held.stream
+        if not message.takes_answer and stream.link is not None:
+            reason = RefusalReason.DUPLICATE_IN_PROGRESS
+        elif not stream.replayable:
+            reason = RefusalReason.OUTCOME_UNKNOWN
+        else:
+            stream.attach(link)
+            return
+        link.send(Failed(message.attempt, reason.value, self.load()))
+
     def _configuration_changed(self, configuration: Configuration) -> None:
         withdrawn = [key.key_id for key in configuration.parts.keys if key.withdrawn]
         self._reject(self._queue.drop_keys(withdrawn))
