--- a/packages/bilberryplank-testing/bilberryplank_testing/_caller.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_caller.py
@@ -4,11 +4,12 @@
 
 import json
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from time import monotonic
 from typing import Any
 
 import aiohttp
+from yarl import URL
 
 from bilberryplank_testing._workloads import SECRET_PREFIX, RequestKind
 
@@ -65,7 +66,9 @@
     """What came back.
 
     Attributes:
-        planned: The request.
+        class_name: Request class that was expected.
+        organisation: Who sent it.
+        streamed: True where server-sent events were asked for.
         sent: Monotonic seconds.
         status: HTTP status; 0 where the connection broke.
         first: Seconds until the first byte of the body; None where none came.
@@ -76,11 +79,13 @@
         not_run: True where a refusal says that the request was not run.
         retry_after: Seconds of a refusal's `Retry-After`; None without.
         request_id: Id that the entry gave it.
-        text: Text of a model's answer.
+        text: Text of a model's answer, or the body of a plain one.
     """
 
-    planned: PlannedRequest
-    sent: float
+    class_name: str
+    organisation: str
+    streamed: bool = False
+    sent: float = field(default_factory=monotonic)
     status: int = 0
     first: float | None = None
     total: float = 0.0
@@ -100,7 +105,7 @@
     @property
     def token_gap(self) -> float | None:
         """Mean seconds between tokens of a streamed answer."""
-        if self.first is None or self.tokens < 2 or not self.planned.kind.streamed:
+        if self.first is None or self.tokens < 2 or not self.streamed:
             return None
         return (self.total - self.first) / (self.tokens - 1)
 
@@ -115,12 +120,19 @@
         self._url = url
 
     async def send(self, planned: PlannedRequest) -> Outcome:
-        """Sends a request once and returns what came back; never raises for what fails."""
-        outcome = Outcome(planned, monotonic())
+        """Sends a request of a mix once; never raises for what fails."""
+        kind = planned.kind
+        outcome = Outcome(kind.class_name, planned.organisation, kind.streamed)
         headers = {"Authorization": f"Bearer {SECRET_PREFIX}key-{planned.organisation}"}
-        url = self._url + planned.kind.path
+        return await self.call(outcome, "POST", kind.path, headers, planned.body())
+
+    async def call(
+        self, outcome: Outcome, method: str, path: str, headers: dict[str, str], body: Any
+    ) -> Outcome:
+        """Sends any request once and notes in `outcome` what came back."""
+        url = URL(self._url + path, encoded=True)
         try:
-            async with self._session.post(url, json=planned.body(), headers=headers) as resp:
+            async with self._session.request(method, url, json=body, headers=headers) as resp:
                 await self._read(resp, outcome)
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
             outcome.whole = False
@@ -145,6 +157,8 @@
         elif "choices" in document:
             outcome.tokens = document["usage"]["completion_tokens"]
             outcome.text = document["choices"][0]["message"]["content"]
+        else:
+            outcome.text = body.decode()
 
 
 def _note_refusal(resp: aiohttp.ClientResponse, error: dict[str, Any], outcome: Outcome) -> None:
--- /dev/null
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
@@ -0,0 +1,96 @@
+"""A stretch of network between entries and a sidecar that a test can cut, freeze or mend."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+
+CHUNK_BYTES = 64 * 1024
+
+
+class WireState(Enum):
+    """What the wire does with bytes.
+
+    Attributes:
+        OPEN: Passes them on.
+        CUT: Refuses new connections; open ones were broken.
+        SILENT: Takes bytes and passes nothing on.
+        ONE_WAY: Passes requests on and keeps answers back.
+    """
+
+    OPEN = "open"
+    CUT = "cut"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+
+
+class CutProxy:
+    """Passes TCP connections on to one address."""
+
+    def __init__(self, listen: str, target: str) -> None:
+        self._listen = listen
+        self._target = target
+        self._state = WireState.OPEN
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        host, _, port = self._listen.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        """Ends every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.set(WireState.CUT)
+
+    def set(self, state: WireState) -> None:
+        """Changes what the wire does."""
+        self._state = state
+        if state is WireState.CUT:
+            for writer in list(self._writers):
+                writer.transport.abort()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._target.rpartition(":")
+        self._writers.add(writer)
+        try:
+            if self._state is WireState.CUT:
+                return
+            there, back = await asyncio.open_connection(host, int(port))
+            self._writers.add(back)
+            await asyncio.wait(
+                [
+                    asyncio.create_task(self._pass(reader, back, answers=False)),
+                    asyncio.create_task(self._pass(there, writer, answers=True)),
+                ],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            back.transport.abort()
+            self._writers.discard(back)
+        except OSError:
+            return
+        finally:
+            writer.transport.abort()
+            self._writers.discard(writer)
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answers: bool
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                while self._holds(answers):
+                    await self._changed.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            return
+
+    def _holds(self, answers: bool) -> bool:
+        if self._state is WireState.SILENT:
+            return True
+        return self._state is WireState.ONE_WAY and answers
--- a/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
@@ -16,6 +16,7 @@
 from bilberryplank_core.keys import digest_secret
 from bilberryplank_core.settings import PlatformSettings
 from bilberryplank_testing._child import Child
+from bilberryplank_testing._cut_proxy import CutProxy
 from bilberryplank_testing._ports import free_port
 
 FLEET_KEY = "fleet-key-of-the-tests"
@@ -59,6 +60,7 @@
         entry_settings: Further settings of each entry.
         sidecar_settings: Further settings of each sidecar.
         fleet: Fleet settings of every process.
+        links: Link settings of every process.
     """
 
     upstreams: list[UpstreamSpec]
@@ -68,6 +70,7 @@
     entry_settings: dict[str, Any] = field(default_factory=dict)
     sidecar_settings: dict[str, Any] = field(default_factory=dict)
     fleet: dict[str, Any] = field(default_factory=dict)
+    links: dict[str, Any] = field(default_factory=dict)
 
 
 class Deployment:
@@ -81,6 +84,7 @@
         fakes: Fakes by the name of the upstream.
         entry_urls: Where callers reach each entry.
         fake_urls: Where each fake, `platform` included, is reached.
+        wires: The network before each sidecar, by the name of its upstream.
         operations: `ip:port` of the operators' port of each process.
     """
 
@@ -93,6 +97,7 @@
         self.fakes: dict[str, Child] = {}
         self.entry_urls: dict[str, str] = {}
         self.fake_urls: dict[str, str] = {}
+        self.wires: dict[str, CutProxy] = {}
         self.operations: dict[str, str] = {}
         self._sidecar_addresses: dict[str, str] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -120,14 +125,18 @@
     async def stop(self) -> dict[str, int]:
         """Stops entries, then sidecars, then fakes; returns exit codes by name."""
         codes: dict[str, int] = {}
+        if self._session is None:
+            return codes
         for group in (self.entries, self.sidecars, self.fakes):
             children = list(group.values())
             for child in children:
                 child.thaw()
             results = await asyncio.gather(*(child.stop() for child in children))
             codes.update(zip((child.name for child in children), results, strict=True))
-        if self._session is not None:
-            await self._session.close()
+        for wire in self.wires.values():
+            await wire.stop()
+        await self._session.close()
+        self._session = None
         self._temporary.cleanup()
         return codes
 
@@ -182,11 +191,20 @@
         self.fake_urls[name] = f"http://{address}"
         await child.start()
 
+    async def restart(self, child: Child) -> None:
+        """Starts a process again whose run has ended."""
+        await child.start()
+        await self.wait_ready(child.name)
+
     async def _start_sidecar(self, upstream: UpstreamSpec) -> None:
+        listen = _new_address()
+        wire = CutProxy(self._sidecar_addresses[upstream.name], listen)
+        self.wires[upstream.name] = wire
+        await wire.start()
         name = f"sidecar-{upstream.name}"
         settings = {
             **self._common_settings(name, upstream.zone),
-            "listen": self._sidecar_addresses[upstream.name],
+            "listen": listen,
             "upstream": upstream.name,
             "upstream_kind": upstream.kind,
             "upstream_url": self.fake_urls[upstream.name],
@@ -223,6 +241,7 @@
             "fleet_key": FLEET_KEY,
             "platform": self._platform_settings(),
             "fleet": self.spec.fleet,
+            "links": self.spec.links,
         }
 
     def _platform_settings(self) -> dict[str, Any]:
--- a/packages/bilberryplank-testing/bilberryplank_testing/_report.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_report.py
@@ -57,7 +57,7 @@
     """Returns one summary per class, by name."""
     by_class: dict[str, list[Outcome]] = {}
     for outcome in outcomes:
-        by_class.setdefault(outcome.planned.kind.class_name, []).append(outcome)
+        by_class.setdefault(outcome.class_name, []).append(outcome)
     return [ClassSummary.from_outcomes(name, by_class[name]) for name in sorted(by_class)]
 
 
