--- a/packages/bilberryplank/bilberryplank/tests/_frozen_holder.py
+++ b/packages/bilberryplank/bilberryplank/tests/_frozen_holder.py
@@ -14,7 +14,7 @@
 from bilberryplank_core.settings import PlatformSettings
 
 LEASE = 0.3
-TIMEOUT = 30.0
+TIMEOUT = 10.0
 OLD_FENCE = 1
 LAST_CHECK = 2
 
--- a/packages/bilberryplank/bilberryplank/tests/test_guarded.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_guarded.py
@@ -22,7 +22,8 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 BODY = b"0123456789"
-LONG = 30.0
+LONG = 10.0
+HANG_LIMIT = 20.0
 
 
 class RawServer:
@@ -77,7 +78,7 @@
             return await GuardedClient(url, LONG).call("POST", "/orders", body, guard)
         finally:
             if server.reads:
-                await server.ended.wait()
+                await asyncio.wait_for(server.ended.wait(), HANG_LIMIT)
             await server.stop()
 
     async def test_the_last_byte_follows_the_check(self):
@@ -126,9 +127,9 @@
         )
         self.addAsyncCleanup(self.end_holder)
         if stop is not None:
-            await stop.wait()
+            await asyncio.wait_for(stop.wait(), HANG_LIMIT)
             self.holder.send_signal(signal.SIGSTOP)
-        await self.stopped()
+        await asyncio.wait_for(self.stopped(), HANG_LIMIT)
 
     async def end_holder(self):
         if self.holder.returncode is None:
@@ -155,7 +156,7 @@
         await self.freeze(url, "waiting", stop=server.headed)
         server.hold.set()
         self.assertEqual(await self.wake_after_lease(), "lease_lost")
-        await server.ended.wait()
+        await asyncio.wait_for(server.ended.wait(), HANG_LIMIT)
         await server.stop()
         self.assertFalse(server.bodies[0].endswith(b"}"))
 
