Store, sum and report usage from the running processes

Cause: the usage decisions were not wired. Change: entry and sidecar keep each record until one of them stored it; a lease holder sums the shards, closes windows and reports them from the sealed row; every call to the platform is counted and timed; request ids are the entry's epoch and a number. Also mended: traces of internal failures were lost, since loguru's opt replaces what an earlier opt set.

--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -7,8 +7,10 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
+from loguru import logger
 from mode import Service
 
+from bilberryplank._logs import log_event
 from bilberryplank._refusals import refusal_response
 from bilberryplank_core.errors import RefusalReason, Refused
 from bilberryplank_core.settings import CallerSettings
@@ -35,7 +37,12 @@
         """Returns the typed refusal; the connection is closed after it."""
         if request.writer.output_size > 0:
             raise ConnectionError("the answer has begun already")
-        resp = refusal_response(_refusal_for(status, exc, message), "")
+        refused = _refusal_for(status, exc, message)
+        if refused.reason is RefusalReason.INTERNAL:
+            log_event(logger, "request_failed", level="ERROR", trace=exc)
+        else:
+            log_event(logger, "request_unreadable", reason=refused.reason.value, cause=exc)
+        resp = refusal_response(refused, "")
         resp.force_close()
         return resp
 
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -36,6 +36,7 @@
     """One entry process."""
 
     abstract = False
+    role = Role.ENTRY
 
     def __init__(self, settings: EntrySettings) -> None:
         super().__init__(settings)
@@ -55,6 +56,8 @@
             zone=self._settings.zone,
             epoch=self.epoch,
             version=shown.version,
+            usage_waiting=self._usage.waiting,
+            leases=self.held_leases(),
             confirmed_age=shown.confirmed_age,
             running=self._requests.in_flight,
             upstreams=self._upstream_statuses(),
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 from collections.abc import Sequence
 
 from aiohttp import web
@@ -18,13 +17,12 @@
 from bilberryplank._refusals import refusal_response
 from bilberryplank._request_run import EntryParts, RequestRun
 from bilberryplank_core.errors import RefusalReason, Refused
+from bilberryplank_core.fleet import RequestIds
 from bilberryplank_core.idempotency import RequestIdentity, identify
 from bilberryplank_core.routing import RequestAttempts, RequestTraits, affinity_key
 from bilberryplank_core.settings import RoutingSettings
 from bilberryplank_core.world import ServiceRoute, Upstream
 
-REQUEST_ID_BYTES = 12
-
 
 class EntryRequests:
     """Handles callers' requests.
@@ -37,6 +35,7 @@
     def __init__(self, intake: Intake, parts: EntryParts, routing: RoutingSettings) -> None:
         self.in_flight = 0
         self.draining = False
+        self._ids = RequestIds(parts.epoch)
         self._intake = intake
         self._parts = parts
         self._routing = routing
@@ -44,7 +43,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Returns the final answer to a request."""
         self.in_flight += 1
-        request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        request_id = self._ids.next()
         try:
             return await self._handle(request, request_id)
         except Refused as refused:
@@ -111,7 +110,6 @@
             deadline=call.arrived + call.classified.request_class.deadline,
             asks_all=call.classified.rank < lowest,
             affinity=affinity,
-            cost=float(model_call.prompt_tokens + model_call.output_limit) if model_call else 1.0,
         )
         return RequestAttempts(
             traits,
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_lease_job.py
@@ -0,0 +1,115 @@
+"""Jobs that one process of the fleet does at a time, under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from abc import abstractmethod
+
+from loguru import logger
+from mode import Service
+
+from bilberryplank._host_feed import HostFeed
+from bilberryplank._logs import log_event
+from bilberryplank._metrics import ProcessMetrics
+from bilberryplank_core.contracts import Table
+from bilberryplank_core.errors import Conflict, LeaseLost, PlatformError
+from bilberryplank_core.fleet import LeaseHolder, is_ranked
+from bilberryplank_core.settings import FleetSettings
+
+IDLE_SECONDS = 2.0
+
+
+def boot_time() -> float:
+    """Returns seconds that go on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class LeaseJob(Service):
+    """Contends for a lease and does its job while it holds it.
+
+    Only the few processes that rank highest for the job contend, so that the table sees few reads.
+
+    Attributes:
+        lease: The lease.
+    """
+
+    abstract = True
+
+    def __init__(
+        self,
+        job: str,
+        name: str,
+        settings: FleetSettings,
+        table: Table,
+        hosts: HostFeed,
+        metrics: ProcessMetrics,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self.lease = LeaseHolder(
+            job, name, table, boot_time, settings.lease_duration, settings.lease_margin, rng
+        )
+        self._name = name
+        self._settings = settings
+        self._hosts = hosts
+        self._metrics = metrics
+
+    @abstractmethod
+    async def work(self) -> None:
+        """Does the next piece of the job; the lease is held when it begins.
+
+        Raises:
+            LeaseLost: The lease ended meanwhile.
+            Conflict: Another process was faster.
+            PlatformError: The platform did not answer.
+        """
+
+    async def on_started(self) -> None:
+        """Begins to contend."""
+        self.add_future(self._contend())
+        self.add_future(self._work_regularly())
+
+    async def on_stop(self) -> None:
+        """Gives the lease up."""
+        await self.lease.release()
+
+    async def _contend(self) -> None:
+        while not self.should_stop:
+            if self.lease.held(boot_time()) or self._is_candidate():
+                await self._contend_once()
+            self._metrics.set_lease(self.lease.name, self.lease.held(boot_time()))
+            await asyncio.sleep(self.lease.delay())
+
+    async def _contend_once(self) -> None:
+        held = self.lease.held(boot_time())
+        try:
+            holds = await (self.lease.renew() if held else self.lease.try_acquire())
+        except PlatformError as exc:
+            log_event(logger, "lease_call_failed", level="WARNING", code=exc.code)
+            return
+        if holds != held:
+            event = "lease_acquired" if holds else "lease_lost"
+            log_event(logger, event, lease=self.lease.name, fence=self.lease.fence)
+
+    async def _work_regularly(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(self.pause())
+            if self.lease.held(boot_time()):
+                await self._work_once()
+
+    def pause(self) -> float:
+        """Returns the seconds until the next piece of work."""
+        return IDLE_SECONDS
+
+    async def _work_once(self) -> None:
+        try:
+            await self.work()
+        except (LeaseLost, Conflict, PlatformError) as exc:
+            log_event(logger, "lease_work_ended", job=self.lease.name, code=exc.code, cause=exc)
+
+    def _is_candidate(self) -> bool:
+        names = [host.name for host in self._hosts.hosts]
+        job = f"lease/{self.lease.name}"
+        return is_ranked(job, self._name, names, self._settings.lease_candidates)
--- a/packages/bilberryplank/bilberryplank/_logs.py
+++ b/packages/bilberryplank/bilberryplank/_logs.py
@@ -67,16 +67,25 @@
         logging.getLogger(name).setLevel(logging.WARNING)
 
 
-def log_event(log: Logger, event: str, /, *, level: str = "INFO", **fields: object) -> None:
+def log_event(
+    log: Logger,
+    event: str,
+    /,
+    *,
+    level: str = "INFO",
+    trace: BaseException | None = None,
+    **fields: object,
+) -> None:
     """Writes one event.
 
     Args:
         log: The logger, perhaps bound to fields such as `request`.
         event: Name of the event, as `request_refused`.
         level: Level name of loguru.
+        trace: Exception whose trace goes on the line.
         **fields: Key=value pairs of the line, in order.
     """
-    log.bind(**fields).opt(depth=1).log(level, event)
+    log.bind(**fields).opt(depth=1, exception=trace).log(level, event)
 
 
 def format_value(value: object) -> str:
--- a/packages/bilberryplank/bilberryplank/_process.py
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -13,14 +13,18 @@
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._decisions import DecisionJournal
 from bilberryplank._host_feed import HostFeed
+from bilberryplank._lease_job import boot_time
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
 from bilberryplank._platform import Platform
+from bilberryplank._platform_metrics import meter_platform
 from bilberryplank._seeds import process_rng
 from bilberryplank._usage_feed import UsageFeed
+from bilberryplank._usage_job import UsageJob
 from bilberryplank_core.configuration import Configuration
 from bilberryplank_core.fleet import ConfigurationStore
 from bilberryplank_core.settings import EntrySettings, SidecarSettings
+from bilberryplank_core.world import Role
 
 EPOCH_BYTES = 8
 START_RETRY_SECONDS = 0.5
@@ -31,12 +35,14 @@
     """Base of both processes: platform, configuration, operators' port and a graceful stop.
 
     Attributes:
+        role: Entry or sidecar.
         epoch: Random id of this run of the process.
         metrics: Counters.
         journal: Recent decisions.
     """
 
     abstract = True
+    role: Role
 
     def __init__(self, settings: EntrySettings | SidecarSettings) -> None:
         super().__init__()
@@ -55,11 +61,13 @@
         """Starts the parts, the one that takes work last."""
         settings = self._settings
         self._session = aiohttp.ClientSession()
-        platform = Platform.from_settings(settings.platform, self._session)
+        client = Platform.from_settings(settings.platform, self._session)
+        platform = meter_platform(client, self.metrics)
         self._operations = OperationsServer(
             settings.operations_listen, self.metrics, self.journal, self.status
         )
-        self._hosts = HostFeed(platform.hosts, process_rng(settings.name))
+        rng = process_rng(settings.name)
+        self._hosts = HostFeed(platform.hosts, rng)
         self._feed = ConfigurationFeed(
             settings.name,
             settings.zone,
@@ -68,15 +76,24 @@
             self.metrics,
             lambda: self._hosts.hosts,
         )
-        self._usage = UsageFeed()
+        self._usage = UsageFeed(self.role, self.epoch, settings.fleet, platform, self.metrics, rng)
         for part in (self._operations, self._hosts, self._feed, self._usage):
             await self._start_part(part)
         await self._hosts.refresh()
+        self._jobs = (
+            UsageJob(settings.name, settings.fleet, platform, self._hosts, self.metrics, rng),
+        )
+        for job in self._jobs:
+            await self._start_part(job)
         await self.start_work(platform)
         self._feed.holder.subscribe(self._configured)
         if self._feed.holder.version:
             self._configured(self._feed.configuration)
 
+    def held_leases(self) -> tuple[str, ...]:
+        """Returns the names of the leases that this process holds."""
+        return tuple(job.lease.name for job in self._jobs if job.lease.held(boot_time()))
+
     async def start_work(self, platform: Platform) -> None:
         """Starts what takes work."""
         raise NotImplementedError
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -116,6 +116,7 @@
         self._intent = intent
         self._collector = AnswerCollector()
         self._answered_by: AttemptChannel | None = None
+        self._not_run = False
         self._sidecar_epoch = ""
         self._usage: Usage | None = None
 
@@ -154,6 +155,7 @@
         assert link.peer is not None
         self._sidecar_epoch = link.peer.epoch
         self._assembler.begin(attempt)
+        self._not_run = False
         channel = self._parts.links.open_channel(attempt, link)
         self._parts.chooser.record_sent(upstream.name, self._cost(), _now())
         try:
@@ -167,7 +169,9 @@
             raise
         finally:
             self._parts.links.close_channel(channel)
-            self._parts.chooser.record_end(upstream.name, _now())
+            chooser = self._parts.chooser
+            release = chooser.record_refused if self._not_run else chooser.record_end
+            release(upstream.name, _now())
 
     async def _claim(self, step: SendTo) -> StoredAnswer | None:
         """Returns the first answer of a repeated call; otherwise the attempt may be dispatched."""
@@ -236,6 +240,7 @@
         progress = self._assembler.progress
         if isinstance(event, NotRun):
             self._record(DecisionStep.NOT_RUN, f"{upstream.name}: {event.reason}")
+            self._not_run = True
             retry_after = event.retry_after
             return self._attempts.not_run(event.attempt, reason, retry_after, _now(), progress)
         self._record(DecisionStep.FAILED, f"{upstream.name}: {event.reason}")
@@ -322,7 +327,10 @@
     def _record_usage(self, usage: Usage) -> None:
         classified = self._call.classified
         class_name = classified.request_class.name
-        self._parts.usage.record(self._call.request_id, classified.organisation, class_name, usage)
+        link = self._answered_by.link if self._answered_by is not None else None
+        self._parts.usage.record(
+            self._call.request_id, classified.organisation, class_name, usage, link
+        )
 
     def _dispatch(self, step: SendTo) -> Dispatch:
         call = self._call
--- a/packages/bilberryplank/bilberryplank/_sidecar.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar.py
@@ -26,6 +26,7 @@
     """One sidecar process."""
 
     abstract = False
+    role = Role.SIDECAR
 
     def __init__(self, settings: SidecarSettings) -> None:
         super().__init__(settings)
@@ -45,6 +46,8 @@
             zone=self._settings.zone,
             epoch=self.epoch,
             version=load.version,
+            usage_waiting=self._usage.waiting,
+            leases=self.held_leases(),
             confirmed_age=load.confirmed_age,
             queued=load.queued,
             running=load.running,
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -142,6 +142,8 @@
         """Cancels what the entry had queued; what runs goes on for a while."""
         self._links.discard(link)
         self._kept.link_closed(id(link))
+        if link.peer is not None:
+            self._parts.usage.peer_gone(link.peer.epoch)
         self._parts.metrics.set_links(len(self._links))
         for held in [held for held in self._held.values() if held.stream.link is link]:
             self._entry_lost(held)
