Serve tiers, floors and organisations by measured need

Cause: strict tiers alone left the top tier waiting for slots that lower tiers held, and a queue in order of arrival was late for every request of an overloaded class.

--- a/packages/bilberryplank-core/bilberryplank_core/_estimates.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_estimates.py
@@ -119,3 +119,29 @@
 def cost_of(prompt_tokens: float, completion_tokens: float) -> float:
     """Returns the cost of a request in generated tokens, at least 1."""
     return max(1.0, prompt_tokens * PROMPT_TOKEN_COST + completion_tokens)
+
+
+class OfferedLoad:
+    """Slots that arriving requests would keep busy, as a mean that decays with time (Erlangs)."""
+
+    __slots__ = ("_seconds", "_time", "_window")
+
+    def __init__(self, window: float) -> None:
+        self._window = window
+        self._seconds = 0.0
+        self._time = 0.0
+
+    def observe(self, seconds: float, now: float) -> None:
+        """Adds a request that will hold a slot for so many seconds."""
+        self._decay(now)
+        self._seconds += seconds
+
+    def erlangs(self, now: float) -> float:
+        """Returns the mean number of slots that the offered requests keep busy."""
+        self._decay(now)
+        return self._seconds / self._window
+
+    def _decay(self, now: float) -> None:
+        if now > self._time:
+            self._seconds *= math.exp((self._time - now) / self._window)
+            self._time = now
--- a/packages/bilberryplank-core/bilberryplank_core/_preemption.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_preemption.py
@@ -1,14 +1,19 @@
-"""Preemption of running requests within a budget of wasted work."""
+"""Preemption of running requests, within a budget of wasted work."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from bilberryplank_core._slots import RunningRequest
+from bilberryplank_core._admission import WaitEstimator
+from bilberryplank_core._slots import RunningRequest, SlotTable
 
 MAX_SAVED_TOKENS = 20000.0
 """Tokens of waste that may be saved up, so that a quiet day does not pay for a bad minute."""
 
+PREEMPTION_LOAD = 1.0
+"""Offered load, as a share of the slots, from which preemption is allowed: below it slots free
+themselves soon enough, and thrown away work would buy little."""
+
 
 class WasteBudget:
     """A token bucket: thrown away tokens stay under a share of those of whole answers."""
@@ -36,6 +41,48 @@
         self._saved += reserved - tokens
 
 
+class Preemption:
+    """Chooses running requests to stop, and accounts for the work that is lost."""
+
+    __slots__ = ("_slots", "_waits", "budget")
+
+    def __init__(self, budget: WasteBudget, slots: SlotTable, waits: WaitEstimator) -> None:
+        self.budget = budget
+        self._slots = slots
+        self._waits = waits
+
+    def victim(self, rank: int, now: float) -> RunningRequest | None:
+        """Returns the running request that may be stopped for one of a tier `rank`, or None."""
+        if self._waits.offered_total(now) < PREEMPTION_LOAD * self._slots.slots:
+            return None
+        entry = choose_victim(self._slots.running(), rank)
+        if entry is None or not self.budget.allows(self._work_done(entry, now)):
+            return None
+        return entry
+
+    def pending(self) -> int:
+        """Returns how many requests are being stopped."""
+        return sum(entry.reserved_waste is not None for entry in self._slots.running())
+
+    def begin(self, entry: RunningRequest, now: float) -> None:
+        """Notes that a request is being stopped."""
+        entry.reserved_waste = self._work_done(entry, now)
+        self.budget.reserve(entry.reserved_waste)
+
+    def end(self, entry: RunningRequest, tokens: int, whole: bool) -> None:
+        """Accounts for a request that left its slot after so many tokens."""
+        if entry.reserved_waste is not None:
+            self.budget.settle(entry.reserved_waste, 0 if whole else tokens)
+        if whole:
+            self.budget.earn(tokens)
+
+    def _work_done(self, entry: RunningRequest, now: float) -> float:
+        """Returns the estimated tokens that a running request has used."""
+        rate = self._waits.class_rate(entry.req.class_name)
+        generated = (now - entry.started) * rate if rate > 0 else entry.req.cost
+        return entry.req.prompt_tokens + generated
+
+
 def choose_victim(running: Iterable[RunningRequest], rank: int) -> RunningRequest | None:
     """Returns the running request of the lowest tier below `rank` that started last, or None.
 
@@ -50,6 +97,4 @@
         and entry.started is not None
         and entry.reserved_waste is None
     ]
-    if not candidates:
-        return None
-    return max(candidates, key=lambda entry: (entry.req.rank, entry.started))
+    return max(candidates, key=lambda entry: (entry.req.rank, entry.started), default=None)
--- a/packages/bilberryplank-core/bilberryplank_core/_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue.py
@@ -2,25 +2,30 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bilberryplank_core._admission import WaitEstimator, shed_victim
+from bilberryplank_core._classes import (
+    FLOOR_PATIENCE,
+    ClassQueue,
+    count_dispatch,
+    has_floor_place,
+    is_owed,
+    owed_class,
+)
+from bilberryplank_core._deadlines import DeadlineHeap
 from bilberryplank_core._errors import RefusalReason
 from bilberryplank_core._estimates import OutputEstimator, cost_of
-from bilberryplank_core._fairness import ClassQueue, count_dispatch, is_owed, owed_class
 from bilberryplank_core._messages import AttemptId, Load
-from bilberryplank_core._preemption import WasteBudget, choose_victim
+from bilberryplank_core._preemption import Preemption, WasteBudget
 from bilberryplank_core._queue_types import QueuedRequest, Rejection, RequestQueue
+from bilberryplank_core._reservation import reserved_slots
 from bilberryplank_core._settings import QueueSettings
 from bilberryplank_core._slots import RunningRequest, SlotTable
 
-RESERVE_SECONDS = 30.0
-"""Slots stay reserved for a tier this long after its last request."""
-
-FLOOR_PLACES = 1
-"""Places beyond the queue's bound that only a class owed its floor may take."""
+UNFINISHABLE_FACTOR = 1.5
+"""A request is given up once its deadline is nearer than this many times its service time."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,32 +34,33 @@
 
     Attributes:
         floors: Every class gets its floor share of dispatches.
-        fair_order: Organisations of a class take turns by cost.
-        fair_shedding: The organisation with the largest backlog is shed first in its tier.
-        early_refusal: What cannot meet its target is refused at once.
-        first_token_slack: Multiple of the first token target that an estimated wait may reach.
-        long_bound: Long prompts hold a bounded share of the slots.
+        fair_order: The organisation served least lately goes first within its class.
+        fair_shedding: The organisation that wants most is shed first in its tier.
+        early_refusal: What the estimated wait keeps from its deadline is refused at once.
+        drop_unfinishable: What can no longer end before its deadline is not started.
+        late_last: What has missed its first token target goes behind what has not.
+        long_bound: Few long prompts are read at once.
+        reserve: Free slots are held for tight targets while load is high.
         preemption: A running request of a lower tier may be stopped for a higher one.
-        long_work_conserving: Long prompts pass their bound while no short one waits.
-        reserved_slots: Free slots that only the highest tier seen lately may take.
     """
 
     floors: bool = True
     fair_order: bool = True
     fair_shedding: bool = True
     early_refusal: bool = True
-    first_token_slack: float = 1.0
+    drop_unfinishable: bool = True
+    late_last: bool = True
     long_bound: bool = True
+    reserve: bool = True
     preemption: bool = True
-    long_work_conserving: bool = False
-    reserved_slots: int = 1
 
 
 class TieredQueue(RequestQueue):
-    """Strict priority by rank, floors for each class, deficit round robin within a class.
+    """Strict priority by rank, floors for each class, fair shares within a class.
 
-    No request is refused while one of a lower tier is queued, or runs where preemption may stop it.
-    Its own deadline passing is the one exception: that refuses a request for nobody's sake.
+    No request is refused for one of a lower tier, be it queued or running where preemption may stop
+    it. Two refusals are for nobody's sake: by its own deadline, and by a bound of the queue that
+    holds without the lower tiers too, for what waits by its class's floor has a place of its own.
     """
 
     def __init__(self, settings: QueueSettings, policy: TieredPolicy) -> None:
@@ -63,13 +69,13 @@
         self._long_tokens = settings.long_prefill_tokens
         share = settings.long_prefill_share if policy.long_bound else 1.0
         self._slots = SlotTable(settings.slots, share)
-        self._budget = WasteBudget(settings.wasted_work_budget)
         self._lengths = OutputEstimator()
         self._waits = WaitEstimator()
+        budget = WasteBudget(settings.wasted_work_budget)
+        self._preemption = Preemption(budget, self._slots, self._waits)
         self._classes: dict[str, ClassQueue] = {}
         self._waiting: dict[AttemptId, QueuedRequest] = {}
-        self._deadlines: list[tuple[float, int, QueuedRequest]] = []
-        self._sequence = 0
+        self._deadlines = DeadlineHeap(self._waiting)
 
     @classmethod
     def from_settings(
@@ -82,39 +88,34 @@
         """Queues a request; returns what is refused, be it this one or one that made room."""
         output = self._lengths.estimate(req.class_name, req.organisation, req.output_limit)
         req.cost = cost_of(req.prompt_tokens, output)
+        self._waits.observe_offer(req, now)
         if req.deadline <= now:
-            return [self._rejection(req, RefusalReason.DEADLINE_PASSED)]
-        if self._unreachable(req, now) and not self._lower_tier_yields(req.rank, now):
-            self._class_of(req).turned_away = True
-            return [self._rejection(req, RefusalReason.DEADLINE_UNREACHABLE)]
-        self._push(req, now)
-        if len(self._waiting) <= self._max_queued or self._may_overflow(req, now):
+            return [self._refuse(req, RefusalReason.DEADLINE_PASSED, now)]
+        if self._is_hopeless(req, now) and not self._lower_tier_yields(req.rank, now):
+            return [self._refuse(req, RefusalReason.DEADLINE_UNREACHABLE, now)]
+        self._push(req)
+        if self._over_bound() <= 0 or self._may_overflow(req, now):
             return []
-        victim = shed_victim(self._classes, self._policy.fair_shedding)
+        victim = shed_victim(self._classes, self._policy.fair_shedding, now)
         self._remove(victim)
-        self._classes[victim.class_name].turned_away = True
         reason = RefusalReason.QUEUE_FULL if victim is req else RefusalReason.SHED
-        return [self._rejection(victim, reason)]
+        return [self._refuse(victim, reason, now)]
 
     def take(self, now: float) -> QueuedRequest | None:
         """Returns the request to dispatch now, which holds a slot from here on, or None."""
         if self._slots.free <= 0:
             return None
-        long_allowed = self._long_allowed()
+        self._set_late(now)
+        long_allowed = self._slots.long_room > 0
         best = self._best_class(long_allowed)
         if best is None:
             return None
-        owed = owed_class(self._classes.values(), long_allowed) if self._policy.floors else None
-        chosen = owed or best
-        if self._held_back(chosen, now):
+        chosen = self._owed_class(long_allowed, now) or best
+        if chosen is best and self._held_back(best, now):
             return None
-        if self._policy.fair_order:
-            req = chosen.select(long_allowed)
-        else:
-            req = chosen.oldest(long_allowed)
-            chosen.remove(req)
+        req = chosen.take(long_allowed, self._policy.fair_order, now)
         del self._waiting[req.attempt]
-        count_dispatch(list(self._classes.values()), chosen)
+        count_dispatch(self._classes.values(), chosen, now)
         self._slots.add(RunningRequest(req, self._is_long(req), chosen.rank > best.rank))
         return req
 
@@ -124,6 +125,13 @@
         if entry is not None:
             entry.started = now
 
+    def first_token(self, attempt: AttemptId, now: float) -> None:
+        """Notes that the first byte of an answer came."""
+        entry = self._slots.get(attempt)
+        if entry is not None and entry.started is not None:
+            self._waits.observe_first_token(entry.req.class_name, now - entry.started)
+            self._slots.end_prefill(entry)
+
     def finished(
         self,
         attempt: AttemptId,
@@ -138,15 +146,11 @@
             return
         req = entry.req
         cost = cost_of(prompt_tokens, completion_tokens)
-        self._class_of(req).correct(req.organisation, cost - req.cost)
+        self._class_of(req).usage.charge(req.organisation, cost - req.cost, now)
         self._waits.observe(req.class_name, cost, now - entry.started)
-        if entry.reserved_waste is not None:
-            wasted = 0 if whole else prompt_tokens + completion_tokens
-            self._budget.settle(entry.reserved_waste, wasted)
-        if not whole:
-            return
-        self._lengths.observe(req.class_name, req.organisation, completion_tokens)
-        self._budget.earn(prompt_tokens + completion_tokens)
+        self._preemption.end(entry, prompt_tokens + completion_tokens, whole)
+        if whole:
+            self._lengths.observe(req.class_name, req.organisation, completion_tokens)
 
     def cancel(self, attempt: AttemptId) -> bool:
         """Removes a queued request; True only where it was still queued and never will run."""
@@ -157,19 +161,19 @@
         return True
 
     def expire(self, now: float) -> list[Rejection]:
-        """Removes the queued requests whose deadline has passed."""
+        """Removes the queued requests whose deadline has passed or can't be met any more."""
         rejections = []
-        while (deadline := self.next_expiry()) is not None and deadline <= now:
-            req = heapq.heappop(self._deadlines)[2]
+        for req in self._deadlines.pop_due(now):
             self._remove(req)
-            rejections.append(self._rejection(req, RefusalReason.DEADLINE_PASSED))
+            reason = RefusalReason.DEADLINE_PASSED
+            if now < req.deadline:
+                reason = RefusalReason.DEADLINE_UNREACHABLE
+            rejections.append(self._refuse(req, reason, now))
         return rejections
 
     def next_expiry(self) -> float | None:
-        """Returns the earliest deadline of a queued request, or None."""
-        while self._deadlines and not self._is_waiting(self._deadlines[0][2]):
-            heapq.heappop(self._deadlines)
-        return self._deadlines[0][0] if self._deadlines else None
+        """Returns the earliest time at which `expire` has something to do, or None."""
+        return self._deadlines.next()
 
     def drop_keys(self, withdrawn: Iterable[str]) -> list[Rejection]:
         """Removes the queued requests of withdrawn keys."""
@@ -184,18 +188,15 @@
 
         The caller stops it at the upstream and then calls `finished` with the tokens it had used.
         """
-        if self._slots.free > 0:
+        if self._slots.free > 0 or not self._policy.preemption:
             return None
         best = self._best_class(self._slots.long_room > 0)
-        if best is None or len(best) <= self._pending_preemptions():
+        if best is None or len(best) <= self._preemption.pending() or not self._at_risk(best, now):
             return None
-        if not self._at_risk(best, now):
-            return None
-        entry = self._victim(best.rank, now)
+        entry = self._preemption.victim(best.rank, now)
         if entry is None:
             return None
-        entry.reserved_waste = self._work_done(entry, now)
-        self._budget.reserve(entry.reserved_waste)
+        self._preemption.begin(entry, now)
         return entry.req.attempt
 
     def load(self, now: float) -> Load:
@@ -212,15 +213,13 @@
         """Sets the requests that the upstream runs at once; running ones stay."""
         self._slots.slots = max(1, slots)
 
-    def _push(self, req: QueuedRequest, now: float) -> None:
-        queue = self._class_of(req)
-        queue.rank = req.rank
-        queue.floor_share = req.floor_share
-        queue.last_offer = now
-        queue.push(req, self._is_long(req))
+    def _push(self, req: QueuedRequest) -> None:
+        self._class_of(req).push(req, self._is_long(req))
         self._waiting[req.attempt] = req
-        self._sequence += 1
-        heapq.heappush(self._deadlines, (req.deadline, self._sequence, req))
+        margin = 0.0
+        if self._policy.drop_unfinishable:
+            margin = self._waits.service(req) * UNFINISHABLE_FACTOR
+        self._deadlines.push(req, req.deadline - margin)
 
     def _remove(self, req: QueuedRequest) -> None:
         del self._waiting[req.attempt]
@@ -235,85 +234,78 @@
     def _is_long(self, req: QueuedRequest) -> bool:
         return req.prompt_tokens >= self._long_tokens
 
-    def _is_waiting(self, req: QueuedRequest) -> bool:
-        return self._waiting.get(req.attempt) is req
-
     def _best_class(self, long_allowed: bool) -> ClassQueue | None:
         eligible = (queue for queue in self._classes.values() if queue.may_run(long_allowed))
-        return min(eligible, key=lambda queue: queue.rank, default=None)
+        return min(eligible, key=ClassQueue.urgency, default=None)
 
-    def _long_allowed(self) -> bool:
-        if self._slots.long_room > 0:
-            return True
-        if not self._policy.long_work_conserving:
-            return False
-        return not any(queue.short_count for queue in self._classes.values())
+    def _owed_class(self, long_allowed: bool, now: float) -> ClassQueue | None:
+        """Returns the class whose floor goes before all tiers now, or None."""
+        if not self._policy.floors:
+            return None
+        owed = owed_class(self._classes.values(), long_allowed)
+        if owed is not None and owed.credit < FLOOR_PATIENCE and self._held_back(owed, now):
+            return None
+        return owed
 
-    def _held_back(self, chosen: ClassQueue, now: float) -> bool:
-        """Returns whether the last free slots are kept for a higher tier that came lately."""
-        if self._slots.free > self._policy.reserved_slots:
-            return False
-        return any(
-            queue.rank < chosen.rank and now - queue.last_offer < RESERVE_SECONDS
-            for queue in self._classes.values()
-        )
+    def _set_late(self, now: float) -> None:
+        if not self._policy.late_last:
+            return
+        for queue in self._classes.values():
+            queue.set_late(now, self._waits.first_token(queue.name), self._long_tokens)
 
-    def _unreachable(self, req: QueuedRequest, now: float) -> bool:
-        if not self._policy.early_refusal:
-            return False
-        slots = self._slots
-        wait = self._waits.wait(req, self._classes.values(), slots.slots, slots.free)
-        if wait == 0.0:
+    def _held_back(self, chosen: ClassQueue, now: float) -> bool:
+        """Returns whether the free slots are held for tiers above the chosen class."""
+        if not self._policy.reserve:
             return False
-        start = now + wait
-        late = start > req.arrived + req.first_token_target * self._policy.first_token_slack
-        return late or start + self._waits.service(req) > req.deadline
+        held = reserved_slots(chosen.rank, self._classes.values(), self._slots, self._waits, now)
+        return self._slots.free <= held
 
-    def _lower_tier_yields(self, rank: int, now: float) -> bool:
-        """Returns whether a request below `rank` is queued, or runs and may be stopped."""
-        if any(len(queue) and queue.rank > rank for queue in self._classes.values()):
-            return True
-        return self._victim(rank, now) is not None
+    def _is_hopeless(self, req: QueuedRequest, now: float) -> bool:
+        """Returns whether the estimated wait keeps a newcomer from its deadline.
 
-    def _may_overflow(self, req: QueuedRequest, now: float) -> bool:
-        """Returns whether a request may wait beyond the queue's bound, where nothing is shed.
-
-        Either its class is owed its floor, or a running request of a lower tier will make room.
+        A class that is owed its floor and has nothing queued is always let in.
         """
-        over = len(self._waiting) - self._max_queued
         queue = self._class_of(req)
-        if over <= FLOOR_PLACES and len(queue) == 1 and is_owed(queue):
-            return True
-        if any(len(other) and other.rank > req.rank for other in self._classes.values()):
+        if not self._policy.early_refusal or (is_owed(queue) and not len(queue)):
             return False
-        return over <= self._slots.slots and self._victim(req.rank, now) is not None
+        wait = self._waits.wait(req, self._classes.values(), self._slots, now)
+        return now + wait + self._waits.service(req) > req.deadline
 
-    def _pending_preemptions(self) -> int:
-        return sum(entry.reserved_waste is not None for entry in self._slots.running())
+    def _lower_tier_queued(self, rank: int) -> bool:
+        return any(len(queue) and queue.rank > rank for queue in self._classes.values())
 
-    def _victim(self, rank: int, now: float) -> RunningRequest | None:
-        if not self._policy.preemption:
-            return None
-        entry = choose_victim(self._slots.running(), rank)
-        if entry is None or not self._budget.allows(self._work_done(entry, now)):
-            return None
-        return entry
+    def _may_preempt(self, rank: int, now: float) -> bool:
+        return self._policy.preemption and self._preemption.victim(rank, now) is not None
 
-    def _work_done(self, entry: RunningRequest, now: float) -> float:
-        """Returns the estimated tokens that a running request has used."""
-        rate = self._waits.class_rate(entry.req.class_name)
-        generated = (now - entry.started) * rate if rate > 0 else entry.req.cost
-        return entry.req.prompt_tokens + generated
+    def _lower_tier_yields(self, rank: int, now: float) -> bool:
+        """Returns whether a request below `rank` is queued, or runs and may be stopped."""
+        return self._lower_tier_queued(rank) or self._may_preempt(rank, now)
+
+    def _over_bound(self) -> int:
+        """Returns how many requests wait beyond the bound, places of floors apart."""
+        places = sum(has_floor_place(queue) for queue in self._classes.values())
+        return len(self._waiting) - places - self._max_queued
+
+    def _may_overflow(self, req: QueuedRequest, now: float) -> bool:
+        """Returns whether preemption will make room for a request beyond the bound."""
+        if self._over_bound() > self._slots.slots or self._lower_tier_queued(req.rank):
+            return False
+        return self._may_preempt(req.rank, now)
 
     def _at_risk(self, queue: ClassQueue, now: float) -> bool:
         """Returns whether waiting for a slot would cost the oldest request its target."""
-        oldest = queue.oldest(long_allowed=True)
-        wait = len(queue) * self._waits.next_free(self._slots.slots)
-        return now + wait > oldest.arrived + oldest.first_token_target
+        _, late, due = queue.urgency()
+        wait = len(queue.timely) * self._waits.next_free(self._slots.slots)
+        return not late and now + wait + self._waits.first_token(queue.name) > due
 
     def _queued_cost(self) -> float:
         return sum(queue.cost for queue in self._classes.values())
 
+    def _refuse(self, req: QueuedRequest, reason: RefusalReason, now: float) -> Rejection:
+        """Returns a rejection, noting that its class has demand."""
+        self._class_of(req).turned_away = now
+        return self._rejection(req, reason)
+
     def _rejection(self, req: QueuedRequest, reason: RefusalReason) -> Rejection:
         retry_after = self._waits.retry_after(self._queued_cost(), self._slots.slots)
         return Rejection(req.attempt, reason, retry_after)
--- a/packages/bilberryplank-core/bilberryplank_core/_queue_baseline.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue_baseline.py
@@ -55,6 +55,9 @@
         if entry is not None:
             entry.started = now
 
+    def first_token(self, attempt: AttemptId, now: float) -> None:
+        """Does nothing: the baseline has no estimate of first tokens."""
+
     def finished(
         self,
         attempt: AttemptId,
--- a/packages/bilberryplank-core/bilberryplank_core/_queue_types.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue_types.py
@@ -83,6 +83,10 @@
     def started(self, attempt: AttemptId, now: float) -> None:
         """Notes that a taken request was sent to the upstream."""
 
+    @abstractmethod
+    def first_token(self, attempt: AttemptId, now: float) -> None:
+        """Notes that the first byte of an answer came."""
+
     @abstractmethod
     def finished(
         self,
--- a/packages/bilberryplank-core/bilberryplank_core/_slots.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
 from bilberryplank_core._messages import AttemptId
@@ -14,7 +15,7 @@
 
     Attributes:
         req: The request.
-        long: True where its prompt is long.
+        long: True while a long prompt of it is being read.
         by_floor: True where its class's floor put it ahead of a higher tier.
         started: When it was sent to the upstream; None before.
         reserved_waste: Tokens set aside in the budget once it is being preempted; None before.
@@ -30,13 +31,14 @@
 class SlotTable:
     """Counts free slots, and those that long prompts may still take."""
 
-    __slots__ = ("_long_running", "_long_share", "_running", "slots")
+    __slots__ = ("_by_class", "_long_running", "_long_share", "_running", "slots")
 
     def __init__(self, slots: int, long_share: float) -> None:
         self.slots = slots
         self._long_share = long_share
         self._running: dict[AttemptId, RunningRequest] = {}
         self._long_running = 0
+        self._by_class: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._running)
@@ -60,6 +62,7 @@
         """Gives a slot to a request."""
         self._running[running.req.attempt] = running
         self._long_running += running.long
+        self._by_class[running.req.class_name] += 1
 
     def get(self, attempt: AttemptId) -> RunningRequest | None:
         """Returns the request that holds a slot, or None."""
@@ -70,8 +73,19 @@
         running = self._running.pop(attempt, None)
         if running is not None:
             self._long_running -= running.long
+            self._by_class[running.req.class_name] -= 1
         return running
 
+    def end_prefill(self, running: RunningRequest) -> None:
+        """Notes that a prompt was read: from here on it is no burden to others as a long one."""
+        if running.long:
+            running.long = False
+            self._long_running -= 1
+
+    def running_of(self, class_name: str) -> int:
+        """Returns how many requests of a class hold a slot."""
+        return self._by_class[class_name]
+
     def running(self) -> list[RunningRequest]:
         """Returns all requests that hold a slot."""
         return list(self._running.values())
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_queue.py
@@ -0,0 +1,312 @@
+"""The promises of the tiered queue, in virtual time."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from bilberryplank_core.errors import RefusalReason
+from bilberryplank_core.messages import AttemptId
+from bilberryplank_core.scheduling import (
+    FifoQueue,
+    QueuedRequest,
+    RequestQueue,
+    TieredPolicy,
+    TieredQueue,
+)
+from bilberryplank_core.settings import QueueSettings
+
+OWN_DEADLINE = (RefusalReason.DEADLINE_PASSED, RefusalReason.DEADLINE_UNREACHABLE)
+
+
+def request(name: str, rank: int, now: float = 0.0, **changes) -> QueuedRequest:
+    fields = {
+        "attempt": AttemptId(name, 1, "entry"),
+        "organisation": "acme",
+        "key_id": "key-acme",
+        "class_name": f"class-{rank}",
+        "rank": rank,
+        "prompt_tokens": 100,
+        "output_limit": 100,
+        "arrived": now,
+        "deadline": now + 1000.0,
+        "first_token_target": 500.0,
+    }
+    return QueuedRequest(**{**fields, **changes})
+
+
+def tiered(policy: TieredPolicy | None = None, **changes) -> TieredQueue:
+    return TieredQueue.from_settings(QueueSettings(**changes), policy)
+
+
+class Upstream:
+    """Runs what a queue dispatches and checks what it refuses."""
+
+    def __init__(self, test: unittest.TestCase, queue: RequestQueue, max_queued: int) -> None:
+        self.test = test
+        self.queue = queue
+        self.max_queued = max_queued
+        self.queued: dict[AttemptId, QueuedRequest] = {}
+        self.running: dict[AttemptId, tuple[QueuedRequest, float, float]] = {}
+        self.settled: set[AttemptId] = set()
+        self.dispatches: Counter[str] = Counter()
+        self.served: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.preempted: list[QueuedRequest] = []
+        self.wasted = 0.0
+        self.done = 0.0
+
+    def offer(self, req: QueuedRequest, now: float) -> None:
+        self.queued[req.attempt] = req
+        self.settle(self.queue.offer(req, now), on_arrival=True)
+        if req.attempt in self.queued:
+            self.preempt(now)
+        self.dispatch(now)
+
+    def settle(self, rejections: list, on_arrival: bool = False) -> None:
+        for rejection in rejections:
+            req = self.queued.pop(rejection.attempt)
+            self.settled.add(req.attempt)
+            self.refused[req.class_name] += 1
+            if rejection.reason is RefusalReason.DEADLINE_UNREACHABLE and on_arrival:
+                self.test.assertEqual([], self.lower_than(req), rejection)
+            if rejection.reason not in OWN_DEADLINE:
+                self.check_shed(req)
+
+    def lower_than(self, req: QueuedRequest) -> list[QueuedRequest]:
+        return [other for other in self.queued.values() if other.rank > req.rank]
+
+    def check_shed(self, req: QueuedRequest) -> None:
+        """Without lower tiers the queue would be full too; each has a floor's place at most."""
+        lower = Counter(other.class_name for other in self.lower_than(req))
+        self.test.assertLessEqual(max(lower.values(), default=0), 1)
+        self.test.assertGreaterEqual(len(self.queued) - lower.total(), self.max_queued)
+
+    def preempt(self, now: float) -> None:
+        while (attempt := self.queue.preempt(now)) is not None:
+            req, begun, _ = self.running.pop(attempt)
+            self.test.assertTrue(any(other.rank < req.rank for other in self.queued.values()))
+            self.test.assertTrue(req.preemptible)
+            tokens = int((now - begun) * 50)
+            self.wasted += req.prompt_tokens + tokens
+            self.preempted.append(req)
+            self.queue.finished(attempt, now, req.prompt_tokens, tokens, whole=False)
+
+    def dispatch(self, now: float) -> None:
+        while (req := self.queue.take(now)) is not None:
+            del self.queued[req.attempt]
+            self.test.assertNotIn(req.attempt, self.settled)
+            self.settled.add(req.attempt)
+            self.queue.started(req.attempt, now)
+            self.dispatches[req.class_name] += 1
+            self.served[req.organisation] += req.cost
+            self.running[req.attempt] = (req, now, now + req.output_limit / 50)
+
+    def advance(self, now: float) -> None:
+        for attempt, (req, _, end) in sorted(self.running.items(), key=lambda item: item[1][2]):
+            if end <= now:
+                del self.running[attempt]
+                self.done += req.prompt_tokens + req.output_limit
+                self.queue.finished(attempt, end, req.prompt_tokens, req.output_limit)
+        self.settle(self.queue.expire(now))
+        self.preempt(now)
+        self.dispatch(now)
+
+
+class TieredQueueTest(unittest.TestCase):
+    def test_random_traffic_inverts_no_tier_and_settles_each_request_once(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                upstream = Upstream(self, tiered(slots=4, max_queued=10), 10)
+                offered = 0
+                for step in range(3000):
+                    now = step * 0.05
+                    upstream.advance(now)
+                    for _ in range(rng.choice((0, 0, 1, 3) if step % 400 < 200 else (0, 0, 0, 1))):
+                        offered += 1
+                        upstream.offer(self.random_request(rng, offered, now), now)
+                    if upstream.queued and rng.random() < 0.02:
+                        self.cancel_one(rng, upstream)
+                self.assertEqual(offered, len(upstream.settled) + len(upstream.queued))
+                self.assertLessEqual(len(upstream.queued), 10 + 4 + 3)
+                self.assertGreater(min(upstream.refused.values()), 0)
+                self.assertGreater(len(upstream.preempted), 0)
+                self.assertLess(upstream.wasted, 0.05 * upstream.done + 500)
+
+    def random_request(self, rng: random.Random, number: int, now: float) -> QueuedRequest:
+        return request(
+            f"r{number}",
+            rng.randrange(3),
+            now,
+            organisation=f"org-{rng.randrange(4)}",
+            prompt_tokens=rng.choice((10, 300, 2500)),
+            output_limit=rng.choice((20, 60, 200)),
+            deadline=now + rng.choice((0.0, 3.0, 30.0)),
+            first_token_target=rng.choice((0.4, 5.0)),
+            preemptible=rng.random() < 0.7,
+        )
+
+    def cancel_one(self, rng: random.Random, upstream: Upstream) -> None:
+        attempt = rng.choice(sorted(upstream.queued, key=str))
+        self.assertTrue(upstream.queue.cancel(attempt))
+        self.assertFalse(upstream.queue.cancel(attempt))
+        del upstream.queued[attempt]
+        upstream.settled.add(attempt)
+
+    def test_refuses_the_lowest_tier_when_full(self) -> None:
+        cases = (
+            ("newcomer is lowest", (0, 0), 1, "new", RefusalReason.QUEUE_FULL),
+            ("lower one is queued", (1, 0), 0, "q0", RefusalReason.SHED),
+            ("newest of the lowest", (1, 1), 0, "q1", RefusalReason.SHED),
+            ("all equal", (1, 1), 1, "new", RefusalReason.QUEUE_FULL),
+        )
+        for name, ranks, rank, victim, reason in cases:
+            with self.subTest(name):
+                queue = tiered(max_queued=2)
+                for index, queued in enumerate(ranks):
+                    self.assertEqual([], queue.offer(request(f"q{index}", queued, index), index))
+                (rejection,) = queue.offer(request("new", rank, 3.0), 3.0)
+                self.assertEqual((victim, reason), (rejection.attempt.request, rejection.reason))
+                self.assertGreater(rejection.retry_after, 0)
+
+    def test_flood_of_one_organisation_leaves_room_for_others(self) -> None:
+        queue = tiered(max_queued=4)
+        for index in range(4):
+            queue.offer(request(f"flood{index}", 1, index, organisation="large"), index)
+        (rejection,) = queue.offer(request("small", 1, 5.0, organisation="small"), 5.0)
+        self.assertEqual("flood3", rejection.attempt.request)
+
+    def test_every_class_moves_at_its_floor_under_endless_higher_load(self) -> None:
+        for floor in (0.05, 0.1):
+            with self.subTest(floor=floor):
+                upstream = Upstream(self, tiered(slots=4, max_queued=20), 20)
+                for step in range(6000):
+                    now = step * 0.05
+                    upstream.advance(now)
+                    for rank in (0, 0, step % 3):
+                        name = f"r{step}-{rank}-{len(upstream.settled)}-{len(upstream.queued)}"
+                        req = request(name, rank, now, floor_share=floor, output_limit=40)
+                        upstream.offer(req, now)
+                total = sum(upstream.dispatches.values())
+                for rank in (1, 2):
+                    share = upstream.dispatches[f"class-{rank}"] / total
+                    self.assertGreaterEqual(share, floor * 0.9)
+                self.assertGreater(upstream.dispatches["class-0"] / total, 1 - 2.5 * floor)
+
+    def test_waiting_organisations_share_by_weight(self) -> None:
+        cases = (("equal", (1.0, 1.0, 1.0)), ("weighted", (1.0, 2.0, 4.0)))
+        for name, weights in cases:
+            with self.subTest(name):
+                upstream = Upstream(self, tiered(slots=2, max_queued=100), 100)
+                rng = random.Random(1)
+                for step in range(4000):
+                    now = step * 0.05
+                    upstream.advance(now)
+                    waiting = Counter(req.organisation for req in upstream.queued.values())
+                    for index, weight in enumerate(weights):
+                        if waiting[f"org-{index}"] < 3:
+                            size = 20 * (index + 1) + rng.randrange(20)
+                            req = request(f"r{step}-{index}", 1, now, output_limit=size)
+                            req.organisation, req.weight = f"org-{index}", weight
+                            upstream.offer(req, now)
+                shares = [upstream.served[f"org-{i}"] / w for i, w in enumerate(weights)]
+                self.assertGreater(min(shares), 0.8 * max(shares))
+
+    def test_late_requests_go_behind_timely_ones_of_their_class_only(self) -> None:
+        queue = tiered(slots=1)
+        queue.offer(request("late", 1, 0.0, first_token_target=1.0), 0.0)
+        queue.offer(request("timely", 1, 4.0, first_token_target=9.0), 4.0)
+        queue.offer(request("lower", 2, 4.0), 4.0)
+        order = []
+        for _ in range(3):
+            req = queue.take(5.0)
+            order.append(req.attempt.request)
+            queue.finished(req.attempt, 5.0, 0, 0)
+        self.assertEqual(["timely", "late", "lower"], order)
+
+    def test_few_long_prompts_are_read_at_once(self) -> None:
+        queue = tiered(slots=4, long_prefill_share=0.25)
+        for index, name in enumerate(("long1", "long2", "short")):
+            tokens = 100 if name == "short" else 5000
+            queue.offer(request(name, 0, index * 0.1, prompt_tokens=tokens), index * 0.1)
+        first, second = queue.take(0.0), queue.take(0.0)
+        self.assertEqual(["long1", "short"], [first.attempt.request, second.attempt.request])
+        self.assertIsNone(queue.take(0.0))
+        queue.started(first.attempt, 0.0)
+        queue.first_token(first.attempt, 1.0)
+        self.assertEqual("long2", queue.take(1.0).attempt.request)
+
+
+class DeadlineTest(unittest.TestCase):
+    def busy_queue(self, seconds: float, policy: TieredPolicy | None = None) -> TieredQueue:
+        """Returns a queue with one slot that has learnt how long its requests take."""
+        queue = tiered(policy, slots=1)
+        for index in range(20):
+            queue.offer(request(f"warm{index}", 1, 0.0), 0.0)
+            req = queue.take(0.0)
+            queue.started(req.attempt, 0.0)
+            queue.finished(req.attempt, seconds, 100, 100)
+        queue.offer(request("busy", 1, 100.0), 100.0)
+        queue.started(queue.take(100.0).attempt, 100.0)
+        return queue
+
+    def test_refuses_at_once_what_cannot_end_in_time(self) -> None:
+        queue = self.busy_queue(seconds=10.0)
+        (rejection,) = queue.offer(request("tight", 1, 100.0, deadline=115.0), 100.0)
+        self.assertIs(RefusalReason.DEADLINE_UNREACHABLE, rejection.reason)
+        self.assertEqual([], queue.offer(request("loose", 1, 100.0, deadline=130.0), 100.0))
+
+    def test_never_refuses_early_while_a_lower_tier_is_queued(self) -> None:
+        queue = self.busy_queue(seconds=10.0)
+        queue.offer(request("lower", 2, 100.0), 100.0)
+        self.assertEqual([], queue.offer(request("tight", 1, 100.0, deadline=115.0), 100.0))
+
+    def test_expires_once_the_rest_is_too_short(self) -> None:
+        queue = self.busy_queue(seconds=10.0)
+        queue.offer(request("tight", 1, 100.0, deadline=130.0), 100.0)
+        due = queue.next_expiry()
+        self.assertTrue(110.0 < due < 120.0)
+        self.assertEqual([], queue.expire(due - 0.1))
+        (rejection,) = queue.expire(due)
+        self.assertIs(RefusalReason.DEADLINE_UNREACHABLE, rejection.reason)
+        self.assertIsNone(queue.next_expiry())
+
+
+class BothQueuesTest(unittest.TestCase):
+    def queues(self) -> list[RequestQueue]:
+        settings = QueueSettings(slots=1, max_queued=3)
+        return [TieredQueue.from_settings(settings), FifoQueue.from_settings(settings)]
+
+    def test_removal_from_the_queue(self) -> None:
+        for queue in self.queues():
+            with self.subTest(type(queue).__name__):
+                for name, key in (("run", "a"), ("x", "a"), ("y", "b"), ("z", "b")):
+                    queue.offer(request(name, 0, key_id=key, deadline=50.0), 0.0)
+                    queue.take(0.0)
+                attempts = {name: AttemptId(name, 1, "entry") for name in ("run", "x", "y", "z")}
+                self.assertFalse(queue.cancel(attempts["run"]))
+                self.assertTrue(queue.cancel(attempts["x"]))
+                dropped, _ = queue.drop_keys({"b"})
+                self.assertIs(RefusalReason.KEY_WITHDRAWN, dropped.reason)
+                self.assertFalse(queue.cancel(attempts["y"]))
+                self.assertEqual((0, 1), (queue.load(0.0).queued, queue.load(0.0).running))
+                self.assertAlmostEqual(0.0, queue.load(0.0).queued_cost)
+
+    def test_slots_and_expiry(self) -> None:
+        for queue in self.queues():
+            with self.subTest(type(queue).__name__):
+                queue.set_slots(2)
+                for index in range(4):
+                    queue.offer(request(f"r{index}", 0, deadline=10.0 + index), 0.0)
+                    if index < 3:
+                        queue.take(0.0)
+                self.assertIsNone(queue.take(0.0))
+                self.assertEqual(12.0, queue.next_expiry())
+                reasons = [rejection.reason for rejection in queue.expire(13.0)]
+                self.assertEqual([RefusalReason.DEADLINE_PASSED] * 2, reasons)
+
+
+if __name__ == "__main__":
+    unittest.main()
