Choose upstreams in turn among the less loaded half

The hint was reset by each answer though it did not hold what had just been sent; the own zone was left too late; the slow upstream was only judged after half of 24 answers, and got a trial request each second whatever it still owed.

Now those no worse than median and mean take turns, own requests of the last second count beside the hint, old hints fade, the own zone is only preferred while idle, an upstream that owes a first token for long gets nothing new, and an ejected one gets one trial at a time. Affinity is bounded by the entry's own requests, which do not lag.

--- a/packages/bilberryplank-core/bilberryplank_core/_affinity.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_affinity.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from math import ceil
 
 import xxhash
 
@@ -33,17 +34,13 @@
     return sorted(names, key=lambda name: (rendezvous_score(key, name), name), reverse=True)
 
 
-def pick_within_bound(key: bytes, loads: dict[str, float]) -> str | None:
-    """Returns the first preferred name whose load stays within the bound.
+def pick_within_bound(key: bytes, in_flight: Mapping[str, int]) -> str:
+    """Returns the first preferred name whose requests stay within the bound.
 
     Args:
         key: Affinity key of the request.
-        loads: Requests at each upstream, as a share of its slots.
+        in_flight: The entry's own requests at each upstream; unlike hints, they don't lag.
     """
-    if not loads:
-        return None
-    bound = max(LOAD_FACTOR * sum(loads.values()) / len(loads), 1.0)
-    for name in rank_names(key, list(loads)):
-        if loads[name] < bound:
-            return name
-    return None
+    bound = ceil(LOAD_FACTOR * (sum(in_flight.values()) + 1) / len(in_flight))
+    ranked = rank_names(key, list(in_flight))
+    return next(name for name in ranked if in_flight[name] < bound)
--- a/packages/bilberryplank-core/bilberryplank_core/_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempts.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from bilberryplank_core._choice import UpstreamChooser
+from bilberryplank_core._chooser import UpstreamChooser
 from bilberryplank_core._errors import RefusalReason, Refused, RetryReason
 from bilberryplank_core._messages import AttemptId, End, Failed, Head, NotRun
 from bilberryplank_core._retry_budget import RetryBudget
@@ -75,7 +75,7 @@
         asks_all: True where every eligible upstream is asked before a refusal for overload; for
             all tiers but the lowest.
         affinity: Key of the prompt's prefix; None without affinity.
-        cost: Estimated tokens.
+        tries_ejected: True where it may try out an ejected upstream; for all tiers but the highest.
     """
 
     request: str
@@ -84,7 +84,7 @@
     deadline: float
     asks_all: bool = True
     affinity: bytes | None = None
-    cost: float = 0.0
+    tries_ejected: bool = True
 
 
 class RequestAttempts:
@@ -285,11 +285,13 @@
 
     def _choose(self, retry: RetryReason | None, now: float) -> Upstream | None:
         traits = self._traits
-        arguments = (self._candidates, now, self._asked, traits.affinity, traits.cost)
+        arguments = (self._candidates, now, self._asked, traits.affinity, traits.tries_ejected)
         upstream = self._chooser.choose(*arguments)
         may_ask_again = retry not in _ASK_ONCE and len(self._outcomes) < self._max_attempts
         if upstream is None and may_ask_again:
-            return self._chooser.choose(self._candidates, now, set(), traits.affinity, traits.cost)
+            return self._chooser.choose(
+                self._candidates, now, set(), traits.affinity, traits.tries_ejected
+            )
         return upstream
 
     def _settle(self, now: float) -> Step:
--- a/packages/bilberryplank-core/bilberryplank_core/_choice.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_choice.py
@@ -1,138 +1,50 @@
-"""Choice of the upstream for a request.
-
-The informed policy draws two of the upstreams with fresh load hints and takes the one with the
-shorter estimated wait: the power of two choices (Mitzenmacher 2001), with hints carried on
-answers and probes kept for a stale pool (Prequal, Wydrowski et al., NSDI 2024).
+"""Choice of the upstream for a request by what is known of their load.
+
+The upstreams whose estimated wait is no worse than median and mean take turns, those of the own
+zone alone while they are all but idle. Half of a pool is wide enough that entries with the same
+stale hints don't herd, which the least of all does, and the least of two (Mitzenmacher 2001) less.
+Load comes with answers, and probes are kept for a stale pool (Prequal, Wydrowski et al., NSDI
+2024). An old hint counts for less (Dahlin, "Interpreting stale load information", 1999), and the
+entry's own recent requests count beside it.
 """
 
 from __future__ import annotations
 
 import random
-from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from math import exp
 
 from bilberryplank_core._affinity import pick_within_bound
-from bilberryplank_core._ejection import StragglerDetector
+from bilberryplank_core._chooser import UpstreamChooser, takes_work
+from bilberryplank_core._ejection import MAX_EJECTED_SHARE, StragglerDetector
 from bilberryplank_core._messages import Load
 from bilberryplank_core._settings import RoutingSettings
 from bilberryplank_core._track import UpstreamTrack
 from bilberryplank_core._world import Upstream
 
-SPILL_MARGIN_SECONDS = 0.05
-CHOICES = 2
 MIN_FRESH = 2
+SLACK_SECONDS = 0.01
+IDLE_WAIT_SECONDS = 0.0125
+HINT_DECAY_SECONDS = 2.0
+AFFINITY_MARGIN_SECONDS = 0.3
+OVERDUE_FACTOR = 4.0
+OVERDUE_EXCESS_SECONDS = 0.5
 PROBE_INTERVAL_SECONDS = 1.0
 LOSS_COOLDOWN_SECONDS = 0.5
 MAX_LOSS_COOLDOWN_SECONDS = 10.0
-AFFINITY_MARGIN_SECONDS = 0.3
-
-
-class UpstreamChooser(ABC):
-    """Chooses upstreams and takes in what is learned of them; times are monotonic seconds."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    def choose(
-        self,
-        candidates: Sequence[Upstream],
-        now: float,
-        excluded: set[str],
-        affinity: bytes | None = None,
-        cost: float = 0,
-    ) -> Upstream | None:
-        """Returns the upstream for a request, or None where no candidate takes new work.
-
-        Args:
-            candidates: Eligible upstreams.
-            now: Current time.
-            excluded: Names that must not be chosen.
-            affinity: Key of the prompt's prefix; None without affinity.
-            cost: Estimated tokens of the request.
-        """
-
-    @abstractmethod
-    def record_sent(self, upstream: str, cost: float, now: float) -> None:
-        """Takes in that a request was sent."""
-
-    @abstractmethod
-    def record_load(self, upstream: str, load: Load, now: float) -> None:
-        """Takes in a load hint."""
-
-    @abstractmethod
-    def record_answer(
-        self, upstream: str, first_token_seconds: float | None, ok: bool, now: float
-    ) -> None:
-        """Takes in how long the first token took, or that the attempt failed; once an attempt."""
-
-    @abstractmethod
-    def record_end(self, upstream: str, now: float) -> None:
-        """Takes in that a request is no longer there; once for each `record_sent`."""
-
-    @abstractmethod
-    def record_lost(self, upstream: str, now: float) -> None:
-        """Takes in that the link was lost or could not be made."""
-
-    @abstractmethod
-    def wants_probe(self, now: float) -> str | None:
-        """Returns an upstream of the last choice to ask for its load, where hints are stale."""
-
-
-class RoundRobinChooser(UpstreamChooser):
-    """Takes the candidates in turn; the baseline of measurements."""
-
-    __slots__ = ("_leaving", "_next")
-
-    def __init__(self) -> None:
-        self._next = 0
-        self._leaving: set[str] = set()
-
-    def choose(
-        self,
-        candidates: Sequence[Upstream],
-        now: float,
-        excluded: set[str],
-        affinity: bytes | None = None,
-        cost: float = 0,
-    ) -> Upstream | None:
-        """Returns the next candidate that takes new work."""
-        for _ in range(len(candidates)):
-            upstream = candidates[self._next % len(candidates)]
-            self._next += 1
-            if _takes_work(upstream, excluded) and upstream.name not in self._leaving:
-                return upstream
-        return None
-
-    def record_load(self, upstream: str, load: Load, now: float) -> None:
-        """Takes in whether the upstream is leaving."""
-        if load.leaving:
-            self._leaving.add(upstream)
-        else:
-            self._leaving.discard(upstream)
-
-    def record_sent(self, upstream: str, cost: float, now: float) -> None:
-        """Learns nothing."""
-
-    def record_answer(
-        self, upstream: str, first_token_seconds: float | None, ok: bool, now: float
-    ) -> None:
-        """Learns nothing."""
-
-    def record_end(self, upstream: str, now: float) -> None:
-        """Learns nothing."""
-
-    def record_lost(self, upstream: str, now: float) -> None:
-        """Learns nothing."""
-
-    def wants_probe(self, now: float) -> str | None:
-        """Returns None."""
-        return None
+MAX_LOSS_DOUBLINGS = 6
 
 
 class InformedChooser(UpstreamChooser):
-    """Chooses by estimated wait, zone, stragglers and prefix affinity."""
+    """Chooses by estimated wait, zone, stragglers and prefix affinity.
 
-    __slots__ = ("_detector", "_hint_lifetime", "_pool", "_rng", "_tracks", "_zone")
+    Args:
+        hint_lifetime: Seconds after which a load hint is stale.
+        own_zone: Availability zone of the entry.
+        rng: Decides the order of first use.
+    """
+
+    __slots__ = ("_detector", "_hint_lifetime", "_pool", "_rng", "_tracks", "_uses", "_zone")
 
     def __init__(self, hint_lifetime: float, own_zone: str, rng: random.Random) -> None:
         self._hint_lifetime = hint_lifetime
@@ -141,6 +53,7 @@
         self._tracks: dict[str, UpstreamTrack] = {}
         self._detector = StragglerDetector()
         self._pool: tuple[str, ...] = ()
+        self._uses = 0
 
     @classmethod
     def from_settings(
@@ -155,31 +68,35 @@
         now: float,
         excluded: set[str],
         affinity: bytes | None = None,
-        cost: float = 0,
+        tries_ejected: bool = True,
     ) -> Upstream | None:
-        """Returns the upstream with the shorter wait of two, stragglers and lost links last."""
+        """Returns the next in turn of the less loaded half, suspects left out where others are."""
         self._pool = tuple(item.name for item in candidates)
         willing = [
             item
             for item in candidates
-            if _takes_work(item, excluded) and not self._track(item.name).leaving
+            if takes_work(item, excluded) and not self._track(item.name).leaving
         ]
         if not willing:
             return None
-        linked = [item for item in willing if self._track(item.name).lost_until <= now]
-        usable = linked or willing
-        trickle = self._pick_trickle(usable, now)
-        if trickle is not None:
-            return trickle
-        steady = [item for item in usable if not self._detector.is_ejected(item.name)] or usable
-        return self._pick(steady, now, affinity)
+        usable = [item for item in willing if self._track(item.name).lost_until <= now] or willing
+        if tries_ejected and (tried := self._pick_ejected(usable, now)):
+            return tried
+        steady = self._without_suspects(usable, now)
+        waits = self._estimate(steady, now)
+        chosen = self._pick_near(steady, waits)
+        if affinity is not None:
+            chosen = self._prefer_cached(affinity, steady, chosen, waits)
+        self._uses += 1
+        self._track(chosen.name).last_use = self._uses
+        return chosen
 
     def record_sent(self, upstream: str, cost: float, now: float) -> None:
-        """Adds the request to the entry's own in flight."""
-        self._track(upstream).send(cost)
+        """Adds the request to the entry's own."""
+        self._track(upstream).send(cost, now)
 
     def record_load(self, upstream: str, load: Load, now: float) -> None:
-        """Replaces the upstream's hint."""
+        """Replaces the upstream's hint; the link works."""
         track = self._track(upstream)
         track.hear(load, now)
         track.losses = 0
@@ -189,27 +106,33 @@
         self, upstream: str, first_token_seconds: float | None, ok: bool, now: float
     ) -> None:
         """Judges the upstream against the pool of the last choice."""
+        self._track(upstream).answer()
         pool = self._pool if upstream in self._pool else (*self._pool, upstream)
         self._detector.record(upstream, first_token_seconds, ok, pool, now)
 
-    def record_end(self, upstream: str, now: float) -> None:
-        """Takes the request off the entry's own in flight."""
+    def record_refused(self, upstream: str, now: float) -> None:
+        """Takes the request off the entry's own."""
         track = self._track(upstream)
-        track.in_flight = max(track.in_flight - 1, 0)
+        track.withdraw()
+        track.end()
+
+    def record_end(self, upstream: str, now: float) -> None:
+        """Takes the request off the entry's own."""
+        self._track(upstream).end()
 
     def record_lost(self, upstream: str, now: float) -> None:
         """Keeps new work away for a cool-down that doubles with each loss in a row."""
         track = self._track(upstream)
-        cooldown = LOSS_COOLDOWN_SECONDS * 2 ** min(track.losses, 6)
+        cooldown = LOSS_COOLDOWN_SECONDS * 2 ** min(track.losses, MAX_LOSS_DOUBLINGS)
         track.losses += 1
         track.lost_until = now + min(cooldown, MAX_LOSS_COOLDOWN_SECONDS)
-        track.load = Load(leaving=True) if track.leaving else None
-        track.heard_at = float("-inf")
+        track.forget_load()
 
     def wants_probe(self, now: float) -> str | None:
         """Returns the upstream with the oldest hint where too few hints are fresh."""
         tracks = {name: self._track(name) for name in self._pool}
-        fresh = sum(self._is_fresh(track, now) for track in tracks.values())
+        oldest_fresh = now - self._hint_lifetime
+        fresh = sum(track.heard_at >= oldest_fresh for track in tracks.values())
         if fresh >= min(MIN_FRESH, len(tracks)):
             return None
         due = [
@@ -232,61 +155,67 @@
         """Returns True while the upstream is ejected as a straggler."""
         return self._detector.is_ejected(upstream)
 
-    def _pick_trickle(self, usable: list[Upstream], now: float) -> Upstream | None:
+    def _pick_ejected(self, usable: list[Upstream], now: float) -> Upstream | None:
         for item in usable:
-            if self._detector.take_trickle(item.name, now):
+            idle = self._track(item.name).in_flight == 0
+            if idle and self._detector.take_trickle(item.name, now):
                 return item
         return None
 
-    def _pick(self, usable: list[Upstream], now: float, affinity: bytes | None) -> Upstream:
-        near = [item for item in usable if item.zone == self._zone]
-        best = self._pick_of_two(near or usable, now)
-        if near and len(near) < len(usable):
-            best = self._spill(best, [item for item in usable if item.zone != self._zone], now)
-        if affinity is None:
-            return best
-        return self._prefer_cached(affinity, usable, best, now)
-
-    def _spill(self, near: Upstream, others: list[Upstream], now: float) -> Upstream:
-        far = self._pick_of_two(others, now)
-        waits = self._wait(near, now), self._wait(far, now)
-        return far if waits[0] > waits[1] + SPILL_MARGIN_SECONDS else near
+    def _without_suspects(self, usable: list[Upstream], now: float) -> list[Upstream]:
+        steady = [item for item in usable if not self._detector.is_ejected(item.name)] or usable
+        overdue = self._overdue(steady, now)
+        return [item for item in steady if item.name not in overdue] or steady
+
+    def _overdue(self, usable: list[Upstream], now: float) -> set[str]:
+        """Returns those that owe a first token for much longer than their pool takes."""
+        typical = self._detector.typical_seconds(self._pool, now)
+        if typical is None:
+            return set()
+        limit = max(typical * OVERDUE_FACTOR, typical + OVERDUE_EXCESS_SECONDS)
+        owed = {item.name: self._track(item.name).owed_for(now) for item in usable}
+        late = [name for name, seconds in owed.items() if seconds > limit]
+        late.sort(key=owed.__getitem__, reverse=True)
+        return set(late[: int(len(self._pool) * MAX_EJECTED_SHARE)])
+
+    def _estimate(self, usable: list[Upstream], now: float) -> dict[str, float]:
+        """Returns the estimated wait at each; an old hint is drawn towards the mean."""
+        tracks = {item.name: self._track(item.name) for item in usable}
+        known = {name: track.wait(now) for name, track in tracks.items() if track.load is not None}
+        mean = sum(known.values()) / len(known) if known else 0.0
+        waits = {}
+        for item in usable:
+            age = now - tracks[item.name].heard_at
+            trust = exp(-max(age, 0.0) / HINT_DECAY_SECONDS)
+            waits[item.name] = mean + (known.get(item.name, mean) - mean) * trust
+        return waits
 
-    def _pick_of_two(self, pool: list[Upstream], now: float) -> Upstream:
-        known = [item for item in pool if self._is_worth_drawing(item, now)]
-        drawn_from = known if len(known) >= min(CHOICES, len(pool)) else pool
-        drawn = self._rng.sample(drawn_from, min(CHOICES, len(drawn_from)))
-        return min(drawn, key=lambda item: self._wait(item, now))
+    def _pick_near(self, usable: list[Upstream], waits: dict[str, float]) -> Upstream:
+        idle = [
+            item
+            for item in usable
+            if item.zone == self._zone and waits[item.name] <= IDLE_WAIT_SECONDS
+        ]
+        return self._pick_in_turn(idle or usable, waits)
 
-    def _is_worth_drawing(self, upstream: Upstream, now: float) -> bool:
-        """Leaves out upstreams that have not answered for long though they were sent requests."""
-        track = self._track(upstream.name)
-        return track.in_flight == 0 or self._is_fresh(track, now)
+    def _pick_in_turn(self, usable: list[Upstream], waits: dict[str, float]) -> Upstream:
+        ordered = sorted(waits[item.name] for item in usable)
+        median, mean = ordered[(len(ordered) - 1) // 2], sum(ordered) / len(ordered)
+        limit = min(median, mean) + SLACK_SECONDS
+        better_half = [item for item in usable if waits[item.name] <= limit]
+        return min(better_half, key=lambda item: self._track(item.name).last_use)
 
     def _prefer_cached(
-        self, affinity: bytes, usable: list[Upstream], best: Upstream, now: float
+        self, affinity: bytes, usable: list[Upstream], best: Upstream, waits: dict[str, float]
     ) -> Upstream:
-        loads = {item.name: self._track(item.name).occupancy() for item in usable}
-        name = pick_within_bound(affinity, loads)
-        if name is None:
+        in_flight = {item.name: self._track(item.name).in_flight for item in usable}
+        name = pick_within_bound(affinity, in_flight)
+        if waits[name] > waits[best.name] + AFFINITY_MARGIN_SECONDS:
             return best
-        cached = next(item for item in usable if item.name == name)
-        limit = self._wait(best, now) + AFFINITY_MARGIN_SECONDS
-        return cached if self._wait(cached, now) <= limit else best
-
-    def _wait(self, upstream: Upstream, now: float) -> float:
-        track = self._track(upstream.name)
-        return track.wait() if self._is_fresh(track, now) else track.unknown_wait()
-
-    def _is_fresh(self, track: UpstreamTrack, now: float) -> bool:
-        return now - track.heard_at <= self._hint_lifetime
+        return next(item for item in usable if item.name == name)
 
     def _track(self, name: str) -> UpstreamTrack:
         track = self._tracks.get(name)
         if track is None:
-            track = self._tracks[name] = UpstreamTrack()
+            track = self._tracks[name] = UpstreamTrack(self._rng.random())
         return track
-
-
-def _takes_work(upstream: Upstream, excluded: set[str]) -> bool:
-    return upstream.name not in excluded and not upstream.draining
--- a/packages/bilberryplank-core/bilberryplank_core/_ejection.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_ejection.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from statistics import median
 
-WINDOW_ANSWERS = 24
-MIN_ANSWERS = 5
+WINDOW_ANSWERS = 8
+MIN_ANSWERS = 4
 SLOWNESS_LIMIT = 4.0
 MIN_EXCESS_SECONDS = 0.15
 FAILURES_LIMIT = 3
@@ -27,9 +27,9 @@
 
 @dataclass(slots=True)
 class _Record:
-    samples: deque[tuple[float, float]] = field(
-        default_factory=lambda: deque(maxlen=WINDOW_ANSWERS)
-    )
+    samples: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_ANSWERS))
+    sampled_at: float = float("-inf")
+    median: float | None = None
     failures: int = 0
     ejected_until: float | None = None
     ejections: int = 0
@@ -64,7 +64,7 @@
         """
         record = self._records.setdefault(upstream, _Record())
         if seconds is not None:
-            record.samples.append((now, seconds))
+            self._sample(record, seconds, now)
         record.failures = 0 if ok else record.failures + 1
         suspect = self._is_suspect(upstream, record, pool, now)
         if record.ejected_until is not None:
@@ -104,8 +104,16 @@
         record = self._records.get(upstream)
         if record is None:
             return None
-        recent = [seconds for at, seconds in record.samples if now - at <= SAMPLE_LIFETIME_SECONDS]
-        return median(recent) if len(recent) >= MIN_ANSWERS else None
+        return record.median if now - record.sampled_at <= SAMPLE_LIFETIME_SECONDS else None
+
+    def _sample(self, record: _Record, seconds: float, now: float) -> None:
+        if now - record.sampled_at > SAMPLE_LIFETIME_SECONDS:
+            record.samples.clear()
+        record.median = None
+        record.samples.append(seconds)
+        record.sampled_at = now
+        enough = len(record.samples) >= MIN_ANSWERS
+        record.median = median(record.samples) if enough else None
 
     def _is_suspect(self, upstream: str, record: _Record, pool: Iterable[str], now: float) -> bool:
         if record.failures >= FAILURES_LIMIT:
@@ -154,3 +162,4 @@
         record.failures = 0
         record.ejections -= 1
         record.samples.clear()
+        record.median = None
--- a/packages/bilberryplank-core/bilberryplank_core/_limits.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_limits.py
@@ -21,6 +21,8 @@
 LimitId = tuple[str, str]
 """Names of a limit and of an organisation that it covers."""
 
+LEAST_BURST_REQUESTS = 3.0
+LEAST_BURST_TOKENS = 1.0
 IN_FLIGHT_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 60.0
 MAX_IDLE_ALLOWANCES = 10_000
@@ -35,16 +37,20 @@
         self._limit = limit
         self.in_flight = 0
         self.demand = DemandMeter()
-        self._requests = _bucket(limit.requests_per_second, share, 1.0, now)
-        self._tokens = _bucket(limit.tokens_per_second, share, 1.0, now)
+        self._requests = _bucket(limit.requests_per_second, share, LEAST_BURST_REQUESTS, now)
+        self._tokens = _bucket(limit.tokens_per_second, share, LEAST_BURST_TOKENS, now)
         self._in_flight_share = _in_flight_share(limit, share)
 
     def set_share(self, limit: Limit, share: float, now: float) -> None:
         """Changes the limit or the entry's share of it."""
         self._limit = limit
         self._in_flight_share = _in_flight_share(limit, share)
-        self._requests = _changed(self._requests, limit.requests_per_second, share, now)
-        self._tokens = _changed(self._tokens, limit.tokens_per_second, share, now)
+        self._requests = _changed(
+            self._requests, limit.requests_per_second, share, LEAST_BURST_REQUESTS, now
+        )
+        self._tokens = _changed(
+            self._tokens, limit.tokens_per_second, share, LEAST_BURST_TOKENS, now
+        )
 
     def wait(self, now: float) -> float:
         """Returns the seconds until a request fits; 0 where it fits now."""
@@ -219,10 +225,10 @@
 
 
 def _changed(
-    bucket: TokenBucket | None, rate: float | None, share: float, now: float
+    bucket: TokenBucket | None, rate: float | None, share: float, least: float, now: float
 ) -> TokenBucket | None:
     if bucket is None or rate is None:
-        return _bucket(rate, share, 1.0, now)
+        return _bucket(rate, share, least, now)
     bucket.set_rate(rate * share, now)
     return bucket
 
--- a/packages/bilberryplank-core/bilberryplank_core/_token_bucket.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_token_bucket.py
@@ -10,8 +10,8 @@
 
     Args:
         rate: Units a second.
-        least_burst: Least capacity, so that one request always fits.
-        now: Monotonic time; the bucket starts full.
+        least_burst: Least capacity; where it matters, the bucket starts with one unit only.
+        now: Monotonic time.
     """
 
     __slots__ = ("_capacity", "_least_burst", "_level", "_rate", "_seen")
@@ -20,7 +20,7 @@
         self._least_burst = least_burst
         self._rate = rate
         self._capacity = max(rate * BURST_SECONDS, least_burst)
-        self._level = self._capacity
+        self._level = max(rate * BURST_SECONDS, 1.0)
         self._seen = now
 
     def set_rate(self, rate: float, now: float) -> None:
--- a/packages/bilberryplank-core/bilberryplank_core/routing.py
+++ b/packages/bilberryplank-core/bilberryplank_core/routing.py
@@ -12,7 +12,8 @@
     FrameCounts,
 )
 from bilberryplank_core._attempts import RequestAttempts, RequestTraits, parse_reason
-from bilberryplank_core._choice import InformedChooser, RoundRobinChooser, UpstreamChooser
+from bilberryplank_core._choice import InformedChooser
+from bilberryplank_core._chooser import RoundRobinChooser, UpstreamChooser
 from bilberryplank_core._classification import (
     CallerRequest,
     Classified,
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
@@ -45,18 +45,39 @@
         busy = {**idle, **{item.name: load(queued=9, running=4) for item in NEAR}}
         self.assertEqual(sum(counts(chooser(busy), ALL)[item.name] for item in NEAR), 0)
 
-    def test_power_of_two_avoids_the_longest_queue(self):
+    def test_the_less_loaded_half_takes_turns(self):
         loads = {"a0": load(), "a1": load(), "a2": load(queued=5, running=4)}
         found = counts(chooser(loads), NEAR)
         self.assertEqual(found["a2"], 0)
-        self.assertGreater(min(found["a0"], found["a1"]), 60)
+        self.assertEqual((found["a0"], found["a1"]), (100, 100))
 
     def test_own_requests_count_between_hints(self):
         subject = chooser({item.name: load() for item in NEAR})
-        for _ in range(30):
-            subject.record_sent(subject.choose(NEAR, 0.1, set()).name, 100, 0.1)
-        waits = [subject._track(item.name).in_flight for item in NEAR]
-        self.assertLessEqual(max(waits) - min(waits), 4)
+        for item in NEAR[:2]:
+            for _ in range(10):
+                subject.record_sent(item.name, 100, 0.1)
+        self.assertEqual(set(counts(subject, NEAR)), {"a2"})
+
+    def test_an_old_hint_counts_for_less(self):
+        loads = {"a0": load(queued=5, running=4), "a1": load(), "a2": load()}
+        subject = chooser(loads)
+        self.assertEqual(counts(subject, NEAR, now=0.1)["a0"], 0)
+        self.assertGreater(counts(subject, NEAR, now=20.0)["a0"], 0)
+
+    def test_who_owes_a_first_token_for_too_long_gets_nothing_new(self):
+        subject = chooser({item.name: load() for item in NEAR})
+        subject.choose(NEAR, 0.0, set())
+        for name in ("a0", "a1", "a2") * 5:
+            subject.record_sent(name, 1, 0.0)
+            subject.record_answer(name, 0.1, True, 0.1)
+            subject.record_end(name, 0.1)
+        subject.record_sent("a0", 1, 1.0)
+        self.assertGreater(counts(subject, NEAR, now=1.3)["a0"], 0)
+        self.assertEqual(counts(subject, NEAR, now=1.8)["a0"], 0)
+        for ended in (subject.record_refused, subject.record_end):
+            ended("a0", 1.8)
+            self.assertGreater(counts(subject, NEAR, now=1.8)["a0"], 0)
+            subject.record_sent("a0", 1, 1.0)
 
     def test_what_takes_no_new_work(self):
         loads = {"a0": load(leaving=True), "a1": load()}
@@ -91,6 +112,10 @@
         found = counts(subject, ALL, affinity=key)
         self.assertEqual(len(found), 1)
         favourite = next(iter(found))
+        for name in found:
+            subject.record_sent(name, 1, 0.1)
+        self.assertNotIn(favourite, counts(subject, ALL, affinity=key))
+        subject.record_end(favourite, 0.1)
         subject.record_load(favourite, load(queued=3, running=4), 0.1)
         self.assertNotIn(favourite, counts(subject, ALL, affinity=key))
         self.assertNotEqual(key, affinity_key("other", b"prefix"))
@@ -106,4 +131,8 @@
         self.assertEqual(counts(subject, NEAR, now=1.1)["a0"], 0)
         for item in NEAR:
             subject.record_load(item.name, load(), 7.0)
+        top = subject.choose(NEAR, 7.0, set(), tries_ejected=False)
+        self.assertNotEqual(top.name, "a0")
         self.assertEqual(counts(subject, NEAR, now=7.0)["a0"], 1)
+        subject.record_sent("a0", 1, 7.0)
+        self.assertEqual(counts(subject, NEAR, now=9.0)["a0"], 0)
