Let floors earn against a higher tier that queues one request at a time

Cause: the class just dispatched was not counted as demand, so a lower class took itself for the highest and earned no floor; a class refused before its first request was queued had rank 0.

--- a/packages/bilberryplank-core/bilberryplank_core/_classes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_classes.py
@@ -99,11 +99,14 @@
             return self.rank, True, self.target
         return self.rank, False, oldest.arrived + oldest.first_token_target
 
-    def push(self, req: QueuedRequest, long: bool) -> None:
-        """Queues a request."""
+    def describe(self, req: QueuedRequest) -> None:
+        """Takes over what a newcomer says of its class."""
         self.rank = req.rank
         self.floor_share = req.floor_share
         self.target = req.first_token_target
+
+    def push(self, req: QueuedRequest, long: bool) -> None:
+        """Queues a request."""
         self.timely.push(req, long)
         self._by_arrival[req.attempt] = req
 
@@ -163,8 +166,10 @@
     highest tier with demand earns nothing, for it goes first anyway.
     """
     since = now - DEMAND_SECONDS
-    demand = [queue for queue in classes if len(queue) or queue.turned_away > since]
-    highest = min((queue.rank for queue in demand), default=0)
+    demand = [
+        queue for queue in classes if queue is dispatched or len(queue) or queue.turned_away > since
+    ]
+    highest = min(queue.rank for queue in demand)
     lower = [queue for queue in demand if queue.rank > highest]
     total = sum(queue.floor_share for queue in lower)
     scale = min(1.0, MAX_FLOOR_TOTAL / total) if total > 0 else 1.0
--- a/packages/bilberryplank-core/bilberryplank_core/_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue.py
@@ -88,6 +88,7 @@
         """Queues a request; returns what is refused, be it this one or one that made room."""
         output = self._lengths.estimate(req.class_name, req.organisation, req.output_limit)
         req.cost = cost_of(req.prompt_tokens, output)
+        self._class_of(req).describe(req)
         self._waits.observe_offer(req, now)
         if req.deadline <= now:
             return [self._refuse(req, RefusalReason.DEADLINE_PASSED, now)]
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_queue.py
@@ -214,6 +214,51 @@
                 shares = [upstream.served[f"org-{i}"] / w for i, w in enumerate(weights)]
                 self.assertGreater(min(shares), 0.8 * max(shares))
 
+    def test_higher_tiers_go_first(self) -> None:
+        queue = tiered(slots=3)
+        for index, rank in enumerate((2, 0, 1)):
+            queue.offer(request(f"r{rank}", rank, index), index)
+        self.assertEqual([0, 1, 2], [queue.take(3.0).rank for _ in range(3)])
+
+    def test_what_runs_by_its_floor_is_not_preempted(self) -> None:
+        for floors, expected in ((True, None), (False, "lower")):
+            with self.subTest(floors=floors):
+                queue = self.loaded_queue(TieredPolicy(floors=floors, reserve=False))
+                if floors:
+                    queue.offer(request("top1", 0, 10.0, first_token_target=0.1), 10.0)
+                queue.offer(request("lower", 1, 10.0, preemptible=True), 10.0)
+                taken = queue.take(10.0)
+                self.assertEqual("lower", taken.attempt.request)
+                queue.started(taken.attempt, 10.0)
+                queue.offer(request("top2", 0, 10.0, first_token_target=0.1), 10.0)
+                attempt = queue.preempt(10.1)
+                self.assertEqual(expected, attempt and attempt.request)
+
+    def test_slots_are_held_for_tight_targets_under_load_only(self) -> None:
+        for arrivals, started in ((0, 3), (120, 1)):
+            with self.subTest(arrivals=arrivals):
+                queue = self.loaded_queue(TieredPolicy(floors=False), slots=4)
+                for index in range(arrivals):
+                    queue.offer(request(f"top{index}", 0, 100.0, first_token_target=0.1), 100.0)
+                    queue.cancel(AttemptId(f"top{index}", 1, "entry"))
+                for index in range(3):
+                    queue.offer(request(f"lower{index}", 1, 100.0), 100.0)
+                taken = [queue.take(100.0) for _ in range(3)]
+                self.assertEqual(started, sum(req is not None for req in taken))
+
+    def loaded_queue(self, policy: TieredPolicy, slots: int = 1) -> TieredQueue:
+        """Returns a queue whose requests take a second, and whose class 1 is owed its floor."""
+        queue = tiered(policy, slots=slots)
+        for index in range(100):
+            now = index * 0.1
+            queue.offer(request(f"warm{index}", 0, now), now)
+            req = queue.take(now)
+            queue.started(req.attempt, now)
+            queue.finished(req.attempt, now + 1.0, 100, 100)
+            if index == 50:
+                queue.offer(request("refused", 1, now, deadline=now), now)
+        return queue
+
     def test_late_requests_go_behind_timely_ones_of_their_class_only(self) -> None:
         queue = tiered(slots=1)
         queue.offer(request("late", 1, 0.0, first_token_target=1.0), 0.0)
