Store, aggregate and report usage so that each record counts once

Cause: one lost host must lose no bill, and a window's figures must never change. Ruled out: a list of the ids that were counted, which an hour at the target would make 13 million long; a row a record. Change: request ids are an entry's epoch and a number, so that the ids counted are a few ranges an epoch; entry and sidecar both keep a record until one of them stored it in a batch; a pass over a shard is one transaction; a window is sealed in one row and reported from it alone.

--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -6,6 +6,15 @@
 from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
 from bilberryplank_core._pollers import PollSchedule, polls
 from bilberryplank_core._ranking import is_ranked, ranked, weight
+from bilberryplank_core._usage_records import USAGE_SHARDS, RequestIds, UsageRecord
+from bilberryplank_core._usage_reports import (
+    ReportState,
+    SealedWindow,
+    UsageReporter,
+    recover_spilled,
+)
+from bilberryplank_core._usage_spool import UsageSpool, UsageSpoolCounters
+from bilberryplank_core._usage_windows import UsagePass, UsageWindows
 
 __all__ = [
     "ConfigurationDelta",
@@ -16,8 +25,19 @@
     "LeaseHolder",
     "LeaseRow",
     "PollSchedule",
+    "USAGE_SHARDS",
+    "ReportState",
+    "RequestIds",
+    "SealedWindow",
+    "UsagePass",
+    "UsageRecord",
+    "UsageReporter",
+    "UsageSpool",
+    "UsageSpoolCounters",
+    "UsageWindows",
     "is_ranked",
     "polls",
     "ranked",
+    "recover_spilled",
     "weight",
 ]
--- a/packages/bilberryplank-core/bilberryplank_core/tests/_explore.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/_explore.py
@@ -33,14 +33,21 @@
 
 
 class Process:
-    """A coroutine and the call at which it stands; None once it has ended."""
+    """A coroutine and the call at which it stands; None once it has ended.
 
-    def __init__(self, coroutine):
-        self.coroutine = coroutine
+    Attributes:
+        trace: What the calls gave since the program last began anew; a program clears it where
+            it keeps nothing of what went before.
+    """
+
+    def __init__(self, program):
+        self.trace = []
         self.call = None
+        self.coroutine = program(self)
         self.go_on(None)
 
     def go_on(self, result):
+        self.trace.append(repr(result))
         try:
             if isinstance(result, Exception):
                 self.call = self.coroutine.throw(result)
@@ -130,7 +137,7 @@
         raise AssertionError("the table waited")
 
     def snapshot(self):
-        calls = [repr(vars(p.call)) if p.call else None for p in self.processes]
+        calls = [(repr(vars(p.call)), *p.trace) if p.call else () for p in self.processes]
         late = [repr(vars(call)) for call in self.late]
         rows = repr(sorted(self.table.rows.items()))
         return (rows, repr(self.history[-2:-1]), *calls, *late, self.budget, self.state())
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_interleavings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_interleavings.py
@@ -1,5 +1,6 @@
 import itertools
 import unittest
+from functools import partial
 from random import Random
 
 from bilberryplank_core.errors import LeaseLost, PlatformUnavailable
@@ -25,7 +26,7 @@
             owner = f"p{index}"
             lease = self.make_lease(owner, offset)
             self.leases.append((lease, offset))
-            self.processes.append(Process(self.serve(lease, owner)))
+            self.processes.append(Process(partial(self.serve, lease, owner)))
 
     def make_lease(self, owner, offset):
         numbers = itertools.count()
@@ -40,8 +41,9 @@
             lambda: f"{owner}-{next(numbers)}",
         )
 
-    async def serve(self, lease, owner):
+    async def serve(self, lease, owner, process):
         while True:
+            process.trace.clear()
             try:
                 if not await lease.renew():
                     await lease.try_acquire()
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_interleavings.py
@@ -0,0 +1,109 @@
+import unittest
+from contextlib import suppress
+from unittest.mock import patch
+
+from bilberryplank_core import _usage_reports
+from bilberryplank_core._usage_records import batch_value
+from bilberryplank_core.contracts import Condition, Put, UsageReports
+from bilberryplank_core.errors import Conflict, PlatformUnavailable, ReportRejected
+from bilberryplank_core.fleet import UsageRecord, UsageReporter, UsageWindows
+from bilberryplank_core.tests._explore import Process, StepTable, World, explore
+
+WINDOW = 10
+
+
+class NoLease:
+    """Every process believes that it is in charge, so that only the rows' conditions protect."""
+
+    fence = 1
+
+    def fence_condition(self):
+        return Condition("leases", "job/fence", 0)
+
+    def guard(self):
+        return None
+
+
+class StepReports(UsageReports):
+    def __init__(self, world):
+        self.world = world
+
+    async def send(self, report, guard):
+        await StepTable().read("reports", "any")
+        known = self.world.reports.setdefault(report.window, report)
+        if known != report:
+            self.world.differing = True
+            raise ReportRejected("other figures")
+
+
+def batch(numbers):
+    return batch_value(UsageRecord(f"e-{n}", "org", "desk", 0, 10**n, 1, 5) for n in numbers)
+
+
+class UsageWorld(World):
+    """Two aggregators and reporters over copies of the same records, one copy stored late."""
+
+    tick = 12.0
+    ticks = 1
+    budget = 1
+
+    def __init__(self):
+        super().__init__()
+        self.reports = {}
+        self.differing = False
+        self.at_once(self.table.commit([], [Put("usage", "batch/00/entry/1", batch([0, 1]))]))
+        self.at_once(UsageWindows(self.table, NoLease(), lambda: 0.0, WINDOW, 0).advance(0))
+        self.now = 12.0
+        self.processes = [Process(self.serve) for _ in range(2)]
+        self.processes.append(Process(self.store))
+
+    def at_once(self, coroutine):
+        with suppress(StopIteration):
+            coroutine.send(None)
+        self.history.append(dict(self.table.rows))
+
+    async def store(self, process):
+        while True:
+            process.trace.clear()
+            with suppress(PlatformUnavailable):
+                await StepTable().commit([], [Put("usage", "batch/00/sidecar/1", batch([1, 2]))])
+                return
+
+    async def serve(self, process):
+        table = StepTable()
+        windows = UsageWindows(table, NoLease(), lambda: self.now, WINDOW, 0)
+        reporter = UsageReporter(table, StepReports(self), NoLease(), WINDOW)
+        while True:
+            process.trace.clear()
+            with suppress(Conflict, PlatformUnavailable):
+                await windows.advance(0)
+                await reporter.advance()
+
+    def state(self):
+        return repr((self.now, self.ticks, self.reports))
+
+    def check(self):
+        assert not self.differing, "a window reported with different figures"
+        total = 0
+        counted = []
+        for (_, key), row in self.table.rows.items():
+            if key.startswith("part/"):
+                total += sum(line[3] for line in row.value)
+            elif key.startswith("sealed/"):
+                total += sum(line[3] for line in row.value["lines"])
+            elif key.startswith("state/"):
+                for bounds, _, _ in row.value["counted"]["epochs"].values():
+                    for start, end in zip(bounds[::2], bounds[1::2], strict=True):
+                        counted.extend(range(start, end))
+        assert total == sum(10**number for number in counted), "a record counted twice or lost"
+
+
+class FaultlessWorld(UsageWorld):
+    budget = 0
+
+
+class UsageInterleavingsTest(unittest.TestCase):
+    def test_each_record_once_and_figures_never_change(self):
+        with patch.object(_usage_reports, "USAGE_SHARDS", 1):
+            self.assertGreater(explore(FaultlessWorld, 16), 3000)
+            self.assertGreater(explore(UsageWorld, 12), 10000)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_windows.py
@@ -0,0 +1,224 @@
+import unittest
+from collections import Counter
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberryplank_core import _usage_ids
+from bilberryplank_core._usage_ids import Counted, NumberRanges
+from bilberryplank_core._usage_records import batch_records, batch_value, shard_of
+from bilberryplank_core.contracts import UsageReports
+from bilberryplank_core.errors import Conflict, LeaseLost, PlatformUnavailable, ReportRejected
+from bilberryplank_core.fleet import (
+    USAGE_SHARDS,
+    LeaseHolder,
+    ReportState,
+    UsageRecord,
+    UsageReporter,
+    UsageSpool,
+    UsageWindows,
+)
+from bilberryplank_core.tests._memory_platform import MemoryTable, TableFault
+
+WINDOW = 100
+GRACE = 10
+START = 1000
+
+
+class MemoryReports(UsageReports):
+    def __init__(self):
+        self.reports = {}
+        self.sent = Counter()
+        self.lose = False
+
+    async def send(self, report, guard):
+        guard.check()
+        self.sent[report.window] += 1
+        if self.reports.setdefault(report.window, report) != report:
+            raise ReportRejected("other figures")
+        if self.lose:
+            self.lose = False
+            raise PlatformUnavailable("answer lost")
+
+
+class UsageWindowsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.now = float(START)
+        self.table = MemoryTable()
+        self.reports = MemoryReports()
+        self.lease, self.windows, self.reporter = await self.process("first")
+        await self.pass_all(self.windows)
+
+    async def process(self, name):
+        clock = lambda: self.now  # noqa: E731
+        lease = LeaseHolder("usage", name, self.table, clock, 6.0, 1.0, Random(1))
+        await lease.try_acquire()
+        windows = UsageWindows(self.table, lease, clock, WINDOW, GRACE)
+        return lease, windows, UsageReporter(self.table, self.reports, lease, WINDOW)
+
+    async def pass_all(self, windows):
+        return [await windows.advance(shard) for shard in range(USAGE_SHARDS)]
+
+    async def store(self, run, numbers, epoch="e", finished=START + 1.0):
+        spool = UsageSpool(run, lambda: self.now, 2.0, 100, Random(1))
+        for number in numbers:
+            spool.add(UsageRecord(f"{epoch}-{number}", "org", "desk", 1, 10**number, 1, finished))
+        await spool.flush(self.table)
+
+    async def later(self, seconds):
+        await self.lease.release()
+        self.now += seconds
+        await self.lease.try_acquire()
+
+    def totals(self):
+        return {
+            w: [line.completion_tokens for line in r.lines] for w, r in self.reports.reports.items()
+        }
+
+    async def test_entry_and_sidecar_copies_count_once_and_late_ones_in_the_next_window(self):
+        await self.store("entry", [0, 1])
+        await self.pass_all(self.windows)
+        await self.store("sidecar", [1, 2])
+        done = await self.pass_all(self.windows)
+        self.assertEqual((sum(d.counted for d in done), sum(d.repeated for d in done)), (1, 1))
+        self.assertIsNone(await self.reporter.advance())
+        await self.later(WINDOW + GRACE)
+        await self.store("sidecar2", [2, 3])
+        await self.pass_all(self.windows)
+        await self.store("sidecar3", [0, 4])
+        done = await self.pass_all(self.windows)
+        self.assertEqual(sum(d.late for d in done), 1)
+        sealed = await self.reporter.advance()
+        self.assertEqual((sealed.window, sealed.state), (START, ReportState.REPORTED))
+        self.assertIsNone(await self.reporter.advance())
+        await self.later(WINDOW)
+        await self.pass_all(self.windows)
+        await self.reporter.advance()
+        self.assertEqual(self.totals(), {1000: [1111], 1100: [10000]})
+        batches = [key for _, key in self.table.rows if key.startswith(("batch/", "part/"))]
+        self.assertEqual(batches, [])
+
+    async def test_repeated_batch_after_it_was_counted(self):
+        await self.store("entry", [0, 1])
+        rows = {k: r for k, r in self.table.rows.items() if k[1].startswith("batch/")}
+        await self.pass_all(self.windows)
+        self.table.rows.update(rows)
+        done = await self.pass_all(self.windows)
+        self.assertEqual(sum(d.repeated for d in done), 2)
+
+    async def test_taker_over_sends_the_same_figures(self):
+        await self.store("entry", [0, 1])
+        await self.later(WINDOW + GRACE)
+        await self.pass_all(self.windows)
+        self.reports.lose = True
+        with self.assertRaises(PlatformUnavailable):
+            await self.reporter.advance()
+        await self.store("sidecar", [2])
+        await self.lease.release()
+        _, windows, reporter = await self.process("second")
+        await self.pass_all(windows)
+        await reporter.advance()
+        self.assertEqual((self.totals(), self.reports.sent[START]), ({1000: [11]}, 2))
+
+    async def test_nothing_without_the_lease(self):
+        await self.store("entry", [0])
+        self.now += WINDOW + GRACE
+        rows = dict(self.table.rows)
+        with self.assertRaises(LeaseLost):
+            await self.pass_all(self.windows)
+        self.assertEqual(self.table.rows, rows)
+
+    async def test_holder_frozen_before_it_sends_sends_nothing(self):
+        await self.later(WINDOW + GRACE)
+        await self.pass_all(self.windows)
+        await self.reporter._seal(START)
+        self.now += 60
+        with self.assertRaises(LeaseLost):
+            await self.reporter.advance()
+        self.assertEqual(self.reports.sent, Counter())
+
+    async def test_parts_read_behind_are_refused(self):
+        before = dict(self.table.rows)
+        await self.store("entry", [0])
+        await self.pass_all(self.windows)
+        await self.store("entry2", [1])
+        self.read_parts_from(before)
+        with self.assertRaises(Conflict):
+            await self.pass_all(self.windows)
+        self.table.thaw_reads()
+        await self.later(WINDOW + GRACE)
+        await self.pass_all(self.windows)
+        self.read_parts_from(before)
+        with self.assertRaises(Conflict):
+            await self.reporter.advance()
+        self.table.thaw_reads()
+        await self.reporter.advance()
+        self.assertEqual(self.totals(), {1000: [11]})
+
+    def read_parts_from(self, rows):
+        newest = {key: row for key, row in self.table.rows.items() if "part/" not in key[1]}
+        self.table._stale_rows = newest | {k: row for k, row in rows.items() if "part/" in k[1]}
+
+    async def test_lost_answer_of_a_pass_counts_nothing_twice(self):
+        for fault in TableFault:
+            self.table.faults.append(fault)
+            await self.store_despite(fault)
+        await self.later(WINDOW + GRACE)
+        await self.pass_all(self.windows)
+        await self.reporter.advance()
+        self.assertEqual(self.totals(), {1000: [11]})
+
+    async def store_despite(self, fault):
+        self.table.faults.clear()
+        await self.store(fault.value, [list(TableFault).index(fault)])
+        self.table.faults.append(fault)
+        with self.assertRaises(PlatformUnavailable):
+            await self.pass_all(self.windows)
+        await self.pass_all(self.windows)
+
+    async def test_rejected_report_is_marked_and_does_not_block(self):
+        self.reports.reports[START] = "other"
+        await self.later(2 * WINDOW + GRACE)
+        await self.pass_all(self.windows)
+        self.assertEqual((await self.reporter.advance()).state, ReportState.REJECTED)
+        self.assertEqual((await self.reporter.advance()).state, ReportState.REPORTED)
+
+    async def test_ids_too_old_to_tell_are_put_aside(self):
+        near = next(f"x{n}" for n in range(1000) if shard_of(f"x{n}") == shard_of("e"))
+        await self.store("entry", [0])
+        await self.pass_all(self.windows)
+        await self.later(49 * 3600)
+        await self.store("near", [1], epoch=near, finished=self.now)
+        await self.pass_all(self.windows)
+        await self.store("copy", [0])
+        await self.store("near copy", [1, 2], epoch=near, finished=self.now)
+        done = await self.pass_all(self.windows)
+        disputed = [rec.record_id for d in done for rec in d.disputed]
+        self.assertEqual(disputed, ["e-0"])
+        self.assertEqual((sum(d.counted for d in done), sum(d.repeated for d in done)), (1, 1))
+        self.assertIn(("usage", f"disputed/{shard_of('e'):02d}/e-0"), self.table.rows)
+
+
+class NumberRangesTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=200)
+    @given(st.lists(st.integers(0, 60)))
+    def test_ranges_hold_what_a_set_holds(self, numbers):
+        ranges, known = NumberRanges(), set()
+        for number in numbers:
+            expected = Counted.REPEATED if number in known else Counted.NEW
+            self.assertIs(ranges.add(number), expected)
+            known.add(number)
+        self.assertEqual(ranges.bounds, sorted(set(ranges.bounds)))
+
+    def test_forgotten_numbers_are_undecidable(self):
+        ranges = NumberRanges()
+        for number in range(0, 2 * _usage_ids.MAX_RANGE_BOUNDS, 2):
+            ranges.add(number)
+        self.assertEqual(len(ranges.bounds), _usage_ids.MAX_RANGE_BOUNDS)
+        self.assertIs(ranges.add(1), Counted.UNDECIDABLE)
+
+    def test_batches_survive_the_row(self):
+        records = [UsageRecord(f"e-{n}", "o", f"c{n % 2}", n, n, 1, n) for n in range(5)]
+        read = batch_records(batch_value(records))
+        self.assertEqual(sorted(read, key=lambda rec: rec.number), records)
