--- a/packages/bilberryplank-core/bilberryplank_core/_admission.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_admission.py
@@ -1,130 +1,71 @@
-"""Admission: how long a newcomer would wait, and which request goes where the queue is full."""
+"""Admission: whether a newcomer may wait, and which request goes where the queue is full."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
-from bilberryplank_core._classes import ClassQueue, has_floor_place
-from bilberryplank_core._estimates import OfferedLoad, ServiceRate
-from bilberryplank_core._fairness import MIN_WEIGHT
+from bilberryplank_core._classes import ClassQueue, has_floor_place, is_owed
+from bilberryplank_core._preemption import Preemption
+from bilberryplank_core._queue_policy import TieredPolicy
 from bilberryplank_core._queue_types import QueuedRequest
 from bilberryplank_core._slots import SlotTable
-
-MIN_RETRY_AFTER = 0.1
-"""Shortest time to come back, in seconds."""
-
-MAX_RETRY_AFTER = 60.0
-"""Longest time to come back, in seconds."""
-
-DEFAULT_RETRY_AFTER = 1.0
-"""Time to come back while the drain rate is unknown, in seconds."""
-
-LOAD_WINDOW = 15.0
-"""Seconds over which offered load is averaged."""
-
-MIN_SHARE_LEFT = 0.05
-"""Share of the slots that a tier gets at least, however much the higher ones offer."""
-
-
-class WaitEstimator:
-    """Estimates waits from the queued cost ahead, measured service rates and offered load."""
-
-    __slots__ = ("_first_tokens", "_offered", "_overall", "_rates")
-
-    def __init__(self) -> None:
-        self._rates: dict[str, ServiceRate] = {}
-        self._first_tokens: dict[str, ServiceRate] = {}
-        self._offered: dict[str, OfferedLoad] = {}
-        self._overall = ServiceRate()
-
-    def observe(self, class_name: str, cost: float, seconds: float) -> None:
-        """Learns from a finished request."""
-        self._rates.setdefault(class_name, ServiceRate()).observe(cost, seconds)
-        self._overall.observe(cost, seconds)
-
-    def observe_first_token(self, class_name: str, seconds: float) -> None:
-        """Learns how long after its dispatch a request had its first token."""
-        self._first_tokens.setdefault(class_name, ServiceRate()).observe(1.0, seconds)
-
-    def observe_offer(self, req: QueuedRequest, now: float) -> None:
-        """Learns from an arrival."""
-        load = self._offered.setdefault(req.class_name, OfferedLoad(LOAD_WINDOW))
-        load.observe(self.service(req), now)
-
-    def offered(self, class_name: str, now: float) -> float:
-        """Returns the slots that the arrivals of a class keep busy."""
-        load = self._offered.get(class_name)
-        return load.erlangs(now) if load is not None else 0.0
-
-    def offered_total(self, now: float) -> float:
-        """Returns the slots that all arrivals keep busy."""
-        return sum(load.erlangs(now) for load in self._offered.values())
-
-    def drain_rate(self, slots: int) -> float:
-        """Returns the cost that all slots finish a second while busy; 0 while unknown."""
-        return self._overall.cost_per_second() * slots
-
-    def first_token(self, class_name: str) -> float:
-        """Returns the seconds from dispatch to the first token; 0 while unknown."""
-        rate = self._first_tokens.get(class_name)
-        return rate.seconds_per_request() if rate is not None else 0.0
-
-    def service(self, req: QueuedRequest) -> float:
-        """Returns the seconds that a request will hold a slot; 0 while unknown."""
-        return req.cost * self._seconds_per_cost(req.class_name)
-
-    def class_rate(self, class_name: str) -> float:
-        """Returns the cost that one slot finishes a second in a class; 0 while unknown."""
-        seconds = self._seconds_per_cost(class_name)
-        return 1.0 / seconds if seconds > 0 else 0.0
-
-    def next_free(self, slots: int) -> float:
-        """Returns the mean seconds between two ends of requests while all slots are busy."""
-        return self._overall.seconds_per_request() / slots
-
-    def wait(
-        self, req: QueuedRequest, classes: Iterable[ClassQueue], slots: SlotTable, now: float
-    ) -> float:
-        """Returns the seconds until a newcomer would start, were it queued now."""
-        ahead = 0.0
-        higher = 0.0
-        for queue in classes:
-            if queue.name == req.class_name:
-                ahead += self._share_ahead(req, queue)
-            elif queue.rank <= req.rank:
-                ahead += queue.cost * self._seconds_per_cost(queue.name)
-            if queue.rank < req.rank:
-                higher += self.offered(queue.name, now)
-        if ahead == 0.0 and slots.free > 0:
-            return 0.0
-        left = max(slots.slots * MIN_SHARE_LEFT, slots.slots - higher)
-        return ahead / left + self.next_free(slots.slots)
-
-    def retry_after(self, cost: float, slots: int) -> float:
-        """Returns the seconds until `cost` has drained, within bounds."""
-        rate = self.drain_rate(slots)
-        if rate <= 0:
-            return DEFAULT_RETRY_AFTER
-        return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, cost / rate))
-
-    def _share_ahead(self, req: QueuedRequest, queue: ClassQueue) -> float:
-        """Returns the slot seconds that fair shares serve before the newcomer's turn ends."""
-        ring = queue.timely
-        own = ring.get(req.organisation)
-        backlog = own.cost if own is not None else 0.0
-        turn = (backlog + req.cost) / max(MIN_WEIGHT, req.weight)
-        cost = backlog + sum(
-            min(other.cost, turn * other.weight)
-            for other in ring.organisations()
-            if other is not own
-        )
-        return cost * self._seconds_per_cost(queue.name)
-
-    def _seconds_per_cost(self, class_name: str) -> float:
-        rate = self._rates.get(class_name)
-        if rate is not None and rate.known:
-            return rate.seconds_per_cost()
-        return self._overall.seconds_per_cost()
+from bilberryplank_core._waits import WaitEstimator
+
+
+class Admission:
+    """Decides on newcomers; no tier is refused for a lower one."""
+
+    __slots__ = ("_classes", "_max_queued", "_policy", "_preemption", "_slots", "_waits")
+
+    def __init__(
+        self,
+        policy: TieredPolicy,
+        classes: Mapping[str, ClassQueue],
+        slots: SlotTable,
+        waits: WaitEstimator,
+        preemption: Preemption,
+        max_queued: int,
+    ) -> None:
+        self._policy = policy
+        self._classes = classes
+        self._slots = slots
+        self._waits = waits
+        self._preemption = preemption
+        self._max_queued = max_queued
+
+    def refuses(self, req: QueuedRequest, now: float) -> bool:
+        """Returns whether a newcomer would miss its deadline and no lower tier gives way.
+
+        A class that is owed its floor and has nothing queued is always let in.
+        """
+        queue = self._classes[req.class_name]
+        if not self._policy.early_refusal or (is_owed(queue) and not len(queue)):
+            return False
+        wait = self._waits.wait(req, self._classes.values(), self._slots, now)
+        if now + wait + self._waits.service(req) <= req.deadline:
+            return False
+        return not self._lower_tier_queued(req.rank) and not self._may_preempt(req.rank, now)
+
+    def shed(self, req: QueuedRequest, now: float) -> QueuedRequest | None:
+        """Returns the queued request that must go after a newcomer was queued, or None."""
+        over = self._over_bound()
+        if over <= 0:
+            return None
+        lowest = not self._lower_tier_queued(req.rank)
+        if lowest and over <= self._slots.slots and self._may_preempt(req.rank, now):
+            return None
+        return shed_victim(self._classes, self._policy.fair_shedding, now)
+
+    def _over_bound(self) -> int:
+        """Returns how many requests wait beyond the bound, places of floors apart."""
+        counted = sum(len(queue) - has_floor_place(queue) for queue in self._classes.values())
+        return counted - self._max_queued
+
+    def _lower_tier_queued(self, rank: int) -> bool:
+        return any(len(queue) and queue.rank > rank for queue in self._classes.values())
+
+    def _may_preempt(self, rank: int, now: float) -> bool:
+        return self._policy.preemption and self._preemption.victim(rank, now) is not None
 
 
 def shed_victim(classes: Mapping[str, ClassQueue], fair: bool, now: float) -> QueuedRequest:
--- a/packages/bilberryplank-core/bilberryplank_core/_preemption.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_preemption.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from bilberryplank_core._admission import WaitEstimator
 from bilberryplank_core._slots import RunningRequest, SlotTable
+from bilberryplank_core._waits import WaitEstimator
 
 MAX_SAVED_TOKENS = 20000.0
 """Tokens of waste that may be saved up, so that a quiet day does not pay for a bad minute."""
--- a/packages/bilberryplank-core/bilberryplank_core/_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue.py
@@ -3,58 +3,25 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
-from bilberryplank_core._admission import WaitEstimator, shed_victim
-from bilberryplank_core._classes import (
-    FLOOR_PATIENCE,
-    ClassQueue,
-    count_dispatch,
-    has_floor_place,
-    is_owed,
-    owed_class,
-)
+from bilberryplank_core._admission import Admission
+from bilberryplank_core._classes import ClassQueue, count_dispatch
 from bilberryplank_core._deadlines import DeadlineHeap
+from bilberryplank_core._dispatch_order import DispatchOrder
 from bilberryplank_core._errors import RefusalReason
 from bilberryplank_core._estimates import OutputEstimator, cost_of
 from bilberryplank_core._messages import AttemptId, Load
 from bilberryplank_core._preemption import Preemption, WasteBudget
+from bilberryplank_core._queue_policy import TieredPolicy
 from bilberryplank_core._queue_types import QueuedRequest, Rejection, RequestQueue
-from bilberryplank_core._reservation import reserved_slots
 from bilberryplank_core._settings import QueueSettings
 from bilberryplank_core._slots import RunningRequest, SlotTable
+from bilberryplank_core._waits import WaitEstimator
 
 UNFINISHABLE_FACTOR = 1.5
 """A request is given up once its deadline is nearer than this many times its service time."""
 
 
-@dataclass(slots=True, frozen=True)
-class TieredPolicy:
-    """Mechanisms of the tiered queue, each of which a measurement can turn off.
-
-    Attributes:
-        floors: Every class gets its floor share of dispatches.
-        fair_order: The organisation served least lately goes first within its class.
-        fair_shedding: The organisation that wants most is shed first in its tier.
-        early_refusal: What the estimated wait keeps from its deadline is refused at once.
-        drop_unfinishable: What can no longer end before its deadline is not started.
-        late_last: What has missed its first token target goes behind what has not.
-        long_bound: Few long prompts are read at once.
-        reserve: Free slots are held for tight targets while load is high.
-        preemption: A running request of a lower tier may be stopped for a higher one.
-    """
-
-    floors: bool = True
-    fair_order: bool = True
-    fair_shedding: bool = True
-    early_refusal: bool = True
-    drop_unfinishable: bool = True
-    late_last: bool = True
-    long_bound: bool = True
-    reserve: bool = True
-    preemption: bool = True
-
-
 class TieredQueue(RequestQueue):
     """Strict priority by rank, floors for each class, fair shares within a class.
 
@@ -65,7 +32,6 @@
 
     def __init__(self, settings: QueueSettings, policy: TieredPolicy) -> None:
         self._policy = policy
-        self._max_queued = settings.max_queued
         self._long_tokens = settings.long_prefill_tokens
         share = settings.long_prefill_share if policy.long_bound else 1.0
         self._slots = SlotTable(settings.slots, share)
@@ -76,6 +42,12 @@
         self._classes: dict[str, ClassQueue] = {}
         self._waiting: dict[AttemptId, QueuedRequest] = {}
         self._deadlines = DeadlineHeap(self._waiting)
+        self._order = DispatchOrder(
+            policy, self._classes, self._slots, self._waits, self._long_tokens
+        )
+        self._admission = Admission(
+            policy, self._classes, self._slots, self._waits, self._preemption, settings.max_queued
+        )
 
     @classmethod
     def from_settings(
@@ -92,12 +64,12 @@
         self._waits.observe_offer(req, now)
         if req.deadline <= now:
             return [self._refuse(req, RefusalReason.DEADLINE_PASSED, now)]
-        if self._is_hopeless(req, now) and not self._lower_tier_yields(req.rank, now):
+        if self._admission.refuses(req, now):
             return [self._refuse(req, RefusalReason.DEADLINE_UNREACHABLE, now)]
         self._push(req)
-        if self._over_bound() <= 0 or self._may_overflow(req, now):
+        victim = self._admission.shed(req, now)
+        if victim is None:
             return []
-        victim = shed_victim(self._classes, self._policy.fair_shedding, now)
         self._remove(victim)
         reason = RefusalReason.QUEUE_FULL if victim is req else RefusalReason.SHED
         return [self._refuse(victim, reason, now)]
@@ -106,15 +78,12 @@
         """Returns the request to dispatch now, which holds a slot from here on, or None."""
         if self._slots.free <= 0:
             return None
-        self._set_late(now)
-        long_allowed = self._slots.long_room > 0
-        best = self._best_class(long_allowed)
-        if best is None:
+        self._order.set_late(now)
+        best = self._order.best_class()
+        chosen = self._order.next_class(best, now) if best is not None else None
+        if chosen is None:
             return None
-        chosen = self._owed_class(long_allowed, now) or best
-        if chosen is best and self._held_back(best, now):
-            return None
-        req = chosen.take(long_allowed, self._policy.fair_order, now)
+        req = chosen.take(self._slots.long_room > 0, self._policy.fair_order, now)
         del self._waiting[req.attempt]
         count_dispatch(self._classes.values(), chosen, now)
         self._slots.add(RunningRequest(req, self._is_long(req), chosen.rank > best.rank))
@@ -191,8 +160,10 @@
         """
         if self._slots.free > 0 or not self._policy.preemption:
             return None
-        best = self._best_class(self._slots.long_room > 0)
-        if best is None or len(best) <= self._preemption.pending() or not self._at_risk(best, now):
+        best = self._order.best_class()
+        if best is None or len(best) <= self._preemption.pending():
+            return None
+        if not self._order.at_risk(best, now):
             return None
         entry = self._preemption.victim(best.rank, now)
         if entry is None:
@@ -235,70 +206,6 @@
     def _is_long(self, req: QueuedRequest) -> bool:
         return req.prompt_tokens >= self._long_tokens
 
-    def _best_class(self, long_allowed: bool) -> ClassQueue | None:
-        eligible = (queue for queue in self._classes.values() if queue.may_run(long_allowed))
-        return min(eligible, key=ClassQueue.urgency, default=None)
-
-    def _owed_class(self, long_allowed: bool, now: float) -> ClassQueue | None:
-        """Returns the class whose floor goes before all tiers now, or None."""
-        if not self._policy.floors:
-            return None
-        owed = owed_class(self._classes.values(), long_allowed)
-        if owed is not None and owed.credit < FLOOR_PATIENCE and self._held_back(owed, now):
-            return None
-        return owed
-
-    def _set_late(self, now: float) -> None:
-        if not self._policy.late_last:
-            return
-        for queue in self._classes.values():
-            queue.set_late(now, self._waits.first_token(queue.name), self._long_tokens)
-
-    def _held_back(self, chosen: ClassQueue, now: float) -> bool:
-        """Returns whether the free slots are held for tiers above the chosen class."""
-        if not self._policy.reserve:
-            return False
-        held = reserved_slots(chosen.rank, self._classes.values(), self._slots, self._waits, now)
-        return self._slots.free <= held
-
-    def _is_hopeless(self, req: QueuedRequest, now: float) -> bool:
-        """Returns whether the estimated wait keeps a newcomer from its deadline.
-
-        A class that is owed its floor and has nothing queued is always let in.
-        """
-        queue = self._class_of(req)
-        if not self._policy.early_refusal or (is_owed(queue) and not len(queue)):
-            return False
-        wait = self._waits.wait(req, self._classes.values(), self._slots, now)
-        return now + wait + self._waits.service(req) > req.deadline
-
-    def _lower_tier_queued(self, rank: int) -> bool:
-        return any(len(queue) and queue.rank > rank for queue in self._classes.values())
-
-    def _may_preempt(self, rank: int, now: float) -> bool:
-        return self._policy.preemption and self._preemption.victim(rank, now) is not None
-
-    def _lower_tier_yields(self, rank: int, now: float) -> bool:
-        """Returns whether a request below `rank` is queued, or runs and may be stopped."""
-        return self._lower_tier_queued(rank) or self._may_preempt(rank, now)
-
-    def _over_bound(self) -> int:
-        """Returns how many requests wait beyond the bound, places of floors apart."""
-        places = sum(has_floor_place(queue) for queue in self._classes.values())
-        return len(self._waiting) - places - self._max_queued
-
-    def _may_overflow(self, req: QueuedRequest, now: float) -> bool:
-        """Returns whether preemption will make room for a request beyond the bound."""
-        if self._over_bound() > self._slots.slots or self._lower_tier_queued(req.rank):
-            return False
-        return self._may_preempt(req.rank, now)
-
-    def _at_risk(self, queue: ClassQueue, now: float) -> bool:
-        """Returns whether waiting for a slot would cost the oldest request its target."""
-        _, late, due = queue.urgency()
-        wait = len(queue.timely) * self._waits.next_free(self._slots.slots)
-        return not late and now + wait + self._waits.first_token(queue.name) > due
-
     def _queued_cost(self) -> float:
         return sum(queue.cost for queue in self._classes.values())
 
--- a/packages/bilberryplank-core/bilberryplank_core/_queue_baseline.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue_baseline.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Iterable
 
-from bilberryplank_core._admission import WaitEstimator
 from bilberryplank_core._errors import RefusalReason
 from bilberryplank_core._estimates import cost_of
 from bilberryplank_core._messages import AttemptId, Load
 from bilberryplank_core._queue_types import QueuedRequest, Rejection, RequestQueue
 from bilberryplank_core._settings import QueueSettings
 from bilberryplank_core._slots import RunningRequest, SlotTable
+from bilberryplank_core._waits import WaitEstimator
 
 BASELINE_OUTPUT_TOKENS = 128
 """Output tokens that the baseline assumes for every answer."""
--- a/packages/bilberryplank-core/bilberryplank_core/_reservation.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_reservation.py
@@ -8,9 +8,9 @@
 import math
 from collections.abc import Iterable
 
-from bilberryplank_core._admission import WaitEstimator
 from bilberryplank_core._classes import ClassQueue
 from bilberryplank_core._slots import SlotTable
+from bilberryplank_core._waits import WaitEstimator
 
 TIGHT_TURNOVERS = 3.0
 """A target under so many mean times between free slots is tight: e^-3 miss it by waiting."""
--- a/packages/bilberryplank-core/bilberryplank_core/scheduling.py
+++ b/packages/bilberryplank-core/bilberryplank_core/scheduling.py
@@ -2,8 +2,9 @@
 
 from bilberryplank_core._fences import FenceRegister, FenceStale, FenceUnlearned
 from bilberryplank_core._kept_answers import KeptAnswers
-from bilberryplank_core._queue import TieredPolicy, TieredQueue
+from bilberryplank_core._queue import TieredQueue
 from bilberryplank_core._queue_baseline import FifoQueue
+from bilberryplank_core._queue_policy import TieredPolicy
 from bilberryplank_core._queue_types import QueuedRequest, Rejection, RequestQueue
 from bilberryplank_core._settlement import (
     KeptAnswer,
