Write orders to the platform down before they are sent, and settle them

Cause: an order whose answer was lost must be neither forgotten nor given twice, and a frozen holder must give none. Ruled out: a condition on the lease's own row, which each renewal changes. Change: intent rows conditional on the fence row; the next holder sends open orders again with the same id, or abandons them. A holder frozen at each of 4 steps of an order and woken after a takeover sends nothing and leaves no intent.

--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -4,6 +4,7 @@
 from bilberryplank_core._configuration_holder import ConfigurationHolder
 from bilberryplank_core._configuration_store import ConfigurationHead, ConfigurationStore
 from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
+from bilberryplank_core._orders import JournalledOrder, OrderJournal, OrderState
 from bilberryplank_core._pollers import PollSchedule, polls
 from bilberryplank_core._ranking import is_ranked, ranked, weight
 from bilberryplank_core._usage_records import USAGE_SHARDS, RequestIds, UsageRecord
@@ -21,9 +22,12 @@
     "ConfigurationHead",
     "ConfigurationHolder",
     "ConfigurationStore",
+    "JournalledOrder",
     "LeaseGuard",
     "LeaseHolder",
     "LeaseRow",
+    "OrderJournal",
+    "OrderState",
     "PollSchedule",
     "USAGE_SHARDS",
     "ReportState",
