--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_scaling.py
@@ -0,0 +1,250 @@
+"""When to start, drain and stop upstreams of a pool: cost against attainment, with hysteresis."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+SECONDS_PER_HOUR = 3600.0
+
+
+class Drain(Enum):
+    """Who wants no new work at an upstream."""
+
+    NONE = "none"
+    OPERATOR = "operator"
+    POLICY = "policy"
+
+
+@dataclass(slots=True, frozen=True)
+class PoolMember:
+    """One upstream of a pool.
+
+    Attributes:
+        name: Name of the upstream.
+        zone: Availability zone.
+        busy: Requests that run or wait there.
+        cost_per_hour: What running it costs.
+        drain: Whether it is drained, and by whom.
+        needed: True where it is the last live one that some class or route needs.
+    """
+
+    name: str
+    zone: str
+    busy: int
+    cost_per_hour: float
+    drain: Drain = Drain.NONE
+    needed: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class PoolLoad:
+    """Load of a pool over all zones.
+
+    Attributes:
+        pool: Name of the pool.
+        members: Its upstreams that live.
+        zones: Zones in which it may grow.
+        queued_cost: Estimated tokens waiting.
+        drain_rate: Estimated tokens finished a second.
+        capacity: Tokens a second that the members that take work could finish.
+        attainment: Share of the last requests that met their targets, 0 to 1.
+        requests_per_second: Requests that arrived.
+        open_orders: Orders whose outcome is unknown or whose upstream has not joined.
+    """
+
+    pool: str
+    members: tuple[PoolMember, ...]
+    zones: tuple[str, ...]
+    queued_cost: float
+    drain_rate: float
+    capacity: float
+    attainment: float
+    requests_per_second: float
+    open_orders: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class StartIntent:
+    """Start one upstream of a pool in a zone."""
+
+    pool: str
+    zone: str
+
+
+@dataclass(slots=True, frozen=True)
+class DrainIntent:
+    """Set or clear the drain of an upstream."""
+
+    upstream: str
+    draining: bool
+
+
+@dataclass(slots=True, frozen=True)
+class StopIntent:
+    """Stop a drained upstream."""
+
+    upstream: str
+    zone: str
+
+
+ScalingIntent = StartIntent | DrainIntent | StopIntent
+
+
+@dataclass(slots=True, frozen=True)
+class ScalingSettings:
+    """Bounds and thresholds; durations in seconds.
+
+    Attributes:
+        most: Upstreams of a pool that may run.
+        wait_limit: A longer wait in the queue is pressure.
+        attainment_target: Share of requests that should meet their targets.
+        cost_per_miss: What a request that misses its targets costs, in the operators' currency.
+        low_use: The rest of a pool must stay below this share of its capacity after a stop.
+        hold_up: Pressure must last this long before a start.
+        hold_down: Slack must last this long before a drain.
+        settle: After a change a pool rests this long.
+        drain_spread: Time after which every entry knows of a drain.
+    """
+
+    most: int = 1000
+    wait_limit: float = 1.0
+    attainment_target: float = 0.95
+    cost_per_miss: float = 0.01
+    low_use: float = 0.6
+    hold_up: float = 15.0
+    hold_down: float = 300.0
+    settle: float = 60.0
+    drain_spread: float = 20.0
+
+
+@dataclass(slots=True)
+class _PoolMemory:
+    pressed_since: float | None = None
+    slack_since: float | None = None
+    drained_since: float | None = None
+    rests_until: float = field(default=float("-inf"))
+
+
+class ScalingPolicy:
+    """Decides one change at a time for each pool.
+
+    Its memory lasts as long as the lease under which it runs: a new holder begins anew, so that a
+    takeover only delays a change.
+    """
+
+    __slots__ = ("_memories", "_settings")
+
+    def __init__(self, settings: ScalingSettings) -> None:
+        self._settings = settings
+        self._memories: dict[str, _PoolMemory] = {}
+
+    def decide(self, pools: Iterable[PoolLoad], now: float) -> list[ScalingIntent]:
+        """Returns the changes that are due now; times in seconds, monotonic."""
+        intents = []
+        for pool in pools:
+            memory = self._memories.setdefault(pool.pool, _PoolMemory())
+            self._remember(memory, pool, now)
+            intent = self._decide_pool(memory, pool, now)
+            if intent is not None:
+                memory.rests_until = now + self._settings.settle
+                memory.pressed_since = memory.slack_since = None
+                intents.append(intent)
+        return intents
+
+    def _remember(self, memory: _PoolMemory, pool: PoolLoad, now: float) -> None:
+        pressed, slack = self._is_pressed(pool), self._has_slack(pool)
+        drained = bool(_drained(pool))
+        memory.pressed_since = _since(memory.pressed_since, pressed, now)
+        memory.slack_since = _since(memory.slack_since, slack, now)
+        memory.drained_since = _since(memory.drained_since, drained, now)
+
+    def _decide_pool(self, memory: _PoolMemory, pool: PoolLoad, now: float) -> ScalingIntent | None:
+        if pool.open_orders:
+            return None
+        drained = _drained(pool)
+        if drained:
+            return self._finish_drain(memory, drained[0], now)
+        if now < memory.rests_until:
+            return None
+        if self._lasted(memory.pressed_since, self._settings.hold_up, now):
+            return self._start(pool)
+        if self._lasted(memory.slack_since, self._settings.hold_down, now):
+            return self._drain(pool)
+        return None
+
+    def _finish_drain(
+        self, memory: _PoolMemory, member: PoolMember, now: float
+    ) -> ScalingIntent | None:
+        pressed = self._lasted(memory.pressed_since, self._settings.hold_up, now)
+        if member.needed or pressed:
+            return DrainIntent(member.name, draining=False)
+        spread = self._lasted(memory.drained_since, self._settings.drain_spread, now)
+        if member.busy or not spread:
+            return None
+        return StopIntent(member.name, member.zone)
+
+    def _start(self, pool: PoolLoad) -> ScalingIntent | None:
+        if len(pool.members) >= self._settings.most or not pool.zones:
+            return None
+        counts = {zone: 0 for zone in pool.zones}
+        for member in _working(pool):
+            counts[member.zone] = counts.get(member.zone, 0) + 1
+        return StartIntent(pool.pool, min(pool.zones, key=lambda zone: (counts[zone], zone)))
+
+    def _drain(self, pool: PoolLoad) -> ScalingIntent | None:
+        working = _working(pool)
+        spare = [member for member in working if not member.needed]
+        if not spare:
+            return None
+        counts: dict[str, int] = {}
+        for member in working:
+            counts[member.zone] = counts.get(member.zone, 0) + 1
+        chosen = min(
+            spare,
+            key=lambda member: (
+                -counts[member.zone],
+                -member.cost_per_hour,
+                member.busy,
+                member.name,
+            ),
+        )
+        return DrainIntent(chosen.name, draining=True)
+
+    def _is_pressed(self, pool: PoolLoad) -> bool:
+        working = _working(pool)
+        if not working:
+            return pool.queued_cost > 0 or pool.requests_per_second > 0
+        wait = pool.queued_cost / pool.drain_rate if pool.drain_rate else float("inf")
+        waits = pool.queued_cost > 0 and wait > self._settings.wait_limit
+        misses = max(0.0, self._settings.attainment_target - pool.attainment)
+        if not waits and not misses:
+            return False
+        worth = misses * pool.requests_per_second * SECONDS_PER_HOUR * self._settings.cost_per_miss
+        return worth > min(member.cost_per_hour for member in working)
+
+    def _has_slack(self, pool: PoolLoad) -> bool:
+        working = _working(pool)
+        if len(working) < 2 or pool.attainment < self._settings.attainment_target:
+            return False
+        left = pool.capacity * (len(working) - 1) / len(working)
+        return pool.queued_cost == 0 and pool.drain_rate < self._settings.low_use * left
+
+    @staticmethod
+    def _lasted(since: float | None, seconds: float, now: float) -> bool:
+        return since is not None and now - since >= seconds
+
+
+def _since(since: float | None, holds: bool, now: float) -> float | None:
+    if not holds:
+        return None
+    return now if since is None else since
+
+
+def _working(pool: PoolLoad) -> list[PoolMember]:
+    return [member for member in pool.members if member.drain is Drain.NONE]
+
+
+def _drained(pool: PoolLoad) -> list[PoolMember]:
+    return [member for member in pool.members if member.drain is Drain.POLICY]
--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -4,9 +4,22 @@
 from bilberryplank_core._configuration_holder import ConfigurationHolder
 from bilberryplank_core._configuration_store import ConfigurationHead, ConfigurationStore
 from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
+from bilberryplank_core._membership import Membership, MemberState
 from bilberryplank_core._orders import JournalledOrder, OrderJournal, OrderState
 from bilberryplank_core._pollers import PollSchedule, polls
 from bilberryplank_core._ranking import is_ranked, ranked, weight
+from bilberryplank_core._scaling import (
+    Drain,
+    DrainIntent,
+    PoolLoad,
+    PoolMember,
+    ScalingIntent,
+    ScalingPolicy,
+    ScalingSettings,
+    StartIntent,
+    StopIntent,
+)
+from bilberryplank_core._scaling_needs import needed_upstreams
 from bilberryplank_core._usage_records import USAGE_SHARDS, RequestIds, UsageRecord
 from bilberryplank_core._usage_reports import (
     ReportState,
@@ -22,17 +35,28 @@
     "ConfigurationHead",
     "ConfigurationHolder",
     "ConfigurationStore",
+    "Drain",
+    "DrainIntent",
     "JournalledOrder",
     "LeaseGuard",
     "LeaseHolder",
     "LeaseRow",
+    "MemberState",
+    "Membership",
     "OrderJournal",
     "OrderState",
     "PollSchedule",
-    "USAGE_SHARDS",
+    "PoolLoad",
+    "PoolMember",
     "ReportState",
     "RequestIds",
+    "ScalingIntent",
+    "ScalingPolicy",
+    "ScalingSettings",
     "SealedWindow",
+    "StartIntent",
+    "StopIntent",
+    "USAGE_SHARDS",
     "UsagePass",
     "UsageRecord",
     "UsageReporter",
@@ -40,6 +64,7 @@
     "UsageSpoolCounters",
     "UsageWindows",
     "is_ranked",
+    "needed_upstreams",
     "polls",
     "ranked",
     "recover_spilled",
