--- a/packages/bilberryplank-testing/bilberryplank_testing/_load_figures.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_load_figures.py
@@ -29,11 +29,15 @@
 
     def met(self, outcome: Outcome) -> bool:
         """Returns whether an answer is whole and met its class's targets."""
-        if not outcome.answered or outcome.first is None:
-            return False
-        gap = outcome.token_gap
-        in_time = outcome.first <= self.first_token[outcome.class_name]
-        return in_time and (gap is None or gap <= TOKEN_GAP_TARGET_SECONDS)
+        return outcome.answered and not self.late(outcome) and not self.slow(outcome)
+
+    def late(self, outcome: Outcome) -> bool:
+        """Returns whether the first byte came too late, or never."""
+        return outcome.first is None or outcome.first > self.first_token[outcome.class_name]
+
+    def slow(self, outcome: Outcome) -> bool:
+        """Returns whether the tokens came too slowly."""
+        return (outcome.token_gap or 0.0) > TOKEN_GAP_TARGET_SECONDS
 
 
 @dataclass(slots=True)
@@ -44,11 +48,15 @@
         summary: Counts and latencies.
         in_target: Answers that met the targets.
         attainment: Their share of the requests sent, in percent.
+        late: Whole answers whose first byte came too late.
+        slow: Whole answers in time whose tokens came too slowly.
     """
 
     summary: ClassSummary
     in_target: int
     attainment: float
+    late: int
+    slow: int
 
 
 @dataclass(slots=True)
@@ -115,9 +123,13 @@
     items = list(outcomes)
     figures = {}
     for summary in summarize(items):
-        name = summary.class_name
-        met = sum(targets.met(item) for item in items if item.class_name == name)
-        figures[name] = ClassFigures(summary, met, PERCENT * met / summary.sent)
+        own = [item for item in items if item.class_name == summary.class_name]
+        answered = [item for item in own if item.answered]
+        met = sum(targets.met(item) for item in answered)
+        late = sum(targets.late(item) for item in answered)
+        slow = len(answered) - met - late
+        attainment = PERCENT * met / summary.sent
+        figures[summary.class_name] = ClassFigures(summary, met, attainment, late, slow)
     return figures
 
 
--- a/packages/bilberryplank-testing/bilberryplank_testing/_load_spread.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_load_spread.py
@@ -65,6 +65,8 @@
         first_p95: Spread of the 95th percentile to the first byte by class, in milliseconds.
         refused: Refusals by class and code, over all seeds.
         broken: Cut or missing answers by class, over all seeds.
+        late: Whole answers with a late first byte by class, over all seeds.
+        slow: Whole answers in time with slow tokens by class, over all seeds.
         pooled_worst: Worst-served organisation relative to the median, all seeds taken as one run.
         retries: Further attempts by reason, over all seeds.
     """
@@ -80,6 +82,8 @@
     first_p95: dict[str, Spread | None] = field(default_factory=dict)
     refused: dict[str, dict[str, int]] = field(default_factory=dict)
     broken: dict[str, int] = field(default_factory=dict)
+    late: dict[str, int] = field(default_factory=dict)
+    slow: dict[str, int] = field(default_factory=dict)
     pooled_worst: float | None = None
     retries: dict[str, int] = field(default_factory=dict)
 
@@ -101,6 +105,8 @@
         for name, item in class_figures(outcomes, targets).items():
             cell.refused[name] = item.summary.refused
             cell.broken[name] = item.summary.broken
+            cell.late[name] = item.late
+            cell.slow[name] = item.slow
         cell.pooled_worst = worst_organisation(outcomes, targets)
         for record in records:
             for reason, count in record.retries.items():
@@ -141,6 +147,7 @@
             f"in target {spread.format() if spread else '-'} %",
             f"whole {answered.format() if answered else '-'} %",
             f"first byte p95 {first.format(0) if first else '-'} ms",
+            f"late={self.late[name]} slow={self.slow[name]}",
             f"broken={self.broken[name]} {codes}".rstrip(),
         ]
         return "  ".join(parts)
--- a/packages/bilberryplank-testing/bilberryplank_testing/_load_trial.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_load_trial.py
@@ -181,10 +181,10 @@
         for outcome in refused[:: max(1, len(refused) // MAX_EXPLAINED)]:
             received = outcome.sent + outcome.total + offset
             decisions = await self._decisions(self._deployment.entries, outcome.request_id)
-            self._record.refusal_delays += _since_last(decisions, "refused", received)
+            self._record.refusal_delays += _since_end(decisions, "refused", received)
             sidecars = [f"sidecar-{name}" for name in self._deployment.sidecars]
             verdicts = await self._decisions(sidecars, outcome.request_id)
-            self._record.verdict_delays += _since_last(verdicts, "not_run", received)
+            self._record.verdict_delays += _since_end(verdicts, "not_run", received)
 
     async def _decisions(self, processes: Any, request_id: str) -> list[dict[str, Any]]:
         found: list[dict[str, Any]] = []
@@ -228,6 +228,8 @@
     return list(await asyncio.gather(*tasks))
 
 
-def _since_last(decisions: list[dict[str, Any]], step: str, received: float) -> list[float]:
-    times = [item["at"] for item in decisions if item["step"] == step]
-    return [received - times[-1]] if times else []
+def _since_end(decisions: list[dict[str, Any]], step: str, received: float) -> list[float]:
+    """Returns the seconds since the last decision, where that is a refusal."""
+    if not decisions or decisions[-1]["step"] != step:
+        return []
+    return [received - decisions[-1]["at"]]
