Split the configuration's rows from its changes and explore its interleavings

Cause: the store was one long module, and kept a configuration of its own beside the one in force. Change: reading the rows is a module of its own, nothing is kept between calls, a write against reads that are behind says so in place of a conflict, and a poll of the head is one function.

Two operators and a poller, explored to 10 steps with two faults (lost, failed, late and stale answers): accepted changes stay, refused ones never appear, a version has one content, and the version in force never goes down.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
@@ -51,7 +51,7 @@
         if version < self.version:
             return False
         if version == self.version:
-            self._confirm(confirmed_at)
+            self.confirm(version, confirmed_at)
             return False
         self._deltas.clear()
         self._take(configuration, confirmed_at)
@@ -65,6 +65,13 @@
         self._take(delta.apply(self._configuration), confirmed_at)
         return True
 
+    def confirm(self, version: int, confirmed_at: float) -> None:
+        """Notes that a read of the store showed a version; any other than ours tells nothing."""
+        if version != self.version:
+            return
+        if self._confirmed_at is None or confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+
     def seen(self, version: int, confirmed_age: float) -> bool:
         """Notes what a peer's message says; returns True where a fetch is due.
 
@@ -72,8 +79,7 @@
             version: Version in force at the peer.
             confirmed_age: Seconds since a store read confirmed it there.
         """
-        if version == self.version:
-            self._confirm(self._clock() - confirmed_age)
+        self.confirm(version, self._clock() - confirmed_age)
         return version > self.version
 
     def confirmed_age(self, now: float) -> float:
@@ -110,8 +116,7 @@
             self.offer(configuration.version, configuration, confirmed_at)
         for change in value.get("changes", []):
             self.offer_delta(ConfigurationDelta.from_document(change), float("-inf"))
-        if value["version"] == self.version:
-            self._confirm(confirmed_at)
+        self.confirm(value["version"], confirmed_at)
         return self.version > before
 
     def _deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
@@ -128,10 +133,6 @@
         for subscriber in self._subscribers:
             subscriber(configuration)
 
-    def _confirm(self, confirmed_at: float) -> None:
-        if self._confirmed_at is None or confirmed_at > self._confirmed_at:
-            self._confirmed_at = confirmed_at
-
 
 def _parse_update(update: bytes) -> dict[str, Any]:
     try:
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
@@ -1,9 +1,4 @@
-"""The configuration in the table service: a head row, one row a change, and checkpoints.
-
-The head row is all that a poller reads. A change row holds only what changed, so that it costs
-each process its own size and not that of the document. A checkpoint is the whole document in
-parts, for processes that join; it is written before the head row that names it.
-"""
+"""Changes of the configuration in the table service, conditional on the version they change."""
 
 from __future__ import annotations
 
@@ -16,17 +11,22 @@
 from bilberryplank_core._configuration import Configuration, ConfigurationParts
 from bilberryplank_core._configuration_delta import ConfigurationDelta
 from bilberryplank_core._configuration_edits import with_draining, with_key, with_withdrawn
-from bilberryplank_core._contracts import Condition, Delete, Put, Row, Table
-from bilberryplank_core._errors import (
-    Conflict,
-    PlatformUnavailable,
+from bilberryplank_core._configuration_rows import (
+    CHANGES_PER_CHECKPOINT,
+    HEAD_KEY,
+    TABLE,
+    ConfigurationHead,
+    change_key,
+    part_key,
+    read_changes,
+    read_head_row,
+    read_whole,
 )
+from bilberryplank_core._contracts import Condition, Delete, Put, Table
+from bilberryplank_core._errors import Conflict, PlatformUnavailable
 from bilberryplank_core._world import Key
 
-TABLE = "configuration"
-HEAD_KEY = "current"
 CHECKPOINT_PART_CHARS = 256 * 1024
-CHANGES_PER_CHECKPOINT = 64
 KEPT_CHANGES = 1024
 MAX_CHANGE_CHARS = 256 * 1024
 MAX_EDIT_ATTEMPTS = 8
@@ -36,22 +36,10 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ConfigurationHead:
-    """The head row: what a poller reads.
-
-    Attributes:
-        version: Version in force.
-        change_id: Unique id of the write that made it.
-        checkpoint: Version of the newest checkpoint.
-        checkpoint_id: Name of that checkpoint; empty for none.
-        parts: Number of rows of that checkpoint.
-    """
-
-    version: int = 0
-    change_id: str = ""
-    checkpoint: int = 0
-    checkpoint_id: str = ""
-    parts: int = 0
+class _Current:
+    revision: int
+    head: ConfigurationHead
+    configuration: Configuration
 
 
 class ConfigurationStore:
@@ -61,29 +49,33 @@
     could not be settled.
     """
 
-    __slots__ = ("_cached", "_make_id", "_table")
+    __slots__ = ("_make_id", "_table")
 
     def __init__(self, table: Table, make_id: Callable[[], str] = lambda: uuid.uuid4().hex) -> None:
         self._table = table
         self._make_id = make_id
-        self._cached = Configuration()
 
     async def read_head(self) -> ConfigurationHead:
         """Returns the head row; version 0 where nothing was ever written."""
-        return _head_of(await self._read_head_row())
+        return ConfigurationHead.from_row(await read_head_row(self._table))
 
     async def read(self) -> Configuration:
         """Returns the whole configuration in force."""
-        return await self._load(await self.read_head())
+        return (await self._read_current()).configuration
 
-    async def read_since(self, version: int) -> list[ConfigurationDelta] | None:
+    async def read_since(
+        self, version: int, head: ConfigurationHead | None = None
+    ) -> list[ConfigurationDelta] | None:
         """Returns the changes after `version`, oldest first.
 
+        Args:
+            version: Version that the caller has.
+            head: The head row where the caller has just read it.
+
         Returns:
-            None where too many are missing: the caller must `read` the whole.
+            None where one is missing or they are too many: the caller must `read` the whole.
         """
-        head = await self.read_head()
-        return await self._read_changes(version, head)
+        return await read_changes(self._table, version, head or await self.read_head())
 
     async def write(self, expected_version: int, document: Any) -> Configuration:
         """Writes a whole document as the version after `expected_version`.
@@ -93,7 +85,13 @@
             Conflict: Another version is in force; nothing was written.
         """
         configuration = Configuration.from_document(expected_version + 1, document)
-        return await self._write(configuration)
+        current = await self._read_current()
+        found = current.head.version
+        if found > expected_version:
+            raise Conflict(f"version {found} is in force, not {expected_version}")
+        if found < expected_version:
+            raise PlatformUnavailable(f"reads are behind; they show version {found}")
+        return await self._write(current, configuration)
 
     async def edit(self, edit: Edit) -> Configuration:
         """Applies an edit that may be repeated on any newer version; retries on conflict.
@@ -103,13 +101,13 @@
             Conflict: Other writers won each of `MAX_EDIT_ATTEMPTS` times; nothing was written.
         """
         for attempt in range(MAX_EDIT_ATTEMPTS):
-            current = await self.read()
-            parts = edit(current.parts)
-            if parts == current.parts:
-                return current
-            edited = _checked(Configuration(current.version + 1, parts))
+            current = await self._read_current()
+            before = current.configuration
+            parts = edit(before.parts)
+            if parts == before.parts:
+                return before
             try:
-                return await self._write(edited)
+                return await self._write(current, _checked(before.version + 1, parts))
             except Conflict:
                 if attempt == MAX_EDIT_ATTEMPTS - 1:
                     raise
@@ -139,34 +137,35 @@
         """
         return await self.edit(lambda parts: with_draining(parts, name, draining))
 
-    async def _write(self, configuration: Configuration) -> Configuration:
-        row = await self._read_head_row()
-        head = _head_of(row)
-        expected = configuration.version - 1
-        if head.version != expected:
-            raise Conflict(f"version {head.version} is in force, not {expected}")
-        delta = ConfigurationDelta.between(await self._load(head), configuration)
-        change = delta.to_document()
+    async def _read_current(self) -> _Current:
+        row = await read_head_row(self._table)
+        head = ConfigurationHead.from_row(row)
+        configuration = await read_whole(self._table, head)
+        return _Current(row.revision if row else 0, head, configuration)
+
+    async def _write(self, current: _Current, configuration: Configuration) -> Configuration:
+        head = current.head
+        change = ConfigurationDelta.between(current.configuration, configuration).to_document()
         fits = len(json.dumps(change)) <= MAX_CHANGE_CHARS
         new = replace(head, version=configuration.version, change_id=self._make_id())
         if not fits or new.version - head.checkpoint >= CHANGES_PER_CHECKPOINT or not head.parts:
             new = await self._write_checkpoint(new, configuration)
+        checkpointed = new.checkpoint != head.checkpoint
         value = {"change_id": new.change_id, "change": change if fits else None}
         try:
-            await self._commit_head(row.revision if row else 0, new, value)
+            await self._commit_head(current.revision, new, value)
         except Conflict:
-            await self._delete(_part_keys(new) if new.checkpoint != head.checkpoint else [])
+            await self._delete(new.part_keys() if checkpointed else [])
             raise
-        self._cached = configuration
-        if new.checkpoint != head.checkpoint:
-            await self._delete(_part_keys(head) + _old_change_keys(new.version))
+        if checkpointed:
+            await self._delete(head.part_keys() + _old_change_keys(new.version))
         return configuration
 
     async def _commit_head(self, revision: int, new: ConfigurationHead, value: Any) -> None:
         conditions = [Condition(TABLE, HEAD_KEY, revision)]
         writes = [
             Put(TABLE, HEAD_KEY, asdict(new)),
-            Put(TABLE, _change_key(new.version), value),
+            Put(TABLE, change_key(new.version), value),
         ]
         for attempt in range(MAX_SETTLE_ATTEMPTS):
             try:
@@ -182,7 +181,7 @@
 
     async def _was_written(self, new: ConfigurationHead) -> bool:
         for _ in range(MAX_SETTLE_ATTEMPTS):
-            row = await self._table.read(TABLE, _change_key(new.version))
+            row = await self._table.read(TABLE, change_key(new.version))
             if row is not None:
                 return row.value["change_id"] == new.change_id
         raise PlatformUnavailable("reads are behind; the outcome of the change is unknown")
@@ -195,7 +194,7 @@
         for index in range(count):
             start = index * CHECKPOINT_PART_CHARS
             part = text[start : start + CHECKPOINT_PART_CHARS]
-            key = _part_key(new.change_id, index)
+            key = part_key(new.change_id, index)
             await self._table.commit([], [Put(TABLE, key, part)])
         return replace(new, checkpoint=new.version, checkpoint_id=new.change_id, parts=count)
 
@@ -207,68 +206,13 @@
         except PlatformUnavailable:
             return
 
-    async def _read_head_row(self) -> Row | None:
-        return await self._table.read(TABLE, HEAD_KEY)
-
-    async def _load(self, head: ConfigurationHead) -> Configuration:
-        if head.version < self._cached.version or head.checkpoint > self._cached.version:
-            self._cached = await self._read_checkpoint(head)
-        changes = await self._read_changes(self._cached.version, head)
-        if changes is None:
-            self._cached = await self._read_checkpoint(head)
-            changes = await self._read_changes(self._cached.version, head)
-        for delta in changes or []:
-            self._cached = delta.apply(self._cached)
-        if self._cached.version != head.version:
-            raise PlatformUnavailable("reads are behind; a change row is missing")
-        return self._cached
-
-    async def _read_checkpoint(self, head: ConfigurationHead) -> Configuration:
-        if not head.parts:
-            return Configuration()
-        texts = []
-        for index in range(head.parts):
-            row = await self._table.read(TABLE, _part_key(head.checkpoint_id, index))
-            if row is None:
-                raise PlatformUnavailable("reads are behind; a checkpoint part is missing")
-            texts.append(row.value)
-        return Configuration.from_bytes(head.checkpoint, "".join(texts).encode())
-
-    async def _read_changes(
-        self, version: int, head: ConfigurationHead
-    ) -> list[ConfigurationDelta] | None:
-        if head.version - version > 2 * CHANGES_PER_CHECKPOINT:
-            return None
-        changes = []
-        for number in range(version + 1, head.version + 1):
-            row = await self._table.read(TABLE, _change_key(number))
-            if row is None or row.value["change"] is None:
-                return None
-            changes.append(ConfigurationDelta.from_document(row.value["change"]))
-        return changes
-
-
-def _head_of(row: Row | None) -> ConfigurationHead:
-    return ConfigurationHead() if row is None else ConfigurationHead(**row.value)
-
-
-def _change_key(version: int) -> str:
-    return f"change/{version:012d}"
-
-
-def _part_key(checkpoint_id: str, index: int) -> str:
-    return f"checkpoint/{checkpoint_id}/{index:04d}"
-
-
-def _part_keys(head: ConfigurationHead) -> list[str]:
-    return [_part_key(head.checkpoint_id, index) for index in range(head.parts)]
-
 
 def _old_change_keys(version: int) -> list[str]:
     last = version - KEPT_CHANGES
     first = max(1, last - 2 * CHANGES_PER_CHECKPOINT)
-    return [_change_key(old) for old in range(first, last + 1)]
+    return [change_key(old) for old in range(first, last + 1)]
 
 
-def _checked(configuration: Configuration) -> Configuration:
-    return Configuration.from_bytes(configuration.version, configuration.to_bytes())
+def _checked(version: int, parts: ConfigurationParts) -> Configuration:
+    document = json.loads(Configuration(version, parts).to_bytes())
+    return Configuration.from_document(version, document)
--- a/packages/bilberryplank-core/bilberryplank_core/_pollers.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_pollers.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
+from bilberryplank_core._configuration_holder import ConfigurationHolder
+from bilberryplank_core._configuration_store import ConfigurationStore
 from bilberryplank_core._ranking import is_ranked
 from bilberryplank_core._world import Host
 
@@ -26,6 +28,31 @@
     return is_ranked(f"poll/{zone}", name, neighbours, pollers_per_zone)
 
 
+async def poll_configuration(
+    store: ConfigurationStore, holder: ConfigurationHolder, clock: Callable[[], float]
+) -> bool:
+    """Reads the head row and takes what is new; returns True where the version went up.
+
+    An answer that shows an older version than the one in force is stale and confirms nothing.
+
+    Raises:
+        PlatformUnavailable: The table did not answer, or its reads are behind.
+    """
+    asked_at = clock()
+    head = await store.read_head()
+    before = holder.version
+    if head.version <= before:
+        holder.confirm(head.version, asked_at)
+        return False
+    changes = await store.read_since(before, head) if before else None
+    if changes is None:
+        configuration = await store.read()
+        return holder.offer(configuration.version, configuration, asked_at)
+    for delta in changes:
+        holder.offer_delta(delta, asked_at)
+    return holder.version > before
+
+
 class PollSchedule:
     """Says when a process next reads the configuration's head row."""
 
--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -2,11 +2,12 @@
 
 from bilberryplank_core._configuration_delta import ConfigurationDelta
 from bilberryplank_core._configuration_holder import ConfigurationHolder
-from bilberryplank_core._configuration_store import ConfigurationHead, ConfigurationStore
+from bilberryplank_core._configuration_rows import ConfigurationHead
+from bilberryplank_core._configuration_store import ConfigurationStore
 from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
 from bilberryplank_core._membership import Membership, MemberState
 from bilberryplank_core._orders import JournalledOrder, OrderJournal, OrderState
-from bilberryplank_core._pollers import PollSchedule, polls
+from bilberryplank_core._pollers import PollSchedule, poll_configuration, polls
 from bilberryplank_core._ranking import is_ranked, ranked, weight
 from bilberryplank_core._scaling import (
     Drain,
@@ -65,6 +66,7 @@
     "UsageWindows",
     "is_ranked",
     "needed_upstreams",
+    "poll_configuration",
     "polls",
     "ranked",
     "recover_spilled",
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_interleavings.py
@@ -0,0 +1,107 @@
+import itertools
+import unittest
+from contextlib import suppress
+
+from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.errors import Conflict, PlatformUnavailable
+from bilberryplank_core.fleet import ConfigurationHolder, ConfigurationStore, poll_configuration
+from bilberryplank_core.tests._explore import (
+    Process,
+    SharingTable,
+    StepTable,
+    World,
+    explore,
+)
+from bilberryplank_core.tests.test_configuration_store import DOCUMENT
+
+
+FIRST = Configuration.from_document(1, DOCUMENT)
+
+
+class ConfigurationWorld(World):
+    """An operator who writes a document, one who withdraws a key, and a process that polls."""
+
+    ticks = 0
+    budget = 2
+
+    def __init__(self):
+        super().__init__()
+        self.ids = {}
+        self.accepted = set()
+        self.refused = set()
+        self.versions = []
+        self.made = []
+        self.table = self.first_table()
+        self.history = [dict(self.table.rows)]
+        self.holder = ConfigurationHolder(lambda: self.now)
+        self.holder.offer(1, FIRST, 0.0)
+        self.holder.subscribe(lambda taken: self.versions.append(taken.version))
+        self.processes = [Process(self.apply), Process(self.withdraw), Process(self.poll)]
+
+    @staticmethod
+    def first_table():
+        table = SharingTable()
+        coroutine = ConfigurationStore(table, lambda: "id0").write(0, DOCUMENT)
+        with suppress(StopIteration):
+            coroutine.send(None)
+        return table
+
+    def store(self, operator):
+        numbers = itertools.count()
+
+        def make_id():
+            self.made.append(f"{operator}-{next(numbers)}")
+            return self.made[-1]
+
+        return ConfigurationStore(StepTable(), make_id)
+
+    async def apply(self, process):
+        document = {**DOCUMENT, "limits": [{"name": "applied"}]}
+        try:
+            await self.store("apply").write(1, document)
+            self.accepted.add("apply-0")
+        except Conflict:
+            self.refused.add("apply-0")
+        except PlatformUnavailable:
+            pass
+
+    async def withdraw(self, process):
+        store = self.store("withdraw")
+        with suppress(PlatformUnavailable, Conflict):
+            await store.withdraw_key("k1")
+            self.accepted.add([made for made in self.made if made.startswith("withdraw")][-1])
+
+    async def poll(self, process):
+        store = self.store("poll")
+        while True:
+            process.trace.clear()
+            with suppress(PlatformUnavailable):
+                await poll_configuration(store, self.holder, lambda: self.now)
+
+    def state(self):
+        return repr((sorted(self.accepted), sorted(self.refused), self.holder.version))
+
+    def check(self):
+        rows = {key: row.value for (_, key), row in self.table.rows.items()}
+        ids = {key: row["change_id"] for key, row in rows.items() if key.startswith("change/")}
+        assert ids.items() >= self.ids.items(), "an accepted version changed"
+        self.ids = ids
+        written = set(ids.values())
+        assert self.accepted <= written, "an accepted change is not there"
+        assert not self.refused & written, "a refused change is there"
+        newest = f"change/{rows['current']['version']:012d}"
+        assert rows["current"]["change_id"] == ids[newest], "the head names another change"
+        assert self.versions == sorted(set(self.versions)), "the version in force went down"
+        self.check_holder(ids)
+
+    def check_holder(self, ids):
+        made = {ids[f"change/{version:012d}"] for version in range(1, self.holder.version + 1)}
+        held = self.holder.configuration
+        assert bool(held.parts.limits) == any(name.startswith("apply") for name in made)
+        withdrawn = any(name.startswith("withdraw") for name in made)
+        assert held.keys["k1"].withdrawn == withdrawn, "another configuration of that version"
+
+
+class ConfigurationInterleavingsTest(unittest.TestCase):
+    def test_accepted_changes_stay_and_versions_never_go_down(self):
+        self.assertGreater(explore(ConfigurationWorld, 10), 1000)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_pollers.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_pollers.py
@@ -1,7 +1,16 @@
 import unittest
 from random import Random
 
-from bilberryplank_core.fleet import PollSchedule, polls, ranked
+from bilberryplank_core.fleet import (
+    ConfigurationHolder,
+    ConfigurationStore,
+    PollSchedule,
+    poll_configuration,
+    polls,
+    ranked,
+)
+from bilberryplank_core.tests._memory_platform import MemoryTable
+from bilberryplank_core.tests.test_configuration_store import DOCUMENT
 from bilberryplank_core.world import Host, Role
 
 ZONES = "abcde"
@@ -35,3 +44,25 @@
         self.assertFalse(any(schedule.due(now, False, 1040, 5.0) for now in range(100)))
         polled = sum(schedule.due(now / 10, True, 1040, 5.0) for now in range(1000, 2000))
         self.assertAlmostEqual(polled, 100, delta=20)
+
+
+class PollConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_polls_take_changes_and_confirm(self):
+        table, times = MemoryTable(), iter(range(100))
+        store = ConfigurationStore(table)
+        holder = ConfigurationHolder(lambda: 50.0)
+        await store.write(0, DOCUMENT)
+        cases = [("join", 1, 0), ("nothing new", 1, 1), ("one change", 2, 3), ("behind", 2, 3)]
+        for name, version, confirmed_at in cases:
+            with self.subTest(name):
+                if name == "one change":
+                    table.freeze_reads()
+                    await store.withdraw_key("k1")
+                    table.thaw_reads()
+                if name == "behind":
+                    table.freeze_reads()
+                    table._stale_rows["configuration", "current"].value["version"] = 1
+                await poll_configuration(store, holder, lambda: float(next(times)))
+                self.assertEqual(holder.version, version)
+                self.assertEqual(holder.confirmed_age(100.0), 100.0 - confirmed_at)
+        self.assertTrue(holder.configuration.keys["k1"].withdrawn)
