Count only earlier due work of a tier in the wait of a newcomer

Cause: within a tier the earliest due goes first, but the estimated wait counted every queued cost of the tier, so classes with tight targets were refused behind classes with loose ones. The test was seen to fail without the change.

--- a/packages/bilberryplank-core/bilberryplank_core/_waits.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_waits.py
@@ -91,9 +91,10 @@
         for queue in classes:
             if queue.name == req.class_name:
                 ahead += self._share_ahead(req, queue)
-            elif queue.rank <= req.rank:
+            elif queue.rank == req.rank:
+                ahead += _due_before(req, queue) * self._seconds_per_cost(queue.name)
+            elif queue.rank < req.rank:
                 ahead += queue.cost * self._seconds_per_cost(queue.name)
-            if queue.rank < req.rank:
                 higher += self.offered(queue.name, now)
         if ahead == 0.0 and slots.free > 0:
             return 0.0
@@ -125,3 +126,10 @@
         if rate is not None and rate.known:
             return rate.seconds_per_cost()
         return self._overall.seconds_per_cost()
+
+
+def _due_before(req: QueuedRequest, queue: ClassQueue) -> float:
+    """Returns about how much cost of a class of the same tier is due before a newcomer."""
+    if queue.target <= req.first_token_target:
+        return queue.timely.cost
+    return queue.timely.cost * req.first_token_target / queue.target
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_queue.py
@@ -308,6 +308,18 @@
         queue.offer(request("lower", 2, 100.0), 100.0)
         self.assertEqual([], queue.offer(request("tight", 1, 100.0, deadline=115.0), 100.0))
 
+    def test_counts_only_what_is_due_before_the_newcomer(self) -> None:
+        for target, refused in ((5.0, False), (500.0, True)):
+            with self.subTest(target=target):
+                queue = self.busy_queue(seconds=10.0)
+                for index in range(3):
+                    other = request(f"other{index}", 1, 100.0, class_name="other")
+                    queue.offer(other, 100.0)
+                newcomer = request(
+                    "new", 1, 100.0, class_name="tight", first_token_target=target, deadline=130.0
+                )
+                self.assertEqual(refused, bool(queue.offer(newcomer, 100.0)))
+
     def test_expires_once_the_rest_is_too_short(self) -> None:
         queue = self.busy_queue(seconds=10.0)
         queue.offer(request("tight", 1, 100.0, deadline=130.0), 100.0)
