Learn service times from whole answers only

Cause: a call that fails at once, as by a refused connection, counted as a request that took no time, so waits were estimated too short and what could not end in time was queued. Ruled out: learning from cut answers by their tokens; a failed call has no count of them. The test was seen to fail without the change.

--- a/packages/bilberryplank-core/bilberryplank_core/_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue.py
@@ -117,9 +117,9 @@
         req = entry.req
         cost = cost_of(prompt_tokens, completion_tokens)
         self._class_of(req).usage.charge(req.organisation, cost - req.cost, now)
-        self._waits.observe(req.class_name, cost, now - entry.started)
         self._preemption.end(entry, prompt_tokens + completion_tokens, whole)
         if whole:
+            self._waits.observe(req.class_name, cost, now - entry.started)
             self._lengths.observe(req.class_name, req.organisation, completion_tokens)
 
     def cancel(self, attempt: AttemptId) -> bool:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_queue.py
@@ -303,6 +303,17 @@
         self.assertIs(RefusalReason.DEADLINE_UNREACHABLE, rejection.reason)
         self.assertEqual([], queue.offer(request("loose", 1, 100.0, deadline=130.0), 100.0))
 
+    def test_answers_that_were_cut_teach_nothing_of_service_times(self) -> None:
+        queue = self.busy_queue(seconds=10.0)
+        queue.set_slots(2)
+        for index in range(200):
+            queue.offer(request(f"cut{index}", 1, 100.0), 100.0)
+            req = queue.take(100.0)
+            queue.started(req.attempt, 100.0)
+            queue.finished(req.attempt, 100.0, 0, 0, whole=False)
+        queue.set_slots(1)
+        self.assertEqual(1, len(queue.offer(request("tight", 1, 100.0, deadline=115.0), 100.0)))
+
     def test_never_refuses_early_while_a_lower_tier_is_queued(self) -> None:
         queue = self.busy_queue(seconds=10.0)
         queue.offer(request("lower", 2, 100.0), 100.0)
