Keep the ids of refused attempts and lapsed tombstones

Cause: a doubled Dispatch of a refused attempt would have run after its NotRun, where tombstones were full or had lapsed. Change: their hashes stay in a bounded set. The tombstone test asked that the id be new again once nothing can bring its Dispatch; it now asks that it stays refused, and that its place is free.

--- a/packages/bilberryplank-core/bilberryplank_core/_kept_answers.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_kept_answers.py
@@ -82,7 +82,7 @@
         self._answered: OrderedDict[AttemptId, _Record] = OrderedDict()
         self._tombstones: OrderedDict[AttemptId, _Tombstone] = OrderedDict()
         self._marks: OrderedDict[int, int] = OrderedDict()
-        self._acknowledged: OrderedDict[int, None] = OrderedDict()
+        self._closed: OrderedDict[int, None] = OrderedDict()
         self._clouded: set[int] = set()
         self._all_clouded = False
         self._links: dict[int, str] = {}
@@ -124,6 +124,8 @@
         self._drop(attempt)
         if len(self._tombstones) < self._max_tombstones:
             self._tombstones[attempt] = _Tombstone(set(), now + self._lifetime)
+        else:
+            self._close(attempt)
         return True
 
     def keep_head(self, attempt: AttemptId, head: Head) -> None:
@@ -171,9 +173,7 @@
             self._drop(attempt)
         elif self._marks.pop(hash(attempt), None) is None:
             return
-        self._acknowledged[hash(attempt)] = None
-        if len(self._acknowledged) > self._max_marks:
-            self._acknowledged.popitem(last=False)
+        self._close(attempt)
 
     def settle(
         self, attempt: AttemptId, sidecar_epoch: str, own_epoch: str, now: float, link: int
@@ -205,6 +205,7 @@
         for attempt, tombstone in list(self._tombstones.items()):
             if not tombstone.links and tombstone.expires <= now:
                 del self._tombstones[attempt]
+                self._close(attempt)
 
     def _bury(self, attempt: AttemptId, now: float, link: int) -> bool:
         if len(self._tombstones) >= self._max_tombstones:
@@ -221,7 +222,16 @@
         return self._is_marked(attempt)
 
     def _is_marked(self, attempt: AttemptId) -> bool:
-        return hash(attempt) in self._marks or hash(attempt) in self._acknowledged
+        return hash(attempt) in self._marks or hash(attempt) in self._closed
+
+    def _close(self, attempt: AttemptId) -> None:
+        """Lets the id of an attempt that nobody asks about keep a doubled `Dispatch` from running.
+
+        Of these, other than of marks, the oldest may go without harm to what is sworn.
+        """
+        self._closed[hash(attempt)] = None
+        if len(self._closed) > self._max_marks:
+            self._closed.popitem(last=False)
 
     def _make_room(self) -> None:
         while self.kept_bytes > self._max_bytes and self._answered:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_kept_answers.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_kept_answers.py
@@ -112,7 +112,15 @@
         self.assertIs(Reception.TOMBSTONE, self.kept.receive(attempt))
         self.kept.link_closed(OLD_LINK)
         self.kept.expire(100 * LIFETIME)
-        self.assertIs(Reception.NEW, self.kept.receive(attempt))
+        self.assertIs(Reception.DUPLICATE, self.kept.receive(attempt))
+        outcomes = [self.settle(attempt_of(name), 100 * LIFETIME) for name in "ab"]
+        self.assertEqual([NeverRan(), NeverRan()], outcomes)
+
+    def test_refused_attempt_never_runs_though_there_is_no_room_for_its_tombstone(self) -> None:
+        for name in "abc":
+            self.kept.receive(attempt_of(name))
+            self.assertTrue(self.kept.refuse(attempt_of(name), 0.0))
+            self.assertIsNot(Reception.NEW, self.kept.receive(attempt_of(name)))
 
     def test_without_room_for_a_tombstone_nothing_is_sworn(self) -> None:
         self.kept.link_opened(OLD_LINK, "entry-1")
