--- a/packages/bilberryplank-core/bilberryplank_core/_kept_answers.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_kept_answers.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from bilberryplank_core._attempt_marks import AttemptMarks
 from bilberryplank_core._messages import AttemptId, Head, Usage
 from bilberryplank_core._settlement import (
     KeptAnswer,
@@ -31,7 +32,6 @@
 """Marks of forgotten attempts."""
 
 MAX_TOMBSTONES = 4096
-MAX_CLOUDED_EPOCHS = 4096
 
 RECORD_BYTES = 512
 """Memory of a record without its parts, about."""
@@ -76,15 +76,11 @@
     ) -> None:
         self._max_bytes = max_bytes
         self._lifetime = lifetime
-        self._max_marks = max_marks
         self._max_tombstones = max_tombstones
         self._records: dict[AttemptId, _Record] = {}
         self._answered: OrderedDict[AttemptId, _Record] = OrderedDict()
         self._tombstones: OrderedDict[AttemptId, _Tombstone] = OrderedDict()
-        self._marks: OrderedDict[int, int] = OrderedDict()
-        self._closed: OrderedDict[int, None] = OrderedDict()
-        self._clouded: set[int] = set()
-        self._all_clouded = False
+        self._marks = AttemptMarks(max_marks)
         self._links: dict[int, str] = {}
         self.kept_bytes = 0
 
@@ -102,7 +98,7 @@
         """Notes a `Dispatch`; only a `NEW` one may be queued or run."""
         if attempt in self._tombstones:
             return Reception.TOMBSTONE
-        if attempt in self._records or self._is_marked(attempt):
+        if attempt in self._records or attempt in self._marks:
             return Reception.DUPLICATE
         self._records[attempt] = _Record()
         self._resize(RECORD_BYTES)
@@ -125,7 +121,7 @@
         if len(self._tombstones) < self._max_tombstones:
             self._tombstones[attempt] = _Tombstone(set(), now + self._lifetime)
         else:
-            self._close(attempt)
+            self._marks.close(attempt)
         return True
 
     def keep_head(self, attempt: AttemptId, head: Head) -> None:
@@ -171,9 +167,9 @@
         record = self._records.get(attempt)
         if record is not None and record.state is _State.ANSWERED:
             self._drop(attempt)
-        elif self._marks.pop(hash(attempt), None) is None:
+        elif record is not None or attempt not in self._marks:
             return
-        self._close(attempt)
+        self._marks.close(attempt)
 
     def settle(
         self, attempt: AttemptId, sidecar_epoch: str, own_epoch: str, now: float, link: int
@@ -194,7 +190,7 @@
             return _settlement_of(record)
         if attempt in self._tombstones:
             return NeverRan()
-        if self._may_be_forgotten(attempt) or not self._bury(attempt, now, link):
+        if self._marks.may_have_run(attempt) or not self._bury(attempt, now, link):
             return Undecidable()
         return NeverRan()
 
@@ -205,7 +201,7 @@
         for attempt, tombstone in list(self._tombstones.items()):
             if not tombstone.links and tombstone.expires <= now:
                 del self._tombstones[attempt]
-                self._close(attempt)
+                self._marks.close(attempt)
 
     def _bury(self, attempt: AttemptId, now: float, link: int) -> bool:
         if len(self._tombstones) >= self._max_tombstones:
@@ -216,23 +212,6 @@
         self._tombstones[attempt] = _Tombstone(links - {link}, now + self._lifetime)
         return True
 
-    def _may_be_forgotten(self, attempt: AttemptId) -> bool:
-        if self._all_clouded or hash(attempt.epoch) in self._clouded:
-            return True
-        return self._is_marked(attempt)
-
-    def _is_marked(self, attempt: AttemptId) -> bool:
-        return hash(attempt) in self._marks or hash(attempt) in self._closed
-
-    def _close(self, attempt: AttemptId) -> None:
-        """Lets the id of an attempt that nobody asks about keep a doubled `Dispatch` from running.
-
-        Of these, other than of marks, the oldest may go without harm to what is sworn.
-        """
-        self._closed[hash(attempt)] = None
-        if len(self._closed) > self._max_marks:
-            self._closed.popitem(last=False)
-
     def _make_room(self) -> None:
         while self.kept_bytes > self._max_bytes and self._answered:
             self._forget(next(iter(self._answered)))
@@ -245,12 +224,7 @@
 
     def _forget(self, attempt: AttemptId) -> None:
         self._drop(attempt)
-        self._marks[hash(attempt)] = hash(attempt.epoch)
-        if len(self._marks) > self._max_marks:
-            self._clouded.add(self._marks.popitem(last=False)[1])
-        if len(self._clouded) > MAX_CLOUDED_EPOCHS:
-            self._all_clouded = True
-            self._clouded.clear()
+        self._marks.lose(attempt)
 
     def _drop(self, attempt: AttemptId) -> None:
         record = self._records.pop(attempt)
