Judge an upstream against the pool that it was chosen from

An answer was judged against the pool of whatever request came last, so the upstreams of a slow model were ejected as stragglers beside those of a fast one, beyond the bound of their own pool. Each upstream now keeps the pool of its last choice; test_choice interleaves two pools, and fails without this.

--- a/packages/bilberryplank-core/bilberryplank_core/_choice.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_choice.py
@@ -88,7 +88,7 @@
         if affinity is not None:
             chosen = self._prefer_cached(affinity, steady, chosen, waits)
         self._uses += 1
-        self._track(chosen.name).last_use = self._uses
+        self._track(chosen.name).use(self._uses, self._pool)
         return chosen
 
     def record_sent(self, upstream: str, cost: float, now: float) -> None:
@@ -105,9 +105,10 @@
     def record_answer(
         self, upstream: str, first_token_seconds: float | None, ok: bool, now: float
     ) -> None:
-        """Judges the upstream against the pool of the last choice."""
-        self._track(upstream).answer()
-        pool = self._pool if upstream in self._pool else (*self._pool, upstream)
+        """Judges the upstream against the pool that it was last chosen from."""
+        track = self._track(upstream)
+        track.answer()
+        pool = track.pool or (upstream,)
         self._detector.record(upstream, first_token_seconds, ok, pool, now)
 
     def record_refused(self, upstream: str, now: float) -> None:
@@ -148,7 +149,8 @@
 
     def is_suspect(self, upstream: str, now: float) -> bool:
         """Returns True while the upstream is ejected, or owes a first token for too long."""
-        return self.is_ejected(upstream) or upstream in self._overdue(self._pool, now)
+        overdue = self._overdue(self._track(upstream).pool, self._track(upstream).pool, now)
+        return self.is_ejected(upstream) or upstream in overdue
 
     def forget(self, upstream: str) -> None:
         """Drops what is known of an upstream that is no longer configured."""
@@ -168,19 +170,19 @@
 
     def _without_suspects(self, usable: list[Upstream], now: float) -> list[Upstream]:
         steady = [item for item in usable if not self._detector.is_ejected(item.name)] or usable
-        overdue = self._overdue([item.name for item in steady], now)
+        overdue = self._overdue([item.name for item in steady], self._pool, now)
         return [item for item in steady if item.name not in overdue] or steady
 
-    def _overdue(self, names: Sequence[str], now: float) -> set[str]:
+    def _overdue(self, names: Sequence[str], pool: Sequence[str], now: float) -> set[str]:
         """Returns those that owe a first token for much longer than their pool takes."""
-        typical = self._detector.typical_seconds(self._pool, now)
+        typical = self._detector.typical_seconds(pool, now)
         if typical is None:
             return set()
         limit = max(typical * OVERDUE_FACTOR, typical + OVERDUE_EXCESS_SECONDS)
         owed = {name: self._track(name).owed_for(now) for name in names}
         late = [name for name, seconds in owed.items() if seconds > limit]
         late.sort(key=owed.__getitem__, reverse=True)
-        return set(late[: int(len(self._pool) * MAX_EJECTED_SHARE)])
+        return set(late[: int(len(pool) * MAX_EJECTED_SHARE)])
 
     def _estimate(self, usable: list[Upstream], now: float) -> dict[str, float]:
         """Returns the estimated wait at each; an old hint is drawn towards the mean."""
--- a/packages/bilberryplank-core/bilberryplank_core/_track.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_track.py
@@ -28,6 +28,7 @@
         losses: Times that the link was lost in a row.
         lost_until: The link was lost; no new work until then, as long as others can take it.
         probed_at: When a probe was last wanted.
+        pool: Names of the upstreams among which it was last chosen.
         last_use: Number of the choice that last fell on it; the negative draw before the first.
     """
 
@@ -40,6 +41,7 @@
         "load",
         "losses",
         "lost_until",
+        "pool",
         "probed_at",
     )
 
@@ -51,6 +53,7 @@
         self.lost_until = NEVER
         self.probed_at = NEVER
         self.last_use = -draw
+        self.pool: tuple[str, ...] = ()
         self._recent: deque[tuple[float, float]] = deque()
         self._owed: deque[float] = deque()
 
@@ -69,6 +72,11 @@
         self.load = Load(leaving=True) if self.leaving else None
         self.heard_at = NEVER
 
+    def use(self, number: int, pool: tuple[str, ...]) -> None:
+        """Takes in that a choice fell on it."""
+        self.last_use = number
+        self.pool = pool
+
     def send(self, cost: float, now: float) -> None:
         """Counts a request of the entry."""
         self.in_flight += 1
--- a/packages/bilberryplank-core/bilberryplank_core/routing.py
+++ b/packages/bilberryplank-core/bilberryplank_core/routing.py
@@ -25,7 +25,7 @@
 from bilberryplank_core._limits import Admission, LimitId, OrganisationLimits
 from bilberryplank_core._resume import merge_usage
 from bilberryplank_core._retry_budget import RetryBudget
-from bilberryplank_core._route_table import is_model_path, route_labels, upstream_labels
+from bilberryplank_core._route_table import RouteTable, is_model_path, route_labels, upstream_labels
 from bilberryplank_core._shares import divide_shares
 from bilberryplank_core._steps import (
     NOTHING_DELIVERED,
@@ -64,6 +64,7 @@
     "RequestTraits",
     "RetryBudget",
     "RoundRobinChooser",
+    "RouteTable",
     "SendTo",
     "SettleWith",
     "Step",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
@@ -58,6 +58,19 @@
                 subject.record_sent(item.name, 100, 0.1)
         self.assertEqual(set(counts(subject, NEAR)), {"a2"})
 
+    def test_upstreams_are_judged_against_their_own_pool(self):
+        subject = chooser({item.name: load() for item in ALL})
+        for step in range(30):
+            for pool in (FAR, NEAR):
+                subject.record_sent(subject.choose(pool, step, set()).name, 1, step)
+            for item, seconds in ((NEAR[step % 3], 0.1), (FAR[step % 3], 3.0)):
+                subject.record_answer(item.name, seconds, True, step)
+                subject.record_end(item.name, step)
+        self.assertEqual([item.name for item in ALL if subject.is_ejected(item.name)], [])
+        subject.record_sent("b0", 1, 30)
+        subject.choose(NEAR, 32, set())
+        self.assertFalse(subject.is_suspect("b0", 32))
+
     def test_an_old_hint_counts_for_less(self):
         loads = {"a0": load(queued=5, running=4), "a1": load(), "a2": load()}
         subject = chooser(loads)
@@ -121,7 +134,8 @@
 
     def test_stragglers_get_a_trickle(self):
         subject = chooser({item.name: load() for item in NEAR})
-        subject.choose(NEAR, 0.0, set())
+        for _ in NEAR:
+            subject.choose(NEAR, 0.0, set())
         for step in range(10):
             for item in NEAR:
                 seconds = 2.0 if item.name == "a0" else 0.2
--- a/packages/bilberryplank-testing/bilberryplank_testing/routing_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/routing_bench.py
@@ -13,9 +13,10 @@
 import defopt
 
 from bilberryplank_testing._routing_costs import cost_rows
+from bilberryplank_testing._routing_figures import FaultKind, TrialOptions, TrialResult
 from bilberryplank_testing._routing_limits import limit_rows
 from bilberryplank_testing._routing_links import link_rows
-from bilberryplank_testing._routing_trial import FaultKind, Trial, TrialOptions, TrialResult
+from bilberryplank_testing._routing_trial import Trial
 
 POLICIES = ("round_robin", "informed")
 LAGS_SECONDS = (0.0, 1.0, 3.0)
