Load the system in one burst of set rate, and judge the burst by itself

Cause: short bursts over a mean of twice the capacity had peaks of 3.3 times it, so that the top tier alone filled every slot; that measured another thing than a burst at twice the capacity. Change: 0.7 of the capacity, and in the middle half of the run the rate asked for; attainment within the burst is shown too.

--- a/packages/bilberryplank-testing/bilberryplank_testing/_load_figures.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_load_figures.py
@@ -65,6 +65,7 @@
 
     Attributes:
         classes: By class.
+        burst_attainment: Attainment of what was sent within the burst by class, in percent.
         goodput: Answers in target a second of arrivals.
         throughput: Whole answers a second of arrivals.
         wasted_percent: Generated tokens that reached no caller in a whole answer.
@@ -80,6 +81,7 @@
     """
 
     classes: dict[str, ClassFigures] = field(default_factory=dict)
+    burst_attainment: dict[str, float] = field(default_factory=dict)
     goodput: float = 0.0
     throughput: float = 0.0
     wasted_percent: float = 0.0
@@ -100,9 +102,11 @@
     met = sum(targets.met(item) for item in outcomes)
     answered = sum(item.answered for item in outcomes)
     count = max(len(outcomes), 1)
+    burst = [item for item, inside in zip(outcomes, record.in_burst, strict=True) if inside]
     refusals = [item.total for item in outcomes if item.refusal]
     return TrialFigures(
         classes=class_figures(outcomes, targets),
+        burst_attainment={k: v.attainment for k, v in class_figures(burst, targets).items()},
         goodput=met / plan.seconds,
         throughput=answered / plan.seconds,
         wasted_percent=wasted_percent(record),
--- a/packages/bilberryplank-testing/bilberryplank_testing/_load_plan.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_load_plan.py
@@ -11,9 +11,9 @@
 from bilberryplank_testing._workloads import RequestKind, Workload
 from bilberryplank_testing.engine import EngineOptions
 
-BURST_PERIOD_SECONDS = 5.0
-BURST_SECONDS = 1.0
-BURST_FACTOR = 2.0
+QUIET_FACTOR = 0.7
+BURST_BEGIN_SHARE = 0.25
+BURST_END_SHARE = 0.75
 MAX_ARRIVALS = 4000
 LOWEST_TARGET_SECONDS = 10.0
 LOWEST_DEADLINE_SECONDS = 20.0
@@ -53,17 +53,38 @@
         return self.count * opts.slots / busy
 
 
-def plan_arrivals(workload: Workload, rate: float, seconds: float, seed: int) -> list[Any]:
-    """Returns the requests of a run by their times; `rate` is the mean a second.
+@dataclass(slots=True, frozen=True)
+class ArrivalProfile:
+    """Rates of arrival over a run: a burst in its middle half, at most `QUIET_FACTOR` around it.
 
-    Every `BURST_PERIOD_SECONDS` there is a burst at `BURST_FACTOR` times the quiet rate.
+    Attributes:
+        capacity: Requests a second that keep every slot busy.
+        burst_factor: Rate within the burst as a share of the capacity.
+        seconds: Length of the run.
     """
+
+    capacity: float
+    burst_factor: float
+    seconds: float
+
+    def in_burst(self, at: float) -> bool:
+        """Returns whether a time of the run lies in the burst."""
+        return BURST_BEGIN_SHARE <= at / self.seconds < BURST_END_SHARE
+
+    def rate(self, at: float) -> float:
+        """Returns the arrivals a second at a time of the run."""
+        quiet = min(QUIET_FACTOR, self.burst_factor)
+        return self.capacity * (self.burst_factor if self.in_burst(at) else quiet)
+
+
+def plan_arrivals(workload: Workload, profile: ArrivalProfile, seed: int) -> list[PlannedRequest]:
+    """Returns the requests of a run by their times, as a Poisson process of the profile's rate."""
     rng = random.Random(f"{seed}/{workload.name}")
-    peak = rate * BURST_FACTOR / _mean_factor()
+    peak = profile.capacity * profile.burst_factor
     planned: list[PlannedRequest] = []
     at = rng.expovariate(peak)
-    while at < seconds and len(planned) < MAX_ARRIVALS:
-        if rng.random() < _factor(at) / BURST_FACTOR:
+    while at < profile.seconds and len(planned) < MAX_ARRIVALS:
+        if rng.random() < profile.rate(at) / peak:
             planned.append(PlannedRequest.draw(len(planned), at, workload.kinds, rng))
         at += rng.expovariate(peak)
     return planned
@@ -76,12 +97,3 @@
         item["first_token_target"] = min(item["first_token_target"], LOWEST_TARGET_SECONDS)
         item["deadline"] = min(item["deadline"], LOWEST_DEADLINE_SECONDS)
     return document
-
-
-def _mean_factor() -> float:
-    return 1 + (BURST_FACTOR - 1) * BURST_SECONDS / BURST_PERIOD_SECONDS
-
-
-def _factor(at: float) -> float:
-    quiet = BURST_PERIOD_SECONDS - BURST_SECONDS
-    return BURST_FACTOR if at % BURST_PERIOD_SECONDS >= quiet else 1.0
--- a/packages/bilberryplank-testing/bilberryplank_testing/_load_spread.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_load_spread.py
@@ -56,11 +56,12 @@
     Attributes:
         workload: Name of the workload.
         policy: Who decided.
-        rate_factor: Mean arrivals as a share of the engines' capacity.
+        rate_factor: Arrivals within the burst as a share of the engines' capacity.
         fault: What befell one engine.
         seeds: Seeds that were run.
         measures: Spread by measure.
         classes: Spread of attainment by class, in percent.
+        bursts: The same of what was sent within the burst.
         answered: Spread of whole answers by class, in percent of those sent.
         first_p95: Spread of the 95th percentile to the first byte by class, in milliseconds.
         refused: Refusals by class and code, over all seeds.
@@ -78,6 +79,7 @@
     seeds: list[int] = field(default_factory=list)
     measures: dict[str, Spread | None] = field(default_factory=dict)
     classes: dict[str, Spread | None] = field(default_factory=dict)
+    bursts: dict[str, Spread | None] = field(default_factory=dict)
     answered: dict[str, Spread | None] = field(default_factory=dict)
     first_p95: dict[str, Spread | None] = field(default_factory=dict)
     refused: dict[str, dict[str, int]] = field(default_factory=dict)
@@ -137,14 +139,16 @@
         for name in sorted({name for item in figures for name in item.classes}):
             found = [item.classes[name] for item in figures if name in item.classes]
             self.classes[name] = Spread.of(item.attainment for item in found)
+            self.bursts[name] = Spread.of(item.burst_attainment.get(name) for item in figures)
             self.answered[name] = Spread.of(_answered_percent(item) for item in found)
             self.first_p95[name] = Spread.of(_first_p95(item) for item in found)
 
     def _format_class(self, name: str, spread: Spread | None) -> str:
-        answered, first = self.answered[name], self.first_p95[name]
+        burst, answered, first = self.bursts[name], self.answered[name], self.first_p95[name]
         codes = " ".join(f"{key}={count}" for key, count in sorted(self.refused[name].items()))
         parts = [
             f"in target {spread.format() if spread else '-'} %",
+            f"in burst {burst.format() if burst else '-'} %",
             f"whole {answered.format() if answered else '-'} %",
             f"first byte p95 {first.format(0) if first else '-'} ms",
             f"late={self.late[name]} slow={self.slow[name]}",
--- a/packages/bilberryplank-testing/bilberryplank_testing/load.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/load.py
@@ -72,7 +72,7 @@
     Args:
         workload: `rarangi` or `maclarty`.
         policy: `tiered`, `baseline` or `both` side by side.
-        rate_factor: Mean arrivals as shares of the engines' capacity, with commas.
+        rate_factor: Arrivals within the burst as shares of the engines' capacity, with commas.
         seeds: Number of seeds.
         first_seed: First seed.
         seconds: Length of the arrivals of one run.
