--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_chunks.py
@@ -0,0 +1,76 @@
+"""A configuration in chunks, so that a process that joins never holds the whole text of it.
+
+What is read shares equal label sets and repeated names: thousands of keys and organisations have
+few different ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+from sys import intern
+from typing import Any
+
+from bilberryplank_core._configuration import Configuration, ConfigurationParts
+from bilberryplank_core._configuration_delta import PART_NAMES, plain_items
+from bilberryplank_core._documents import DocumentReader
+from bilberryplank_core._errors import ConfigurationInvalid
+from bilberryplank_core._world import Key, Labels
+
+CHUNK_ITEMS = 500
+
+
+def chunks(configuration: Configuration) -> Iterator[dict[str, Any]]:
+    """Yields a configuration as documents of at most `CHUNK_ITEMS` items each."""
+    chunk: dict[str, Any] = {}
+    room = CHUNK_ITEMS
+    for name in PART_NAMES:
+        items = getattr(configuration.parts, name)
+        start = 0
+        while start < len(items):
+            taken = items[start : start + room]
+            chunk[name] = plain_items(taken)
+            start += len(taken)
+            room -= len(taken)
+            if not room:
+                yield chunk
+                chunk, room = {}, CHUNK_ITEMS
+    if chunk:
+        yield chunk
+
+
+class ChunkReader:
+    """Puts a configuration together from its chunks; it was checked before it was accepted."""
+
+    __slots__ = ("_items", "_labels")
+
+    def __init__(self) -> None:
+        self._items: dict[str, list[Any]] = {name: [] for name in PART_NAMES}
+        self._labels: dict[tuple[tuple[str, str], ...], Labels] = {}
+
+    def add(self, chunk: Any) -> None:
+        """Takes the next chunk.
+
+        Raises:
+            ConfigurationInvalid: With every fault of the chunk.
+        """
+        reader = DocumentReader()
+        parts = reader.read(ConfigurationParts, chunk, "configuration")
+        if parts is None:
+            raise ConfigurationInvalid(reader.faults)
+        for name, items in self._items.items():
+            items.extend(self._shared(item) for item in getattr(parts, name))
+
+    def build(self, version: int) -> Configuration:
+        """Returns the configuration of all chunks."""
+        parts = {name: tuple(items) for name, items in self._items.items()}
+        return Configuration(version, ConfigurationParts(**parts))
+
+    def _shared(self, item: Any) -> Any:
+        if not hasattr(item, "labels"):
+            return item
+        identity = tuple(sorted(item.labels.items()))
+        labels = self._labels.setdefault(identity, item.labels)
+        if isinstance(item, Key):
+            return replace(item, organisation=intern(item.organisation), labels=labels)
+        return replace(item, name=intern(item.name), labels=labels)
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_delta.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_delta.py
@@ -62,6 +62,12 @@
             raise ConfigurationInvalid(reader.faults)
         return delta
 
+    @property
+    def item_count(self) -> int:
+        """The number of items in it, and one for itself."""
+        upserts = sum(len(getattr(self.upserts, name)) for name in PART_NAMES)
+        return 1 + upserts + sum(len(gone) for gone in self.removals.values())
+
     def to_document(self) -> dict[str, Any]:
         """Returns the difference as plain JSON values."""
         upserts = {name: plain_items(getattr(self.upserts, name)) for name in PART_NAMES}
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
@@ -4,14 +4,17 @@
 
 import json
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from io import BytesIO
 from typing import Any
 
 from bilberryplank_core._configuration import Configuration
+from bilberryplank_core._configuration_chunks import ChunkReader, chunks
 from bilberryplank_core._configuration_delta import ConfigurationDelta
 from bilberryplank_core._errors import ConfigurationInvalid, Fault
 
-KEPT_DELTAS = 256
+KEPT_ITEMS = 2000
+"""Items in the changes that a process keeps for its peers."""
 
 Subscriber = Callable[[Configuration], None]
 
@@ -23,13 +26,21 @@
     version in force here as the newest.
     """
 
-    __slots__ = ("_clock", "_configuration", "_confirmed_at", "_deltas", "_subscribers")
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_confirmed_at",
+        "_deltas",
+        "_kept_items",
+        "_subscribers",
+    )
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._configuration = Configuration()
         self._confirmed_at: float | None = None
-        self._deltas: deque[ConfigurationDelta] = deque(maxlen=KEPT_DELTAS)
+        self._deltas: deque[ConfigurationDelta] = deque()
+        self._kept_items = 0
         self._subscribers: list[Subscriber] = []
 
     @property
@@ -54,6 +65,7 @@
             self.confirm(version, confirmed_at)
             return False
         self._deltas.clear()
+        self._kept_items = 0
         self._take(configuration, confirmed_at)
         return True
 
@@ -61,7 +73,7 @@
         """Takes a difference that applies to the version in force; returns True where it did."""
         if delta.from_version != self.version or delta.to_version <= self.version:
             return False
-        self._deltas.append(delta)
+        self._keep(delta)
         self._take(delta.apply(self._configuration), confirmed_at)
         return True
 
@@ -93,14 +105,15 @@
         return self.confirmed_age(now) > limit
 
     def update_since(self, version: int) -> bytes:
-        """Returns what brings a peer from `version` to the one in force, as JSON bytes."""
+        """Returns what brings a peer from `version` to the one in force, as lines of JSON."""
         deltas = self._deltas_since(version)
+        whole = deltas is None
+        lines: list[Any] = [{"version": self.version, "whole": whole}]
         if deltas is None:
-            value: dict[str, Any] = {"document": self._configuration.to_document()}
+            lines.extend(chunks(self._configuration))
         else:
-            value = {"changes": [delta.to_document() for delta in deltas]}
-        value["version"] = self.version
-        return json.dumps(value, separators=(",", ":")).encode()
+            lines.extend(delta.to_document() for delta in deltas)
+        return b"\n".join(_line(value) for value in lines)
 
     def accept_update(self, update: bytes, confirmed_age: float) -> bool:
         """Takes a peer's `update_since`; returns True where the version went up.
@@ -108,15 +121,19 @@
         Raises:
             ConfigurationInvalid: The bytes are no update.
         """
-        value = _parse_update(update)
+        lines = _values(update)
+        version, whole = _header(next(lines))
         confirmed_at = self._clock() - confirmed_age
         before = self.version
-        if "document" in value and value["version"] > before:
-            configuration = Configuration.from_document(value["version"], value["document"])
-            self.offer(configuration.version, configuration, confirmed_at)
-        for change in value.get("changes", []):
-            self.offer_delta(ConfigurationDelta.from_document(change), float("-inf"))
-        self.confirm(value["version"], confirmed_at)
+        if whole and version > before:
+            reader = ChunkReader()
+            for value in lines:
+                reader.add(value)
+            self.offer(version, reader.build(version), confirmed_at)
+        elif not whole:
+            for value in lines:
+                self.offer_delta(ConfigurationDelta.from_document(value), float("-inf"))
+        self.confirm(version, confirmed_at)
         return self.version > before
 
     def _deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
@@ -127,6 +144,12 @@
             return None
         return deltas
 
+    def _keep(self, delta: ConfigurationDelta) -> None:
+        self._deltas.append(delta)
+        self._kept_items += delta.item_count
+        while self._kept_items > KEPT_ITEMS:
+            self._kept_items -= self._deltas.popleft().item_count
+
     def _take(self, configuration: Configuration, confirmed_at: float) -> None:
         self._configuration = configuration
         self._confirmed_at = confirmed_at
@@ -134,13 +157,27 @@
             subscriber(configuration)
 
 
-def _parse_update(update: bytes) -> dict[str, Any]:
+def _line(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def _values(update: bytes) -> Iterator[Any]:
+    for line in BytesIO(update):
+        yield _parsed(line)
+    if not update:
+        yield None
+
+
+def _parsed(line: bytes) -> Any:
     try:
-        value = json.loads(update)
+        return json.loads(line)
     except ValueError as exc:
         raise ConfigurationInvalid([Fault("update", f"is not JSON: {exc}")]) from exc
-    if not isinstance(value, dict) or type(value.get("version")) is not int:
-        raise ConfigurationInvalid([Fault("update", "has no version", "an update")])
-    if not isinstance(value.get("changes", []), list):
-        raise ConfigurationInvalid([Fault("update.changes", "is no list", "a list")])
-    return value
+
+
+def _header(value: Any) -> tuple[int, bool]:
+    match value:
+        case {"version": int(version), "whole": bool(whole)} if type(version) is int:
+            return version, whole
+        case _:
+            raise ConfigurationInvalid([Fault("update", "has no header", "version and whole")])
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_rows.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_rows.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 
 from bilberryplank_core._configuration import Configuration
+from bilberryplank_core._configuration_chunks import ChunkReader
 from bilberryplank_core._configuration_delta import ConfigurationDelta
 from bilberryplank_core._contracts import Row, Table
 from bilberryplank_core._errors import PlatformUnavailable
@@ -101,10 +101,10 @@
 async def _read_checkpoint(table: Table, head: ConfigurationHead) -> Configuration:
     if not head.parts:
         return Configuration()
-    texts = []
+    reader = ChunkReader()
     for key in head.part_keys():
         row = await table.read(TABLE, key)
         if row is None:
             raise PlatformUnavailable("reads are behind; a part of a checkpoint is missing")
-        texts.append(row.value)
-    return Configuration.from_document(head.checkpoint, json.loads("".join(texts)))
+        reader.add(row.value)
+    return reader.build(head.checkpoint)
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from bilberryplank_core._configuration import Configuration, ConfigurationParts
+from bilberryplank_core._configuration_chunks import chunks
 from bilberryplank_core._configuration_delta import ConfigurationDelta
 from bilberryplank_core._configuration_edits import with_draining, with_key, with_withdrawn
 from bilberryplank_core._configuration_rows import (
@@ -26,7 +27,6 @@
 from bilberryplank_core._errors import Conflict, PlatformUnavailable
 from bilberryplank_core._world import Key
 
-CHECKPOINT_PART_CHARS = 256 * 1024
 KEPT_CHANGES = 1024
 MAX_CHANGE_CHARS = 256 * 1024
 MAX_EDIT_ATTEMPTS = 8
@@ -148,7 +148,7 @@
         change = ConfigurationDelta.between(current.configuration, configuration).to_document()
         fits = len(json.dumps(change)) <= MAX_CHANGE_CHARS
         new = replace(head, version=configuration.version, change_id=self._make_id())
-        if not fits or new.version - head.checkpoint >= CHANGES_PER_CHECKPOINT or not head.parts:
+        if not fits or new.version - head.checkpoint >= CHANGES_PER_CHECKPOINT or not head.version:
             new = await self._write_checkpoint(new, configuration)
         checkpointed = new.checkpoint != head.checkpoint
         value = {"change_id": new.change_id, "change": change if fits else None}
@@ -189,13 +189,11 @@
     async def _write_checkpoint(
         self, new: ConfigurationHead, configuration: Configuration
     ) -> ConfigurationHead:
-        text = configuration.to_bytes().decode()
-        count = -(-len(text) // CHECKPOINT_PART_CHARS)
-        for index in range(count):
-            start = index * CHECKPOINT_PART_CHARS
-            part = text[start : start + CHECKPOINT_PART_CHARS]
-            key = part_key(new.change_id, index)
-            await self._table.commit([], [Put(TABLE, key, part)])
+        count = 0
+        for chunk in chunks(configuration):
+            put = Put(TABLE, part_key(new.change_id, count), chunk)
+            await self._table.commit([], [put])
+            count += 1
         return replace(new, checkpoint=new.version, checkpoint_id=new.change_id, parts=count)
 
     async def _delete(self, keys: list[str]) -> None:
--- a/packages/bilberryplank-core/bilberryplank_core/_usage_records.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_usage_records.py
@@ -15,6 +15,9 @@
 USAGE_SHARDS = 16
 """Parts in which usage is aggregated; the whole fleet must agree on it."""
 
+FIGURES = 5
+"""Figures of a record in a batch: number, tokens, tokens, calls, seconds."""
+
 
 class RequestIds:
     """Makes the ids of one entry's requests."""
@@ -69,38 +72,38 @@
     return xxhash.xxh3_64_intdigest(epoch.encode()) % USAGE_SHARDS
 
 
-def batch_value(records: Iterable[UsageRecord]) -> list[list[Any]]:
-    """Returns the JSON value of a batch row: `[epoch, organisation, class, numbers...]` lists."""
-    groups: dict[tuple[str, str, str], list[int]] = {}
+def batch_value(records: Iterable[UsageRecord]) -> list[Any]:
+    """Returns the JSON value of a batch row.
+
+    For each epoch it is the epoch, the least time in seconds since 1970, and a list for each
+    organisation and class: both names, then the figures of its records one after another.
+    """
+    epochs: dict[str, list[UsageRecord]] = {}
+    for record in records:
+        epochs.setdefault(record.epoch, []).append(record)
+    return [_epoch_value(epoch, found) for epoch, found in epochs.items()]
+
+
+def _epoch_value(epoch: str, records: list[UsageRecord]) -> list[Any]:
+    base = int(min(record.finished for record in records))
+    groups: dict[tuple[str, str], list[int]] = {}
     for record in records:
-        place = (record.epoch, record.organisation, record.class_name)
-        groups.setdefault(place, []).extend(
-            (
-                record.number,
-                record.prompt_tokens,
-                record.completion_tokens,
-                record.calls,
-                int(record.finished),
-            )
-        )
-    return [[*place, *figures] for place, figures in groups.items()]
-
-
-def batch_records(value: list[list[Any]]) -> list[UsageRecord]:
+        figures = groups.setdefault((record.organisation, record.class_name), [])
+        figures.append(record.number)
+        figures.append(record.prompt_tokens)
+        figures.append(record.completion_tokens)
+        figures.append(record.calls)
+        figures.append(int(record.finished) - base)
+    return [epoch, base, [[*place, *figures] for place, figures in groups.items()]]
+
+
+def batch_records(value: list[Any]) -> list[UsageRecord]:
     """Returns the records in a batch row's JSON value."""
     records = []
-    for epoch, organisation, class_name, *figures in value:
-        for start in range(0, len(figures), 5):
-            number, prompt, completion, calls, finished = figures[start : start + 5]
-            records.append(
-                UsageRecord(
-                    f"{epoch}-{number}",
-                    organisation,
-                    class_name,
-                    prompt,
-                    completion,
-                    calls,
-                    finished,
-                )
-            )
+    for epoch, base, groups in value:
+        for organisation, class_name, *figures in groups:
+            for start in range(0, len(figures), FIGURES):
+                number, prompt, completion, calls, after = figures[start : start + FIGURES]
+                identity = (f"{epoch}-{number}", organisation, class_name)
+                records.append(UsageRecord(*identity, prompt, completion, calls, base + after))
     return records
--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -1,5 +1,6 @@
 """What the processes share: configuration, membership, leases, orders, usage, scaling."""
 
+from bilberryplank_core._configuration_chunks import ChunkReader, chunks
 from bilberryplank_core._configuration_delta import ConfigurationDelta
 from bilberryplank_core._configuration_holder import ConfigurationHolder
 from bilberryplank_core._configuration_rows import ConfigurationHead
@@ -32,6 +33,7 @@
 from bilberryplank_core._usage_windows import UsagePass, UsageWindows
 
 __all__ = [
+    "ChunkReader",
     "ConfigurationDelta",
     "ConfigurationHead",
     "ConfigurationHolder",
@@ -64,6 +66,7 @@
     "UsageSpool",
     "UsageSpoolCounters",
     "UsageWindows",
+    "chunks",
     "is_ranked",
     "needed_upstreams",
     "poll_configuration",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_holder.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_holder.py
@@ -1,10 +1,22 @@
 import json
 import unittest
 
-from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.configuration import Configuration, ConfigurationParts
 from bilberryplank_core.errors import ConfigurationInvalid
 from bilberryplank_core.fleet import ConfigurationDelta, ConfigurationHolder
 from bilberryplank_core.tests.test_configuration_store import DOCUMENT
+from bilberryplank_core.world import Organisation
+
+UPDATES_INVALID = [
+    b"",
+    b"[]",
+    b"{",
+    b'{"version":"1","whole":true}',
+    b'{"version":true,"whole":true}',
+    b'{"version":1}',
+    b'{"version":1,"whole":true}\n{"keys":{}}',
+    b'{"version":1,"whole":false}\n{"to_version":1}',
+]
 
 
 def configuration(version):
@@ -46,14 +58,15 @@
         for version in range(1, 5):
             delta = ConfigurationDelta.between(self.holder.configuration, configuration(version))
             self.holder.offer_delta(delta, self.now)
-        cases = {0: "changes", 2: "changes", 4: "changes", 7: "document"}
-        for version, kind in cases.items():
+        cases = {0: False, 2: False, 4: False, 7: True}
+        for version, whole in cases.items():
             with self.subTest(version=version):
                 peer = ConfigurationHolder(lambda: self.now)
                 start = configuration(version) if version else Configuration()
                 peer.offer(version, start, 0.0)
                 update = self.holder.update_since(version)
-                self.assertIn(kind, json.loads(update))
+                header = json.loads(update.partition(b"\n")[0])
+                self.assertEqual(header, {"version": 4, "whole": whole})
                 self.assertEqual(peer.accept_update(update, 1.0), version < 4)
                 self.assertEqual(peer.version, max(4, version))
                 if version <= 4:
@@ -66,7 +79,18 @@
         self.assertTrue(peer.accept_update(self.holder.update_since(3), 0.0))
         self.assertEqual(peer.configuration, self.holder.configuration)
 
+    def test_kept_changes_are_bounded_by_their_items(self):
+        self.holder.offer(1, configuration(1), self.now)
+        many = tuple(Organisation(f"o{number}") for number in range(1999))
+        small = ConfigurationDelta(1, 2, ConfigurationParts(organisations=many[:5]))
+        large = ConfigurationDelta(2, 3, ConfigurationParts(organisations=many))
+        self.holder.offer_delta(small, self.now)
+        self.assertIn(b'"whole":false', self.holder.update_since(1))
+        self.holder.offer_delta(large, self.now)
+        self.assertIn(b'"whole":true', self.holder.update_since(1))
+        self.assertIn(b'"whole":false', self.holder.update_since(2))
+
     def test_foreign_bytes_are_refused(self):
-        for update in (b"", b"[]", b'{"version":"1"}', b'{"version":1,"changes":{}}'):
+        for update in UPDATES_INVALID:
             with self.subTest(update=update), self.assertRaises(ConfigurationInvalid):
                 self.holder.accept_update(update, 0.0)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_store.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_store.py
@@ -4,9 +4,9 @@
 
 from bilberryplank_core.configuration import Configuration
 from bilberryplank_core.errors import ConfigurationInvalid, Conflict, PlatformUnavailable
-from bilberryplank_core.fleet import ConfigurationDelta, ConfigurationStore
+from bilberryplank_core.fleet import ChunkReader, ConfigurationDelta, ConfigurationStore, chunks
 from bilberryplank_core.tests._memory_platform import MemoryTable, TableFault
-from bilberryplank_core.world import Key
+from bilberryplank_core.world import Key, Organisation
 
 DOCUMENT = {
     "organisations": [{"name": "rarangi"}, {"name": "maclarty"}],
@@ -142,3 +142,23 @@
                 self.assertEqual(read.apply(old), new)
         with self.assertRaises(ConfigurationInvalid):
             ConfigurationDelta(3, 4).apply(old)
+
+
+class ChunksTest(unittest.TestCase):
+    def test_chunks_give_the_same_configuration_and_share_labels(self):
+        names = [f"o{number}" for number in range(700)]
+        plans = [{"plan": "basic"}, {"plan": "large", "city": "north"}]
+        organisations = [Organisation(name, dict(plans[i % 2])) for i, name in enumerate(names)]
+        keys = [Key(f"k{name}", name, f"d{name}", dict(plans[0])) for name in names]
+        document = Configuration.from_document(3, DOCUMENT).parts
+        parts = replace(document, organisations=tuple(organisations), keys=tuple(keys))
+        configuration = Configuration(3, parts)
+        reader, sizes = ChunkReader(), []
+        for chunk in chunks(configuration):
+            sizes.append(sum(len(items) for items in chunk.values()))
+            reader.add(json.loads(json.dumps(chunk)))
+        read = reader.build(3)
+        self.assertEqual(read, configuration)
+        self.assertEqual(sizes, [500, 500, 404])
+        shared = {id(item.labels) for item in (*read.parts.organisations, *read.parts.keys)}
+        self.assertEqual(len(shared), 2)
