Bound callers' connections and headers, and type every refusal at the edge

Cause: callers.max_connections was not enforced, a header could take 75 s to arrive, a caller that waits for 100 Continue waited for ever, and a byte that is not UTF-8 in a header or a lone surrogate in a prompt ended in an internal failure. Change: connections over the bound get a typed 503 (too_many_connections), a header has body_timeout to be whole (typed 408), Expect is answered, text is checked before any step, too many fields are headers_too_large, and CallerServer counts what it refuses itself. Logs no longer quote the bytes of an unreadable request.

--- a/packages/bilberryplank/bilberryplank/_caller_request.py
+++ b/packages/bilberryplank/bilberryplank/_caller_request.py
@@ -7,12 +7,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from bilberryplank_core.errors import RefusalReason, Refused
 from bilberryplank_core.messages import Headers
 from bilberryplank_core.settings import CallerSettings
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
 MODELS_PATH = "/v1/models"
@@ -58,6 +59,21 @@
     body: bytes
 
 
+def check_text(request: web.BaseRequest) -> None:
+    """Refuses a request whose path or header is not UTF-8, as no later step could carry it.
+
+    Raises:
+        Refused: A byte of them is no text.
+    """
+    try:
+        request.raw_path.encode()
+        for name, value in request.headers.items():
+            name.encode()
+            value.encode()
+    except UnicodeEncodeError as exc:
+        raise _malformed("the path or a header is not UTF-8") from exc
+
+
 async def receive(request: web.BaseRequest, settings: CallerSettings) -> ReceivedRequest:
     """Reads a request whole.
 
@@ -67,6 +83,7 @@
     declared = request.content_length
     if declared is not None and declared > settings.max_body_bytes:
         raise _too_large(settings)
+    await _continue(request)
     try:
         async with asyncio.timeout(settings.body_timeout):
             body = await _read_body(request, settings)
@@ -79,6 +96,15 @@
     return ReceivedRequest(request.method, request.raw_path, headers, body)
 
 
+async def _continue(request: web.BaseRequest) -> None:
+    """Tells a caller that waits for it (RFC 9110, 10.1.1) to send its body."""
+    expected = request.headers.get("Expect", "").lower() == "100-continue"
+    if expected and request.version >= HttpVersion11:
+        await request.writer.write(CONTINUE)
+        # The answer itself has not begun by that.
+        request.writer.output_size = 0
+
+
 async def _read_body(request: web.BaseRequest, settings: CallerSettings) -> bytes:
     body = bytearray()
     async for data in request.content.iter_any():
@@ -116,7 +142,12 @@
     include_usage = isinstance(options, dict) and bool(options.get("include_usage"))
     tokens = len(prompt) // CHARACTERS_PER_TOKEN + 1
     return ModelCall(
-        model, bool(stream), include_usage, tokens, _output_limit(document), prompt.encode()[:2048]
+        model,
+        bool(stream),
+        include_usage,
+        tokens,
+        _output_limit(document),
+        prompt.encode(errors="replace")[:2048],
     )
 
 
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -6,84 +6,77 @@
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
-from aiohttp.http_exceptions import LineTooLong
-from loguru import logger
 from mode import Service
 
-from bilberryplank._logs import log_event
-from bilberryplank._refusals import refusal_response
-from bilberryplank_core.errors import RefusalReason, Refused
+from bilberryplank._caller_protocol import CallerProtocol, RefusalCounter, TurnedAway
+from bilberryplank._caller_request import check_text
+from bilberryplank_core.errors import RefusalReason
 from bilberryplank_core.settings import CallerSettings
 
-KEEPALIVE_SECONDS = 75.0
 BACKLOG = 1024
-MAX_HEADER_FIELDS = 100
 
 CallerHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class _CallerProtocol(web.RequestHandler):
-    """Answers requests that are no HTTP with a typed refusal."""
-
-    __slots__ = ()
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Returns the typed refusal; the connection is closed after it."""
-        if request.writer.output_size > 0:
-            raise ConnectionError("the answer has begun already")
-        refused = _refusal_for(status, exc, message)
-        if refused.reason is RefusalReason.INTERNAL:
-            log_event(logger, "request_failed", level="ERROR", trace=exc)
-        else:
-            log_event(logger, "request_unreadable", reason=refused.reason.value, cause=exc)
-        resp = refusal_response(refused, "")
-        resp.force_close()
-        return resp
-
-
 class _CallerProtocolFactory(web.Server):
     """Makes one protocol object for each caller's connection, up to a bound."""
 
-    def __init__(self, handler: CallerHandler, settings: CallerSettings) -> None:
+    def __init__(
+        self, handler: CallerHandler, settings: CallerSettings, on_refused: RefusalCounter
+    ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._settings = settings
+        self._on_refused = on_refused
+        self._turned_away: set[TurnedAway] = set()
 
-    def __call__(self) -> web.RequestHandler:
+    def __call__(self) -> asyncio.Protocol:
         """Returns the protocol for a new connection."""
-        return _CallerProtocol(
-            self,
-            loop=asyncio.get_running_loop(),
-            keepalive_timeout=KEEPALIVE_SECONDS,
-            max_line_size=self._settings.max_header_bytes,
-            max_field_size=self._settings.max_header_bytes,
-            max_headers=MAX_HEADER_FIELDS,
-            access_log=None,
-            auto_decompress=False,
-            lingering_time=1.0,
-        )
+        if len(self.connections) >= self._settings.max_connections:
+            return TurnedAway(self._turned_away, self._on_refused)
+        return CallerProtocol(self, self._settings, self._on_refused)
+
+    def cut_turned_away(self) -> None:
+        """Ends what is left of refused connections."""
+        for protocol in list(self._turned_away):
+            protocol.close()
 
 
 class CallerServer(Service):
-    """Listens for callers and hands each request to a handler."""
+    """Listens for callers and hands each request to a handler.
+
+    Args:
+        address: `ip:port` to listen on.
+        settings: Bounds on what callers may send.
+        handler: Answers each request; typed refusals that it raises are answered for it.
+        on_refused: Called with the reason of each refusal that the handler never saw: no HTTP, a
+            header too large or too slow, or a connection too many.
+    """
 
-    def __init__(self, address: str, settings: CallerSettings, handler: CallerHandler) -> None:
+    def __init__(
+        self,
+        address: str,
+        settings: CallerSettings,
+        handler: CallerHandler,
+        on_refused: RefusalCounter | None = None,
+    ) -> None:
         super().__init__()
         self._address = address
         self._settings = settings
         self._factory: _CallerProtocolFactory | None = None
         self._handler = handler
+        self._on_refused = on_refused or _count_nothing
         self._server: asyncio.Server | None = None
 
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
     async def on_start(self) -> None:
         """Begins to listen."""
         host, _, port = self._address.rpartition(":")
-        self._factory = _CallerProtocolFactory(self._handler, self._settings)
+        self._factory = _CallerProtocolFactory(self._handle, self._settings, self._on_refused)
         self._server = await asyncio.get_running_loop().create_server(
             self._factory, host.strip("[]"), int(port), backlog=BACKLOG
         )
@@ -99,12 +92,13 @@
         """Closes what is left."""
         self.stop_listening()
         if self._factory is not None:
+            self._factory.cut_turned_away()
             await self._factory.shutdown(timeout=1.0)
 
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        check_text(request)
+        return await self._handler(request)
+
 
-def _refusal_for(status: int, exc: BaseException | None, message: str | None) -> Refused:
-    if isinstance(exc, LineTooLong):
-        return Refused(RefusalReason.HEADERS_TOO_LARGE, "a header is too large")
-    if status < 500:
-        return Refused(RefusalReason.MALFORMED_REQUEST, message or "not an HTTP request")
-    return Refused(RefusalReason.INTERNAL, "internal failure", not_run=False)
+def _count_nothing(reason: RefusalReason) -> None:
+    return None
--- a/packages/bilberryplank/bilberryplank/_refusals.py
+++ b/packages/bilberryplank/bilberryplank/_refusals.py
@@ -28,6 +28,30 @@
 
 def refusal_response(refused: Refused, request_id: str) -> web.Response:
     """Returns the HTTP answer for a refusal."""
+    return web.Response(
+        status=REFUSAL_STATUS[refused.reason].value,
+        body=refusal_body(refused),
+        headers=_headers(refused, request_id),
+        content_type="application/json",
+    )
+
+
+def raw_refusal(refused: Refused) -> bytes:
+    """Returns the bytes of a refusal on a connection that carries no request."""
+    status = REFUSAL_STATUS[refused.reason]
+    body = refusal_body(refused)
+    fields = {
+        **_headers(refused, ""),
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+    }
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
+    lines.extend(f"{name}: {value}" for name, value in fields.items())
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def _headers(refused: Refused, request_id: str) -> dict[str, str]:
     headers = {
         OUTCOME_HEADER: NOT_RUN if refused.not_run else MAY_HAVE_RUN,
         REQUEST_ID_HEADER: request_id,
@@ -36,12 +60,7 @@
         headers["Retry-After"] = str(max(1, math.ceil(refused.retry_after)))
     if refused.reason is RefusalReason.KEY_MISSING:
         headers["WWW-Authenticate"] = "Bearer"
-    return web.Response(
-        status=REFUSAL_STATUS[refused.reason].value,
-        body=refusal_body(refused),
-        headers=headers,
-        content_type="application/json",
-    )
+    return headers
 
 
 def refusal_event(refused: Refused) -> bytes:
