Keep a released lease released, and take no old head for a confirmation

Cause: a renewal or acquisition on its way while the process gives the lease up could hold it again, or fail on a missing grant; and changes since a version, read against an older head, were an empty list, which a poller takes for a confirmation. Change: what comes back after a release is dropped; an older head raises.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_rows.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_rows.py
@@ -71,7 +71,12 @@
 
     Returns:
         None where one is missing or they are too many.
+
+    Raises:
+        PlatformUnavailable: Reads are behind; the head is older than `version`.
     """
+    if head.version < version:
+        raise PlatformUnavailable(f"reads are behind; they show version {head.version}")
     if head.version - version > MAX_CHANGES_READ:
         return None
     changes = []
--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -61,6 +61,8 @@
 class LeaseHolder:
     """One process's part in the contest for a lease, and its holding of it.
 
+    One task calls `try_acquire` and `renew`; `release` may come from another at any moment.
+
     Besides the lease's row, which every renewal rewrites, an acquisition writes a fence row. Its
     revision changes with the holder only, so writes can be made conditional on it.
     """
@@ -224,16 +226,18 @@
                 [Condition(TABLE, self._name, revision)], list(writes)
             )
         except Conflict:
-            self._pending.pop(value.grant)
+            self._pending.pop(value.grant, None)
+            return False
+        if value.grant not in self._pending:
             return False
         self._hold(_Grant(value, revision, revision), sent_at)
         return self.held(self._clock())
 
     async def _adopt(self, row: Row, value: LeaseRow) -> bool:
         fence_row = await self._table.read(TABLE, _fence_key(self._name))
-        if fence_row is None or fence_row.value["grant"] != value.grant:
+        sent_at = self._pending.get(value.grant)
+        if sent_at is None or fence_row is None or fence_row.value["grant"] != value.grant:
             return False
-        sent_at = self._pending[value.grant]
         self._hold(_Grant(value, row.revision, fence_row.revision), sent_at)
         if self.held(self._clock()):
             return True
@@ -241,15 +245,18 @@
 
     async def _extend(self) -> bool:
         sent_at = self._clock()
-        if self._grant is None or not self.held(sent_at):
+        grant = self._grant
+        if grant is None or not self.held(sent_at):
             return False
-        put = Put(TABLE, self._name, self._grant.row.to_value())
-        condition = Condition(TABLE, self._name, self._grant.revision)
+        put = Put(TABLE, self._name, grant.row.to_value())
+        condition = Condition(TABLE, self._name, grant.revision)
         try:
             revision = await self._table.commit([condition], [put])
         except Conflict:
             return False
-        self._hold(_Grant(self._grant.row, revision, self._grant.fence_revision), sent_at)
+        if self._grant is not grant:
+            return False
+        self._hold(_Grant(grant.row, revision, grant.fence_revision), sent_at)
         return True
 
     async def _refresh(self) -> None:
@@ -258,7 +265,7 @@
             return
         row = await self._table.read(TABLE, self._name)
         value = _value_of(row)
-        if row is None or value is None:
+        if row is None or value is None or self._grant is None:
             return
         if value.grant == self._grant.row.grant:
             self._grant = _Grant(value, row.revision, self._grant.fence_revision)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
@@ -24,7 +24,7 @@
         self.down = False
         self.faults = deque()
         self.reads = self.writes = 0
-        self.on_commit = None
+        self.on_commit = self.after_commit = None
         self._revision = 0
         self._stale_rows = None
 
@@ -59,6 +59,9 @@
             hook, self.on_commit = self.on_commit, None
             await hook()
         revision = self._apply(conditions, writes)
+        if self.after_commit is not None:
+            hook, self.after_commit = self.after_commit, None
+            await hook()
         if fault is TableFault.LOST_ANSWER:
             raise PlatformUnavailable("answer lost")
         return revision
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_interleavings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_interleavings.py
@@ -14,7 +14,6 @@
 )
 from bilberryplank_core.tests.test_configuration_store import DOCUMENT
 
-
 FIRST = Configuration.from_document(1, DOCUMENT)
 
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_store.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_store.py
@@ -117,6 +117,8 @@
         joined = await ConfigurationStore(self.table).read()
         self.assertEqual(joined, await self.store.read())
         self.assertIsNone(await self.store.read_since(old.version))
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.read_since(joined.version + 1)
         for delta in await self.store.read_since(100):
             self.assertEqual(delta.from_version + 1, delta.to_version)
         checkpoints = [key for _, key in self.table.rows if key.startswith("checkpoint/")]
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
@@ -1,3 +1,4 @@
+import itertools
 import unittest
 from random import Random
 
@@ -111,3 +112,15 @@
         await self.first.release()
         await self.second.try_acquire()
         self.assertNotEqual(self.second.fence_condition(), condition)
+
+    async def test_release_during_a_call_that_is_on_its_way(self):
+        for call, moment in itertools.product(
+            ("try_acquire", "renew"), ("on_commit", "after_commit")
+        ):
+            with self.subTest(call, moment=moment):
+                self.setUp()
+                if call == "renew":
+                    await self.first.try_acquire()
+                setattr(self.table, moment, self.first.release)
+                self.assertFalse(await getattr(self.first, call)())
+                self.assertFalse(self.first.held(self.now))
