Leave a service's own parameters key and token alone

A call with its key in Authorization and a parameter key=SKU-1 of its service was refused for two different keys. Such common names now count as the key only where no other place has one, or where the value begins like a key; a second key is still refused.

--- a/packages/bilberryplank-core/bilberryplank_core/_credentials.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_credentials.py
@@ -12,6 +12,7 @@
 from urllib.parse import quote, quote_plus, unquote, unquote_plus
 
 from bilberryplank_core._errors import RefusalReason, Refused
+from bilberryplank_core._keys import KEY_PREFIX
 
 Header = tuple[str, str]
 
@@ -19,8 +20,11 @@
 
 KEY_HEADERS = frozenset(("x-api-key", "api-key", "apikey", "x-auth-token", "x-access-token"))
 KEY_PARAMETERS = frozenset(
-    ("api_key", "api-key", "apikey", "x-api-key", "key", "access_token", "token", "auth_token")
+    ("api_key", "api-key", "apikey", "x-api-key", "access_token", "auth_token")
 )
+COMMON_PARAMETERS = frozenset(("key", "token"))
+"""Names that services use too; they hold the caller's key only where no other place does."""
+
 SYSTEM_HEADERS = frozenset(("x-priority", "x-request-id", "x-resume-tokens", "x-tier"))
 SYSTEM_PREFIXES = ("x-organisation", "x-organization", "x-bilberryplank-", "x-label")
 HOP_BY_HOP_HEADERS = frozenset(
@@ -70,19 +74,40 @@
         Refused: Two different keys were sent, or one stands in the path itself.
     """
     pairs = [(name, value) for name, value in headers]
-    bare_path, found = _take_parameters(path)
-    secrets = {*found, *_find_secrets(pairs)}
+    bare, mark, query = path.partition("?")
+    parameters = _read_parameters(query) + _read_cookies(pairs)
+    certain = (value for name, value in parameters if _is_certain(name, value))
+    known = {*_read_headers(pairs), *certain}
+    known.discard("")
+    secrets = known | {value for name, value in parameters if value and _is_key(name, value, known)}
     if len(secrets) > 1:
         raise Refused(RefusalReason.MALFORMED_REQUEST, "several different keys were sent")
-    secret = next(iter(secrets), None)
-    kept = _keep_headers(pairs)
+    kept_query = _keep_parameters(query, known)
+    kept_path = f"{bare}?{kept_query}" if mark and kept_query else bare
+    kept = _keep_headers(pairs, known)
+    return _without_secret(next(iter(secrets), None), kept, kept_path)
+
+
+def _without_secret(secret: str | None, headers: list[Header], path: str) -> Credentials:
     if secret is None:
-        return Credentials(None, kept, bare_path)
+        return Credentials(None, headers, path)
     forms = secret_forms(secret)
-    if _mentions(bare_path, forms):
+    if _mentions(path, forms):
         raise Refused(RefusalReason.MALFORMED_REQUEST, "the key stands in the path")
-    clean = [pair for pair in kept if not any(_mentions(part, forms) for part in pair)]
-    return Credentials(secret, clean, bare_path)
+    clean = [pair for pair in headers if not any(_mentions(part, forms) for part in pair)]
+    return Credentials(secret, clean, path)
+
+
+def _is_certain(name: str, value: str) -> bool:
+    lowered = name.lower()
+    common = lowered in COMMON_PARAMETERS and value.startswith(KEY_PREFIX)
+    return common or lowered in KEY_PARAMETERS
+
+
+def _is_key(name: str, value: str, known: set[str]) -> bool:
+    if _is_certain(name, value):
+        return True
+    return name.lower() in COMMON_PARAMETERS and (not known or value in known)
 
 
 def secret_forms(secret: str) -> frozenset[str]:
@@ -100,31 +125,29 @@
     return any(form in seen for form in forms for seen in (text, decoded, twice))
 
 
-def _take_parameters(path: str) -> tuple[str, list[str]]:
-    bare, mark, query = path.partition("?")
-    if not mark:
-        return path, []
-    kept, secrets = [], []
-    for part in query.split("&"):
-        name, _, value = part.partition("=")
-        if unquote_plus(name).lower() not in KEY_PARAMETERS:
-            kept.append(part)
-        elif value:
-            secrets.append(unquote_plus(value))
-    return (f"{bare}?{'&'.join(kept)}" if kept else bare), secrets
-
-
-def _find_secrets(headers: list[Header]) -> list[str]:
+def _read_parameters(query: str) -> list[Header]:
+    return [_read_parameter(part) for part in query.split("&") if part]
+
+
+def _read_parameter(part: str) -> Header:
+    name, _, value = part.partition("=")
+    return unquote_plus(name), unquote_plus(value)
+
+
+def _keep_parameters(query: str, known: set[str]) -> str:
+    parts = query.split("&")
+    return "&".join(part for part in parts if not _is_key(*_read_parameter(part), known))
+
+
+def _read_headers(headers: list[Header]) -> list[str]:
     found: list[str] = []
     for name, value in headers:
         match name.lower():
             case "authorization" | "proxy-authorization":
                 found.extend(_read_authorization(value))
-            case "cookie":
-                found.extend(_read_cookies(value))
             case lowered if lowered in KEY_HEADERS:
                 found.append(value.strip())
-    return [secret for secret in found if secret]
+    return found
 
 
 def _read_authorization(value: str) -> list[str]:
@@ -150,22 +173,23 @@
     return [password or user]
 
 
-def _read_cookies(value: str) -> list[str]:
-    found = []
-    for part in value.split(";"):
-        name, _, content = part.strip().partition("=")
-        if name.lower() in KEY_PARAMETERS:
-            found.append(unquote(content.strip().strip('"')))
-    return found
+def _read_cookies(headers: list[Header]) -> list[Header]:
+    values = [value for name, value in headers if name.lower() == "cookie"]
+    return [_read_cookie(part) for value in values for part in value.split(";")]
+
+
+def _read_cookie(part: str) -> Header:
+    name, _, content = part.strip().partition("=")
+    return name, unquote(content.strip().strip('"'))
 
 
-def _keep_headers(headers: list[Header]) -> list[Header]:
+def _keep_headers(headers: list[Header], known: set[str]) -> list[Header]:
     named = _named_by_connection(headers)
     kept = []
     for name, value in headers:
         lowered = name.lower()
         if lowered == "cookie":
-            value = _clean_cookies(value)
+            value = _keep_cookies(value, known)
         if value and _may_go_on(lowered) and lowered not in named:
             kept.append((name, value))
     return kept
@@ -188,6 +212,6 @@
     return named - KEPT_LIST_HEADERS
 
 
-def _clean_cookies(value: str) -> str:
+def _keep_cookies(value: str, known: set[str]) -> str:
     parts = [part.strip() for part in value.split(";")]
-    return "; ".join(part for part in parts if part.partition("=")[0].lower() not in KEY_PARAMETERS)
+    return "; ".join(part for part in parts if not _is_key(*_read_cookie(part), known))
