--- a/packages/bilberryplank-core/bilberryplank_core/_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempts.py
@@ -16,6 +16,7 @@
     RequestTraits,
     parse_reason,
 )
+from bilberryplank_core._candidates import Candidates
 from bilberryplank_core._chooser import UpstreamChooser
 from bilberryplank_core._errors import RefusalReason, RetryReason
 from bilberryplank_core._messages import AttemptId, End, Failed, Head, NotRun
@@ -51,7 +52,6 @@
     __slots__ = (
         "_cancelled",
         "_candidates",
-        "_chooser",
         "_current",
         "_history",
         "_max_attempts",
@@ -71,8 +71,7 @@
         max_attempts: int,
     ) -> None:
         self._traits = traits
-        self._candidates = candidates
-        self._chooser = chooser
+        self._candidates = Candidates(candidates, chooser, traits)
         self._retry_budget = retry_budget
         self._max_attempts = max_attempts
         self._history = AttemptHistory()
@@ -116,9 +115,9 @@
         """
         if self._current is None or self._cancelled or not self._traits.idempotent:
             return False
-        if self._retry_budget.tokens < 1 or not self._upstream_is_suspect(now):
+        if self._retry_budget.tokens < 1 or self._candidates.all_in(self._history.asked):
             return False
-        self._cancelled = any(item.name not in self._history.asked for item in self._candidates)
+        self._cancelled = self._candidates.is_suspect(self._upstream, now)
         return self._cancelled
 
     def not_run(
@@ -242,24 +241,11 @@
         tokens, text = (progress.tokens, progress.text) if progress.started else (0, "")
         return SendTo(upstream, self._current, budget, retry, tokens, text)
 
-    def _upstream_is_suspect(self, now: float) -> bool:
-        return self._upstream is not None and self._chooser.is_suspect(self._upstream.name, now)
-
     def _choose(self, retry: RetryReason | None, now: float) -> Upstream | None:
-        traits = self._traits
-        arguments = (
-            self._candidates,
-            now,
-            self._history.asked,
-            traits.affinity,
-            traits.tries_ejected,
-        )
-        upstream = self._chooser.choose(*arguments)
+        upstream = self._candidates.choose(self._history.asked, now)
         may_ask_again = retry not in _ASK_ONCE and self._history.count < self._max_attempts
         if upstream is None and may_ask_again:
-            return self._chooser.choose(
-                self._candidates, now, set(), traits.affinity, traits.tries_ejected
-            )
+            return self._candidates.choose(set(), now)
         return upstream
 
     def _settle(self, now: float) -> Step:
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_candidates.py
@@ -0,0 +1,37 @@
+"""The eligible upstreams of one request, and how one of them is chosen."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from bilberryplank_core._attempt_rules import RequestTraits
+from bilberryplank_core._chooser import UpstreamChooser
+from bilberryplank_core._world import Upstream
+
+
+class Candidates:
+    """Asks the entry's chooser on behalf of one request; times are monotonic seconds."""
+
+    __slots__ = ("_chooser", "_traits", "_upstreams")
+
+    def __init__(
+        self, upstreams: Sequence[Upstream], chooser: UpstreamChooser, traits: RequestTraits
+    ) -> None:
+        self._upstreams = upstreams
+        self._chooser = chooser
+        self._traits = traits
+
+    def choose(self, excluded: set[str], now: float) -> Upstream | None:
+        """Returns an upstream whose name is not excluded, or None without one."""
+        traits = self._traits
+        return self._chooser.choose(
+            self._upstreams, now, excluded, traits.affinity, traits.tries_ejected
+        )
+
+    def all_in(self, names: set[str]) -> bool:
+        """Returns True where no other upstream is left."""
+        return all(item.name in names for item in self._upstreams)
+
+    def is_suspect(self, upstream: Upstream | None, now: float) -> bool:
+        """Returns True where what waits at the upstream is better taken elsewhere."""
+        return upstream is not None and self._chooser.is_suspect(upstream.name, now)
