Let the writer of a change send it to processes while the table is down

Cause: a change is accepted once the table has it; where the table goes down before any process polled, a withdrawn key would go on working as long as the outage. Change: the store keeps the change of its last write, and the update that processes send each other is a module of its own, so that the operators' command can send one too. Seen to fail on a scratch copy without the change kept and without the check of the header's version.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import json
 from collections import deque
-from collections.abc import Callable, Iterator
-from io import BytesIO
-from typing import Any
+from collections.abc import Callable
 
 from bilberryplank_core._configuration import Configuration
-from bilberryplank_core._configuration_chunks import ChunkReader, chunks
 from bilberryplank_core._configuration_delta import ConfigurationDelta
-from bilberryplank_core._errors import ConfigurationInvalid, Fault
+from bilberryplank_core._configuration_updates import (
+    ChangesUpdate,
+    WholeUpdate,
+    encode_update,
+    read_update,
+)
 
 KEPT_ITEMS = 2000
 """Items in the changes that a process keeps for its peers."""
@@ -106,14 +107,7 @@
 
     def update_since(self, version: int) -> bytes:
         """Returns what brings a peer from `version` to the one in force, as lines of JSON."""
-        deltas = self._deltas_since(version)
-        whole = deltas is None
-        lines: list[Any] = [{"version": self.version, "whole": whole}]
-        if deltas is None:
-            lines.extend(chunks(self._configuration))
-        else:
-            lines.extend(delta.to_document() for delta in deltas)
-        return b"\n".join(_line(value) for value in lines)
+        return encode_update(self._configuration, self._deltas_since(version))
 
     def accept_update(self, update: bytes, confirmed_age: float) -> bool:
         """Takes a peer's `update_since`; returns True where the version went up.
@@ -121,19 +115,15 @@
         Raises:
             ConfigurationInvalid: The bytes are no update.
         """
-        lines = _values(update)
-        version, whole = _header(next(lines))
         confirmed_at = self._clock() - confirmed_age
         before = self.version
-        if whole and version > before:
-            reader = ChunkReader()
-            for value in lines:
-                reader.add(value)
-            self.offer(version, reader.build(version), confirmed_at)
-        elif not whole:
-            for value in lines:
-                self.offer_delta(ConfigurationDelta.from_document(value), float("-inf"))
-        self.confirm(version, confirmed_at)
+        match read_update(update, before):
+            case WholeUpdate(configuration):
+                self.offer(configuration.version, configuration, confirmed_at)
+            case ChangesUpdate(version, deltas):
+                for delta in deltas:
+                    self.offer_delta(delta, float("-inf"))
+                self.confirm(version, confirmed_at)
         return self.version > before
 
     def _deltas_since(self, version: int) -> list[ConfigurationDelta] | None:
@@ -155,29 +145,3 @@
         self._confirmed_at = confirmed_at
         for subscriber in self._subscribers:
             subscriber(configuration)
-
-
-def _line(value: Any) -> bytes:
-    return json.dumps(value, separators=(",", ":")).encode()
-
-
-def _values(update: bytes) -> Iterator[Any]:
-    for line in BytesIO(update):
-        yield _parsed(line)
-    if not update:
-        yield None
-
-
-def _parsed(line: bytes) -> Any:
-    try:
-        return json.loads(line)
-    except ValueError as exc:
-        raise ConfigurationInvalid([Fault("update", f"is not JSON: {exc}")]) from exc
-
-
-def _header(value: Any) -> tuple[int, bool]:
-    match value:
-        case {"version": int(version), "whole": bool(whole)} if type(version) is int:
-            return version, whole
-        case _:
-            raise ConfigurationInvalid([Fault("update", "has no header", "version and whole")])
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
@@ -47,13 +47,18 @@
 
     Every method may raise `PlatformUnavailable`; from one that writes it means that the outcome
     could not be settled.
+
+    Attributes:
+        last_change: The change that the last write made; None before. Whoever wrote it can send
+            it to processes at once, in case the table goes down before one of them reads it.
     """
 
-    __slots__ = ("_make_id", "_table")
+    __slots__ = ("_make_id", "_table", "last_change")
 
     def __init__(self, table: Table, make_id: Callable[[], str] = lambda: uuid.uuid4().hex) -> None:
         self._table = table
         self._make_id = make_id
+        self.last_change: ConfigurationDelta | None = None
 
     async def read_head(self) -> ConfigurationHead:
         """Returns the head row; version 0 where nothing was ever written."""
@@ -145,7 +150,8 @@
 
     async def _write(self, current: _Current, configuration: Configuration) -> Configuration:
         head = current.head
-        change = ConfigurationDelta.between(current.configuration, configuration).to_document()
+        delta = ConfigurationDelta.between(current.configuration, configuration)
+        change = delta.to_document()
         fits = len(json.dumps(change)) <= MAX_CHANGE_CHARS
         new = replace(head, version=configuration.version, change_id=self._make_id())
         if not fits or new.version - head.checkpoint >= CHANGES_PER_CHECKPOINT or not head.version:
@@ -157,6 +163,7 @@
         except Conflict:
             await self._delete(new.part_keys() if checkpointed else [])
             raise
+        self.last_change = delta
         if checkpointed:
             await self._delete(head.part_keys() + _old_change_keys(new.version))
         return configuration
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_updates.py
@@ -0,0 +1,87 @@
+"""Updates that one process sends another: lines of JSON, a header and then changes or chunks."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from io import BytesIO
+from typing import Any
+
+from bilberryplank_core._configuration import Configuration
+from bilberryplank_core._configuration_chunks import ChunkReader, chunks
+from bilberryplank_core._configuration_delta import ConfigurationDelta
+from bilberryplank_core._errors import ConfigurationInvalid, Fault
+
+
+@dataclass(slots=True, frozen=True)
+class WholeUpdate:
+    """A whole configuration."""
+
+    configuration: Configuration
+
+
+@dataclass(slots=True, frozen=True)
+class ChangesUpdate:
+    """The changes, oldest first, that lead to a version; none where a whole is not newer."""
+
+    version: int
+    deltas: tuple[ConfigurationDelta, ...]
+
+
+Update = WholeUpdate | ChangesUpdate
+
+
+def encode_update(configuration: Configuration, deltas: list[ConfigurationDelta] | None) -> bytes:
+    """Returns the update that leads to a configuration.
+
+    Args:
+        configuration: The configuration to which it leads.
+        deltas: The changes that lead to it, oldest first; None to send the whole.
+    """
+    lines: list[Any] = [{"version": configuration.version, "whole": deltas is None}]
+    if deltas is None:
+        lines.extend(chunks(configuration))
+    else:
+        lines.extend(delta.to_document() for delta in deltas)
+    return b"\n".join(json.dumps(line, separators=(",", ":")).encode() for line in lines)
+
+
+def read_update(update: bytes, version: int) -> Update:
+    """Returns what an update holds; a whole no newer than `version` is not read.
+
+    Raises:
+        ConfigurationInvalid: The bytes are no update.
+    """
+    lines = _values(update)
+    newest, whole = _header(next(lines))
+    if not whole:
+        return ChangesUpdate(newest, tuple(map(ConfigurationDelta.from_document, lines)))
+    if newest <= version:
+        return ChangesUpdate(newest, ())
+    reader = ChunkReader()
+    for line in lines:
+        reader.add(line)
+    return WholeUpdate(reader.build(newest))
+
+
+def _values(update: bytes) -> Iterator[Any]:
+    for line in BytesIO(update):
+        yield _parsed(line)
+    if not update:
+        yield None
+
+
+def _parsed(line: bytes) -> Any:
+    try:
+        return json.loads(line)
+    except ValueError as exc:
+        raise ConfigurationInvalid([Fault("update", f"is not JSON: {exc}")]) from exc
+
+
+def _header(value: Any) -> tuple[int, bool]:
+    match value:
+        case {"version": int(version), "whole": bool(whole)} if type(version) is int:
+            return version, whole
+        case _:
+            raise ConfigurationInvalid([Fault("update", "has no header", "version and whole")])
--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -5,6 +5,7 @@
 from bilberryplank_core._configuration_holder import ConfigurationHolder
 from bilberryplank_core._configuration_rows import ConfigurationHead
 from bilberryplank_core._configuration_store import ConfigurationStore
+from bilberryplank_core._configuration_updates import encode_update
 from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
 from bilberryplank_core._membership import Membership, MemberState
 from bilberryplank_core._orders import JournalledOrder, OrderJournal, OrderState
@@ -67,6 +68,7 @@
     "UsageSpoolCounters",
     "UsageWindows",
     "chunks",
+    "encode_update",
     "is_ranked",
     "needed_upstreams",
     "poll_configuration",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_holder.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_holder.py
@@ -3,7 +3,13 @@
 
 from bilberryplank_core.configuration import Configuration, ConfigurationParts
 from bilberryplank_core.errors import ConfigurationInvalid
-from bilberryplank_core.fleet import ConfigurationDelta, ConfigurationHolder
+from bilberryplank_core.fleet import (
+    ConfigurationDelta,
+    ConfigurationHolder,
+    ConfigurationStore,
+    encode_update,
+)
+from bilberryplank_core.tests._memory_platform import MemoryTable
 from bilberryplank_core.tests.test_configuration_store import DOCUMENT
 from bilberryplank_core.world import Organisation
 
@@ -23,6 +29,24 @@
     return Configuration.from_document(version, {**DOCUMENT, "limits": [{"name": f"l{version}"}]})
 
 
+class PushedChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_writer_sends_its_change_while_the_table_is_down(self):
+        table = MemoryTable()
+        store = ConfigurationStore(table)
+        first = await store.write(0, DOCUMENT)
+        holder = ConfigurationHolder(lambda: 100.0)
+        holder.offer(1, first, 0.0)
+        changed = await store.withdraw_key("k1")
+        table.down = True
+        update = encode_update(changed, [store.last_change])
+        self.assertTrue(holder.accept_update(update, 0.0))
+        self.assertTrue(holder.configuration.keys["k1"].withdrawn)
+        late = ConfigurationHolder(lambda: 100.0)
+        self.assertFalse(late.accept_update(update, 0.0))
+        self.assertTrue(late.accept_update(encode_update(changed, None), 0.0))
+        self.assertEqual(late.configuration, holder.configuration)
+
+
 class ConfigurationHolderTest(unittest.TestCase):
     def setUp(self):
         self.now = 100.0
