--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -9,6 +9,7 @@
 from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
 from bilberryplank_core._membership import Membership, MemberState
 from bilberryplank_core._orders import JournalledOrder, OrderJournal, OrderState
+from bilberryplank_core._policy_drains import PolicyDrains
 from bilberryplank_core._pollers import PollSchedule, poll_configuration, polls
 from bilberryplank_core._ranking import is_ranked, ranked, weight
 from bilberryplank_core._scaling import (
@@ -49,6 +50,7 @@
     "Membership",
     "OrderJournal",
     "OrderState",
+    "PolicyDrains",
     "PollSchedule",
     "PoolLoad",
     "PoolMember",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_windows.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_windows.py
@@ -99,6 +99,49 @@
         batches = [key for _, key in self.table.rows if key.startswith(("batch/", "part/"))]
         self.assertEqual(batches, [])
 
+    async def test_totals_are_exact_whichever_process_dies(self):
+        """Each case says which calls are made; a process that died makes no more of them."""
+        cases = {
+            "entry dies before it flushes": ["gone", "sidecar"],
+            "entry dies once it flushed": ["entry", "gone", "sidecar"],
+            "sidecar dies": ["entry"],
+            "sidecar dies once it flushed": ["gone", "sidecar", "entry"],
+            "aggregator dies between": ["entry", "pass", "take over", "gone", "sidecar"],
+            "nobody dies": ["entry", "confirm", "pass", "gone", "sidecar"],
+        }
+        for name, calls in cases.items():
+            with self.subTest(name):
+                await self.asyncSetUp()
+                await self.run_calls(calls)
+                await self.later(WINDOW + GRACE)
+                await self.pass_all(self.windows)
+                await self.reporter.advance()
+                self.assertEqual(self.totals(), {1000: [1111]})
+
+    async def run_calls(self, calls):
+        entry = UsageSpool("entry", lambda: self.now, 2.0, 100, Random(1))
+        sidecar = UsageSpool("sidecar", lambda: self.now, 2.0, 100, Random(1), hold=30.0)
+        for number in range(4):
+            record = UsageRecord(f"e-{number}", "org", "desk", 1, 10**number, 1, START + 1.0)
+            entry.add(record)
+            sidecar.add(record)
+        stored = []
+        for call in calls:
+            match call:
+                case "entry":
+                    stored = await entry.flush(self.table)
+                case "confirm":
+                    sidecar.confirm(stored)
+                case "gone":
+                    sidecar.release("e")
+                case "sidecar":
+                    await sidecar.flush(self.table)
+                case "pass":
+                    await self.pass_all(self.windows)
+                case "take over":
+                    await self.lease.release()
+                    self.lease, self.windows, self.reporter = await self.process("next")
+
     async def test_repeated_batch_after_it_was_counted(self):
         await self.store("entry", [0, 1])
         rows = {k: r for k, r in self.table.rows.items() if k[1].startswith("batch/")}
--- a/packages/bilberryplank-testing/bilberryplank_testing/_fleet_links.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_fleet_links.py
@@ -67,8 +67,8 @@
 def _reach(links: dict[str, set[str]], wait: float, rng: random.Random) -> dict[str, float]:
     reached: dict[str, float] = {}
     phases = {}
-    for name, peers in links.items():
-        for peer in peers:
+    for name, peers in sorted(links.items()):
+        for peer in sorted(peers):
             phases.setdefault(tuple(sorted((name, peer))), rng.uniform(0, HEARTBEAT))
     pollers = rng.sample(sorted(links), POLLERS)
     frontier = [(rng.uniform(0, 1.0), name) for name in pollers]
