Let every organisation queue one request of a class before refusing early

Cause: what a floor gives went to whoever came just when the class was owed a dispatch, so small organisations were served by chance. Tests: the early refusal cases now have one request queued first, for a first one is never refused early; each was seen to fail without its mechanism, as was the new case.

--- a/packages/bilberryplank-core/bilberryplank_core/_admission.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_admission.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from bilberryplank_core._classes import ClassQueue, has_floor_place, is_owed
+from bilberryplank_core._classes import ClassQueue, has_floor_place
 from bilberryplank_core._preemption import Preemption
 from bilberryplank_core._queue_policy import TieredPolicy
 from bilberryplank_core._queue_types import QueuedRequest
@@ -36,10 +36,11 @@
     def refuses(self, req: QueuedRequest, now: float) -> bool:
         """Returns whether a newcomer would miss its deadline and no lower tier gives way.
 
-        A class that is owed its floor and has nothing queued is always let in.
+        An organisation may always have one request queued in a class, so that what its floor gives
+        is shared fairly, and not by who comes just when the class is owed a dispatch.
         """
         queue = self._classes[req.class_name]
-        if not self._policy.early_refusal or (is_owed(queue) and not len(queue)):
+        if not self._policy.early_refusal or not queue.has_queued(req.organisation):
             return False
         wait = self._waits.wait(req, self._classes.values(), self._slots, now)
         if now + wait + self._waits.service(req) <= req.deadline:
--- a/packages/bilberryplank-core/bilberryplank_core/_classes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_classes.py
@@ -92,6 +92,10 @@
         yield from self.late.organisations()
         yield from self.timely.organisations()
 
+    def has_queued(self, organisation: str) -> bool:
+        """Returns whether an organisation has a queued request."""
+        return (self.timely.get(organisation) or self.late.get(organisation)) is not None
+
     def urgency(self) -> tuple[int, bool, float]:
         """Returns a key by which the class to serve first is the least one."""
         oldest = next(iter(self._by_arrival.values()), None)
