Wire membership, subsets, limits and probes into the entry, and prove stops and configuration

Cause: an upstream that the host list showed as leaving still got work (scenario failed before), every entry linked to every upstream, limits did nothing, a restarted process had no configuration while the table was silent (scenario failed before), and links that were idle showed a change only at the next heartbeat. Change: an entry keeps links to the subset of each route and judges upstreams by host list, own word, drains and silence; a new configuration is announced on every link at once; an entry without one asks sidecars of the host list; limits of organisations admit and settle each request; the chooser hears of every attempt once, of refusals and losses, and stale pools are probed; an attempt that takes too long is cancelled and made elsewhere. Ruled out: taking upstreams that were never heard as suspects without opening links to them first, which sends everything to the first one heard.

--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 import signal
 
@@ -5,6 +6,7 @@
 from behave import given, register_type, then, when
 
 from bilberryplank_core.configuration import Configuration
+from bilberryplank_core.errors import Conflict
 from bilberryplank_testing.deployment import UpstreamSpec, WireState
 
 
@@ -28,7 +30,12 @@
     return text
 
 
-register_type(Service=parse_service)
+@parse.with_pattern(r"entry-\d+")
+def parse_entry(text):
+    return text
+
+
+register_type(Service=parse_service, Entry=parse_entry)
 register_type(Name=parse_name, Text=parse_text, Words=parse_words)
 
 STEP = ["--step-seconds", "0.01", "--prefill-rate", "50000"]
@@ -68,6 +75,8 @@
 
 @when("{name:Name} is killed")
 def step_kill(context, name):
+    if name in context.world.deployment.fakes:
+        context.world.runs(name)
     context.world.run(child_of(context.world, name).kill())
 
 
@@ -165,3 +174,68 @@
 
 def configuration_of(world) -> Configuration:
     return world.run(world.deployment.store().read())
+
+
+@when("{name:Name} is cut off from the platform")
+def step_cut_off(context, name):
+    set_platform_wire(context.world, name, WireState.CUT)
+
+
+@when("{name:Name} reaches the platform again")
+def step_reaches(context, name):
+    set_platform_wire(context.world, name, WireState.OPEN)
+
+
+def set_platform_wire(world, name, state):
+    async def change():
+        world.deployment.platform_wires[name].set(state)
+
+    world.run(change())
+
+
+@when("the host list says that {name:Name} leaves")
+def step_host_leaves(context, name):
+    world = context.world
+    world.run(world.deployment.publish_hosts(leaving=(f"sidecar-{name}",)))
+
+
+@when("the table answers reads from {seconds:d} seconds ago")
+def step_stale(context, seconds):
+    fault = {"service": "table", "kind": "stale", "seconds": seconds, "count": 0}
+    context.world.run(context.world.deployment.tell("platform", "/_faults", fault))
+
+
+@when("two operators write the same version at the same moment")
+def step_two_operators(context):
+    world = context.world
+    version = world.run(world.deployment.store().read_head()).version
+    document = configuration_of(world).to_document()
+
+    async def write():
+        store = world.deployment.store()
+        try:
+            return (await store.write(version, document)).version
+        except Conflict:
+            return None
+
+    async def both():
+        document["organisations"][0]["weight"] = 2.0
+        return await asyncio.gather(write(), write())
+
+    context.results = world.run(both())
+
+
+@then("one of them has a conflict")
+def step_conflict(context):
+    assert sum(result is None for result in context.results) == 1, context.results
+
+
+@when("the key of {organisation:Name} is granted to {other:Name}")
+def step_regrant(context, organisation, other):
+    world = context.world
+    current = configuration_of(world)
+    document = current.to_document()
+    for key in document["keys"]:
+        if key["key_id"] == f"key-{organisation}":
+            key["organisation"] = other
+    world.run(world.deployment.store().write(current.version, document))
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -59,3 +59,17 @@
         world.generate(f"probe-{number}", entry, "acme", "reply", 2)
     world.outcomes("probe-")
     assert len(world.runs(upstream)) == before, world.runs(upstream)[before:]
+
+
+@then("no upstream saw the header {header:Name}")
+def step_no_header(context, header):
+    for entry in context.world.all_runs():
+        names = {name.lower() for name, _ in entry["headers"]}
+        assert header.lower() not in names, entry
+
+
+@then("every refusal says when to come back")
+def step_come_back(context):
+    refused = [item for item in context.world.outcomes("") if item.status in (429, 503)]
+    silent = [item for item in refused if item.retry_after is None]
+    assert not silent, silent
--- a/features/steps/traffic_steps.py
+++ b/features/steps/traffic_steps.py
@@ -1,47 +1,61 @@
 import asyncio
+import json
 
 from behave import then, when
 
-from bilberryplank_testing.engine import answer_text
 
-
-@when("{organisation:Name} asks {entry:Name} for {tokens:d} tokens of {kind:Name} as {name:Name}")
-def step_generate(context, organisation, entry, tokens, kind, name):
-    context.world.generate(name, entry, organisation, kind, tokens)
+@when("{org:Name} asks {entry:Entry} for {tokens:d} tokens of {kind:Name} as {name:Name}")
+def step_generate(context, org, entry, tokens, kind, name):
+    context.world.generate(name, entry, org, kind, tokens)
 
 
 @when(
-    "{organisation:Name} asks {entry:Name} for {count:d} times {tokens:d} tokens of {kind:Name} as {name:Name}"
+    "{org:Name} asks {entry:Entry} for {count:d} times {tokens:d} tokens"
+    " of {kind:Name} as {name:Name}"
 )
-def step_generate_many(context, organisation, entry, count, tokens, kind, name):
+def step_generate_many(context, org, entry, count, tokens, kind, name):
     for number in range(count):
-        context.world.generate(f"{name}-{number}", entry, organisation, kind, tokens)
+        context.world.generate(f"{name}-{number}", entry, org, kind, tokens)
 
 
-@when(
-    "{organisation:Name} asks all for {count:d} times {tokens:d} tokens of {kind:Name} as {name:Name}"
-)
-def step_generate_everywhere(context, organisation, count, tokens, kind, name):
+@when("{org:Name} asks all for {count:d} times {tokens:d} tokens of {kind:Name} as {name:Name}")
+def step_generate_everywhere(context, org, count, tokens, kind, name):
     entries = list(context.world.deployment.entries)
     for number in range(count):
         entry = entries[number % len(entries)]
-        context.world.generate(f"{name}-{number}", entry, organisation, kind, tokens)
+        context.world.generate(f"{name}-{number}", entry, org, kind, tokens)
 
 
-@when("{organisation:Name} posts order {number:Name} through {entry:Name} as {name:Name}")
-def step_order(context, organisation, number, entry, name):
+@when("{org:Name} posts order {number:Name} through {entry:Entry} as {name:Name}")
+def step_order(context, org, number, entry, name):
     body = {"order": {"number": number}}
-    context.world.send(name, entry, "POST", "/orders", organisation, body, "orders")
+    context.world.send(name, entry, "POST", "/orders", org, body, "orders")
+
+
+@when("{org:Name} posts an order without a number through {entry:Entry} as {name:Name}")
+def step_order_without(context, org, entry, name):
+    context.world.send(name, entry, "POST", "/orders", org, {}, "orders")
+
 
+@when("{org:Name} traces {path:Name} through {entry:Entry} as {name:Name}")
+def step_trace(context, org, path, entry, name):
+    context.world.send(name, entry, "GET", f"/trace/{path}", org, None, "trace")
 
-@when("{organisation:Name} posts an order without a number through {entry:Name} as {name:Name}")
-def step_order_without(context, organisation, entry, name):
-    context.world.send(name, entry, "POST", "/orders", organisation, {}, "orders")
+
+@when(
+    "{org:Name} floods all with {tokens:d} tokens of {kind:Name} {rate:g} times a second"
+    " for {seconds:g} seconds as {name:Name}"
+)
+def step_flood(context, org, tokens, kind, rate, seconds, name):
+    context.world.flood(name, org, kind, tokens, rate, seconds)
 
 
-@when("{organisation:Name} traces {path:Name} through {entry:Name} as {name:Name}")
-def step_trace(context, organisation, path, entry, name):
-    context.world.send(name, entry, "GET", f"/trace/{path}", organisation, None, "trace")
+@when(
+    "{org:Name} keeps asking {entry:Entry} for {tokens:d} tokens of {kind:Name}"
+    " for {seconds:g} seconds as {name:Name}"
+)
+def step_come_back(context, org, entry, tokens, kind, seconds, name):
+    context.world.come_back(name, entry, org, kind, tokens, seconds)
 
 
 @when("{seconds:g} seconds pass")
@@ -68,7 +82,7 @@
 def step_whole_text(context, name, tokens):
     outcome = context.world.outcome(name)
     assert outcome.answered, outcome
-    expected = answer_text(f"prompt of {name}", tokens)
+    expected = context.world.expected_text(name, tokens)
     assert outcome.text == expected, (outcome.text, expected)
     assert outcome.tokens == tokens, outcome
 
@@ -106,3 +120,40 @@
     one, two = context.world.outcome(first), context.world.outcome(second)
     assert one.answered and two.answered, (one, two)
     assert one.text == two.text, (one, two)
+
+
+@when("{org:Name} traces {path} through {entry:Entry} with {headers:Text} as {name:Name}")
+def step_trace_with(context, org, path, entry, headers, name):
+    world = context.world
+    secret = world.secrets[f"key-{org}"]
+    fields = json.loads(headers.replace("KEY", secret))
+    target = f"/trace/{path.replace('KEY', secret)}"
+    world.send_as_is(name, entry, "GET", target, fields, "trace")
+
+
+@when("{org:Name} asks {entry:Entry} for {tokens:d} whole tokens of {kind:Name} as {name:Name}")
+def step_generate_whole(context, org, entry, tokens, kind, name):
+    context.world.generate(name, entry, org, kind, tokens, stream=False)
+
+
+@then("all of {prefix:Name} have their own whole text of {tokens:d} tokens")
+def step_own_text(context, prefix, tokens):
+    names = context.world.names(prefix)
+    assert names
+    for name in names:
+        step_whole_text(context, name, tokens)
+
+
+@then("all of {prefix:Name} are refused with {code:Name}")
+def step_all_refused(context, prefix, code):
+    outcomes = context.world.outcomes(prefix)
+    assert outcomes
+    wrong = [outcome for outcome in outcomes if outcome.refusal != code]
+    assert not wrong, wrong
+
+
+@then("{name:Name} ended before the last of {prefix:Name}")
+def step_ended_before(context, name, prefix):
+    first = context.world.outcome(name)
+    last = max(item.sent + item.total for item in context.world.outcomes(prefix))
+    assert first.sent + first.total < last, (first, last)
--- a/packages/bilberryplank-core/bilberryplank_core/_chooser.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_chooser.py
@@ -72,6 +72,10 @@
     def wants_probe(self, now: float) -> str | None:
         """Returns an upstream of the last choice to ask for its load, where hints are stale."""
 
+    def forget(self, upstream: str) -> None:
+        """Drops what is known of an upstream that is no longer configured."""
+        return None
+
 
 class RoundRobinChooser(UpstreamChooser):
     """Takes the candidates in turn; the baseline of measurements."""
--- a/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
@@ -85,6 +85,7 @@
         entry_urls: Where callers reach each entry.
         fake_urls: Where each fake, `platform` included, is reached.
         wires: The network before each sidecar, by the name of its upstream.
+        platform_wires: The network between each process and the platform.
         operations: `ip:port` of the operators' port of each process.
     """
 
@@ -98,6 +99,7 @@
         self.entry_urls: dict[str, str] = {}
         self.fake_urls: dict[str, str] = {}
         self.wires: dict[str, CutProxy] = {}
+        self.platform_wires: dict[str, CutProxy] = {}
         self.operations: dict[str, str] = {}
         self._sidecar_addresses: dict[str, str] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -113,7 +115,8 @@
         self._session = aiohttp.ClientSession()
         try:
             await self._start()
-        except BaseException:
+        except BaseException as exc:
+            exc.add_note(self.logs())
             await self.stop()
             raise
         return self
@@ -122,6 +125,11 @@
         """Stops everything."""
         await self.stop()
 
+    def logs(self, characters: int = 3000) -> str:
+        """Returns the last lines of every process."""
+        paths = sorted(self.directory.glob("*.log"))
+        return "\n".join(f"== {path.name}\n{path.read_text()[-characters:]}" for path in paths)
+
     async def stop(self) -> dict[str, int]:
         """Stops entries, then sidecars, then fakes; returns exit codes by name."""
         codes: dict[str, int] = {}
@@ -133,7 +141,7 @@
                 child.thaw()
             results = await asyncio.gather(*(child.stop() for child in children))
             codes.update(zip((child.name for child in children), results, strict=True))
-        for wire in self.wires.values():
+        for wire in (*self.wires.values(), *self.platform_wires.values()):
             await wire.stop()
         await self._session.close()
         self._session = None
@@ -148,7 +156,7 @@
 
     def store(self) -> ConfigurationStore:
         """Returns the configuration store of the fake platform."""
-        settings = PlatformSettings(**self._platform_settings())
+        settings = PlatformSettings(**_platform_settings(self.fake_urls["platform"]))
         return ConfigurationStore(Platform.from_settings(settings, self.session).table)
 
     async def get(self, fake: str, path: str) -> Any:
@@ -161,6 +169,23 @@
         async with self.session.post(self.fake_urls[fake] + path, json=value) as resp:
             resp.raise_for_status()
 
+    async def publish_hosts(self, leaving: tuple[str, ...] = ()) -> None:
+        """Sets the platform's host list: every entry and sidecar, those named as leaving."""
+        zones = {spec.name: spec.zone for spec in self.spec.upstreams}
+        hosts = [
+            _host(f"sidecar-{name}", zones[name], "sidecar", self._sidecar_addresses[name])
+            for name in self.sidecars
+        ]
+        hosts += [
+            _host(name, "zone-a", "entry", url.removeprefix("http://"))
+            for name, url in self.entry_urls.items()
+        ]
+        for host in hosts:
+            host["state"] = "leaving" if host["name"] in leaving else "live"
+        url = self.fake_urls["platform"] + "/_hosts"
+        async with self.session.put(url, json={"hosts": hosts}) as resp:
+            resp.raise_for_status()
+
     async def wait_ready(self, name: str) -> None:
         """Waits until a process says that it is ready."""
         await self._wait_for(f"http://{self.operations[name]}/readyz")
@@ -173,6 +198,7 @@
         for number in range(1, self.spec.entries + 1):
             await self._start_entry(f"entry-{number}")
         await asyncio.gather(*(self.wait_ready(name) for name in self.operations))
+        await self.publish_hosts()
 
     async def _start_fakes(self) -> None:
         specs = self.spec.upstreams
@@ -203,7 +229,7 @@
         await wire.start()
         name = f"sidecar-{upstream.name}"
         settings = {
-            **self._common_settings(name, upstream.zone),
+            **await self._common_settings(name, upstream.zone),
             "listen": listen,
             "upstream": upstream.name,
             "upstream_kind": upstream.kind,
@@ -216,7 +242,7 @@
     async def _start_entry(self, name: str) -> None:
         address = _new_address()
         settings = {
-            **self._common_settings(name, "zone-a"),
+            **await self._common_settings(name, "zone-a"),
             "listen": address,
             "key_hash_secret": KEY_HASH_SECRET,
             "lame_duck": 0.2,
@@ -233,21 +259,22 @@
         await child.start()
         return child
 
-    def _common_settings(self, name: str, zone: str) -> dict[str, Any]:
+    async def _common_settings(self, name: str, zone: str) -> dict[str, Any]:
+        address = _new_address()
+        target = self.fake_urls["platform"].removeprefix("http://")
+        wire = CutProxy(address, target)
+        self.platform_wires[name] = wire
+        await wire.start()
         return {
             "name": name,
             "zone": zone,
             "operations_listen": _new_address(),
             "fleet_key": FLEET_KEY,
-            "platform": self._platform_settings(),
+            "platform": _platform_settings(f"http://{address}"),
             "fleet": self.spec.fleet,
             "links": self.spec.links,
         }
 
-    def _platform_settings(self) -> dict[str, Any]:
-        names = ("table", "object_store", "upstream_orders", "usage_reports", "host_list")
-        return dict.fromkeys(names, self.fake_urls["platform"])
-
     def _complete(self, document: dict[str, Any]) -> dict[str, Any]:
         keys = [
             {**key, "digest": digest_secret(self.spec.secrets[key["key_id"]], KEY_HASH_SECRET)}
@@ -283,3 +310,12 @@
 
 def _new_address() -> str:
     return f"127.0.0.1:{free_port()}"
+
+
+def _platform_settings(url: str) -> dict[str, str]:
+    names = ("table", "object_store", "upstream_orders", "usage_reports", "host_list")
+    return dict.fromkeys(names, url)
+
+
+def _host(name: str, zone: str, role: str, address: str) -> dict[str, str]:
+    return {"name": name, "zone": zone, "role": role, "address": address}
--- a/packages/bilberryplank-testing/bilberryplank_testing/_ports.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_ports.py
@@ -2,24 +2,33 @@
 
 from __future__ import annotations
 
-import random
+import os
 import socket
+from collections.abc import Iterator
 
-FIRST_PORT = 15000
+FIRST_PORT = 12000
 LAST_PORT = 31999
 """Below the range from which the system takes ports for outgoing connections."""
 
-_handed_out: set[int] = set()
-_rng = random.SystemRandom()
+PORTS_PER_BLOCK = 400
 
 
-def free_port() -> int:
-    """Returns a port that was free a moment ago, and that this process was not given before."""
+def _ports() -> Iterator[int]:
+    """Yields ports of a block that hardly any other process of the moment begins with."""
+    count = LAST_PORT - FIRST_PORT + 1
+    start = os.getpid() * PORTS_PER_BLOCK
+    number = 0
     while True:
-        port = _rng.randint(FIRST_PORT, LAST_PORT)
-        if port not in _handed_out and _is_free(port):
-            _handed_out.add(port)
-            return port
+        yield FIRST_PORT + (start + number) % count
+        number += 1
+
+
+_candidates = _ports()
+
+
+def free_port() -> int:
+    """Returns a port that was free a moment ago, and that this process was not given lately."""
+    return next(port for port in _candidates if _is_free(port))
 
 
 def _is_free(port: int) -> bool:
--- a/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
@@ -10,9 +10,11 @@
 import threading
 from collections.abc import Coroutine
 from concurrent.futures import Future
+from time import monotonic
 from typing import Any, TypeVar
 
 from bilberryplank_testing._caller import Caller, Outcome
+from bilberryplank_testing._engine_text import Prompt, answer_text
 from bilberryplank_testing._scenario_document import MODELS, scenario_document, scenario_secrets
 from bilberryplank_testing.deployment import Deployment, DeploymentSpec, UpstreamSpec
 
@@ -37,6 +39,8 @@
         self.document = scenario_document()
         self.secrets = scenario_secrets()
         self._outcomes: dict[str, Future[Outcome]] = {}
+        self._floods: list[Future[None]] = []
+        self._last_runs: dict[str, list[dict[str, Any]]] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -65,12 +69,9 @@
         self._thread.join(STEP_TIMEOUT_SECONDS)
         self._loop.close()
 
-    def logs(self, characters: int = 3000) -> str:
+    def logs(self) -> str:
         """Returns the last lines of every process."""
-        if self.deployment is None:
-            return ""
-        paths = sorted(self.deployment.directory.glob("*.log"))
-        return "\n".join(f"== {path.name}\n{path.read_text()[-characters:]}" for path in paths)
+        return "" if self.deployment is None else self.deployment.logs()
 
     def send(
         self,
@@ -81,16 +82,28 @@
         organisation: str,
         body: Any,
         kind: str = "",
-        headers: dict[str, str] | None = None,
     ) -> None:
         """Sends a request whose outcome is known by `name`."""
+        secret = self.secrets[f"key-{organisation}"]
+        fields = {"Authorization": f"Bearer {secret}"}
+        self.send_as_is(name, entry, method, path, fields, kind, body)
+
+    def send_as_is(
+        self,
+        name: str,
+        entry: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        kind: str = "",
+        body: Any = None,
+    ) -> None:
+        """Sends a request with just these headers."""
         assert self.deployment is not None
         deployment = self.deployment
         caller = Caller(deployment.session, deployment.entry_urls[entry])
-        outcome = Outcome(kind, organisation)
-        secret = self.secrets[f"key-{organisation}"]
-        fields = {"Authorization": f"Bearer {secret}", **(headers or {})}
-        self._outcomes[name] = self.begin(caller.call(outcome, method, path, fields, body))
+        call = caller.call(Outcome(kind, ""), method, path, headers, body)
+        self._outcomes[name] = self.begin(call)
 
     def generate(
         self,
@@ -100,36 +113,74 @@
         kind: str,
         tokens: int,
         stream: bool = True,
-        prompt: str = "",
     ) -> None:
         """Asks a model for an answer of so many tokens."""
-        body = {
-            "model": MODELS[kind],
-            "stream": stream,
-            "max_tokens": tokens,
-            "fake_output_tokens": tokens,
-            "messages": [{"role": "user", "content": prompt or f"prompt of {name}"}],
-        }
+        body = _generation_body(name, kind, tokens, stream)
         path = "/v1/chat/completions"
         self.send(name, entry, "POST", path, organisation, body, kind)
 
+    def expected_text(self, name: str, tokens: int) -> str:
+        """Returns the text that the fake engine generates for a request."""
+        prompt = Prompt.from_document(_generation_body(name, "reply", tokens, stream=True))
+        return answer_text(prompt.text, tokens)
+
+    def flood(
+        self, name: str, organisation: str, kind: str, tokens: int, rate: float, seconds: float
+    ) -> None:
+        """Asks every entry in turn, `rate` times a second, whatever comes back."""
+        assert self.deployment is not None
+        entries = list(self.deployment.entries)
+
+        async def keep_on() -> None:
+            for number in range(int(rate * seconds)):
+                entry = entries[number % len(entries)]
+                self.generate(f"{name}-{number}", entry, organisation, kind, tokens)
+                await asyncio.sleep(1 / rate)
+
+        self._floods.append(self.begin(keep_on()))
+
+    def come_back(
+        self, name: str, entry: str, organisation: str, kind: str, tokens: int, seconds: float
+    ) -> None:
+        """Asks for an answer and, where it is refused, comes back when it is told to."""
+        deadline = monotonic() + seconds
+
+        async def persist() -> Outcome:
+            number = 0
+            while True:
+                self.generate(f"{name}-try-{number}", entry, organisation, kind, tokens)
+                outcome = await asyncio.wrap_future(self._outcomes[f"{name}-try-{number}"])
+                if outcome.answered or monotonic() > deadline:
+                    return outcome
+                await asyncio.sleep(outcome.retry_after or 1.0)
+                number += 1
+
+        self._outcomes[name] = self.begin(persist())
+
     def outcome(self, name: str) -> Outcome:
         """Waits for the outcome of a request."""
         return self._outcomes[name].result(STEP_TIMEOUT_SECONDS)
 
     def outcomes(self, prefix: str) -> list[Outcome]:
         """Waits for the outcomes of all requests whose name begins with `prefix`."""
-        names = [name for name in self._outcomes if name.startswith(prefix)]
-        return [self.outcome(name) for name in names]
+        for flood in self._floods:
+            flood.result(STEP_TIMEOUT_SECONDS)
+        return [self.outcome(name) for name in self.names(prefix)]
+
+    def names(self, prefix: str) -> list[str]:
+        """Returns the names of the requests that begin with `prefix`."""
+        return [name for name in self._outcomes if name.startswith(prefix)]
 
     def pending(self, name: str) -> bool:
         """Returns True while a request has no outcome."""
         return not self._outcomes[name].done()
 
     def runs(self, upstream: str) -> list[dict[str, Any]]:
-        """Returns the run log of an upstream's fake."""
+        """Returns the run log of an upstream's fake; of a killed one as it was just before."""
         assert self.deployment is not None
-        return self.run(self.deployment.get(upstream, "/_log"))["entries"]
+        if self.deployment.fakes[upstream].running:
+            self._last_runs[upstream] = self.run(self.deployment.get(upstream, "/_log"))["entries"]
+        return self._last_runs[upstream]
 
     def all_runs(self) -> list[dict[str, Any]]:
         """Returns the run logs of all upstreams' fakes."""
@@ -144,3 +195,13 @@
                 return
             self.run(asyncio.sleep(POLL_SECONDS))
         raise AssertionError(f"not within {seconds:g} s: {what}")
+
+
+def _generation_body(name: str, kind: str, tokens: int, stream: bool) -> dict[str, Any]:
+    return {
+        "model": MODELS[kind],
+        "stream": stream,
+        "max_tokens": tokens,
+        "fake_output_tokens": tokens,
+        "messages": [{"role": "user", "content": f"prompt of {name}"}],
+    }
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -11,6 +11,7 @@
 from bilberryplank._entry_requests import EntryRequests
 from bilberryplank._intake import Intake
 from bilberryplank._link import Identity
+from bilberryplank._link_keeper import LinkKeeper
 from bilberryplank._link_pool import LinkPool
 from bilberryplank._logs import log_event
 from bilberryplank._operations_server import ProcessStatus, UpstreamStatus
@@ -19,6 +20,7 @@
 from bilberryplank._repeats import RepeatSettler
 from bilberryplank._request_run import EntryParts
 from bilberryplank._seeds import process_rng
+from bilberryplank._upstream_view import UpstreamView
 from bilberryplank_core.idempotency import IntentJournal
 from bilberryplank_core.routing import (
     InformedChooser,
@@ -29,8 +31,6 @@
 from bilberryplank_core.settings import EntrySettings
 from bilberryplank_core.world import Role
 
-HEARTBEAT_TICK_SECONDS = 1.0
-
 
 class Entry(Process):
     """One entry process."""
@@ -67,7 +67,8 @@
         """Begins to take requests."""
         settings = self._settings
         chooser = self._make_chooser()
-        links = EntryLinks(chooser, self._feed, self.metrics)
+        view = UpstreamView(settings.name, settings.zone, settings.routing)
+        links = EntryLinks(chooser, view.membership, self._feed, self.metrics)
         identity = Identity(Role.ENTRY, settings.name, self.epoch)
         self._pool = LinkPool(identity, settings.fleet_key, settings.links, links)
         parts = EntryParts(
@@ -84,10 +85,14 @@
             journal=self.journal,
         )
         intake = Intake(settings.callers, settings.key_hash_secret, self._feed)
-        self._requests = EntryRequests(intake, parts, settings.routing)
+        self._requests = EntryRequests(intake, parts, view, settings.routing)
         self._server = CallerServer(settings.listen, settings.callers, self._requests.handle)
+        rng = process_rng(settings.name)
+        keeper = LinkKeeper(self._pool, view, self._feed, self._hosts, rng)
+        self._hosts.subscribe(view.list_hosts)
+        self._hosts.subscribe(self._requests.list_hosts)
+        await self._start_part(keeper)
         await self._start_part(self._server)
-        self.add_future(self._send_heartbeats())
         log_event(logger, "entry_started", listen=settings.listen, epoch=self.epoch)
 
     async def drain(self) -> None:
@@ -115,8 +120,3 @@
             UpstreamStatus(item.name, item.zone, item.name in linked, item.draining, 0, 0)
             for item in upstreams
         )
-
-    async def _send_heartbeats(self) -> None:
-        while True:
-            await asyncio.sleep(HEARTBEAT_TICK_SECONDS)
-            self._pool.send_heartbeats(asyncio.get_running_loop().time(), self._feed.shown())
--- a/packages/bilberryplank/bilberryplank/_entry_links.py
+++ b/packages/bilberryplank/bilberryplank/_entry_links.py
@@ -12,6 +12,7 @@
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import FrameDropCause, ProcessMetrics
 from bilberryplank_core.errors import BilberryplankError, FrameInvalid
+from bilberryplank_core.fleet import Membership
 from bilberryplank_core.messages import (
     AttemptId,
     Body,
@@ -21,6 +22,7 @@
     FetchConfiguration,
     Goodbye,
     Head,
+    Heartbeat,
     Load,
     LoadReport,
     Message,
@@ -34,9 +36,14 @@
     """Handles the events of an entry's links."""
 
     def __init__(
-        self, chooser: UpstreamChooser, feed: ConfigurationFeed, metrics: ProcessMetrics
+        self,
+        chooser: UpstreamChooser,
+        membership: Membership,
+        feed: ConfigurationFeed,
+        metrics: ProcessMetrics,
     ) -> None:
         self._chooser = chooser
+        self._membership = membership
         self._feed = feed
         self._metrics = metrics
         self._channels: dict[AttemptId, AttemptChannel] = {}
@@ -54,14 +61,19 @@
             del self._channels[channel.attempt]
 
     def link_ready(self, link: Link) -> None:
-        """Counts the link."""
+        """Counts the link and shows the configuration in force."""
+        assert link.peer is not None
         self._count_links(1)
+        self._membership.hello(link.peer.upstream, link.peer.epoch, _now())
+        shown = self._feed.shown()
+        link.send(Heartbeat(shown.version, shown.confirmed_age))
 
     def link_closed(self, link: Link, exc: BilberryplankError) -> None:
         """Tells every request that waits on the link."""
         assert link.peer is not None
         self._count_links(-1)
         self._chooser.record_lost(link.peer.upstream, _now())
+        self._membership.link_lost(link.peer.upstream, link.peer.epoch)
         log_event(logger, "link_lost", upstream=link.peer.upstream, cause=exc)
         for channel in list(self._channels.values()):
             if channel.link is link:
@@ -98,7 +110,9 @@
 
     def _note_load(self, link: Link, load: Load) -> None:
         assert link.peer is not None
-        self._chooser.record_load(link.peer.upstream, load, _now())
+        upstream, epoch = link.peer.upstream, link.peer.epoch
+        self._chooser.record_load(upstream, load, _now())
+        self._membership.heard(upstream, epoch, load.leaving, _now())
         self._feed.peer_showed(link, load.version, load.confirmed_age)
 
     def _count_links(self, change: int) -> None:
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 
 from aiohttp import web
 from loguru import logger
@@ -16,12 +15,20 @@
 from bilberryplank._metrics import NO_CLASS, RequestOutcome
 from bilberryplank._refusals import refusal_response
 from bilberryplank._request_run import EntryParts, RequestRun
+from bilberryplank._upstream_view import UpstreamView
+from bilberryplank_core.configuration import Configuration
 from bilberryplank_core.errors import RefusalReason, Refused
 from bilberryplank_core.fleet import RequestIds
 from bilberryplank_core.idempotency import RequestIdentity, identify
-from bilberryplank_core.routing import RequestAttempts, RequestTraits, affinity_key
+from bilberryplank_core.routing import (
+    OrganisationLimits,
+    RequestAttempts,
+    RequestTraits,
+    affinity_key,
+)
+from bilberryplank_core.scheduling import OutputEstimator
 from bilberryplank_core.settings import RoutingSettings
-from bilberryplank_core.world import ServiceRoute, Upstream
+from bilberryplank_core.world import Host, Key, ServiceRoute
 
 
 class EntryRequests:
@@ -32,13 +39,24 @@
         draining: True once the entry is about to stop.
     """
 
-    def __init__(self, intake: Intake, parts: EntryParts, routing: RoutingSettings) -> None:
+    def __init__(
+        self, intake: Intake, parts: EntryParts, view: UpstreamView, routing: RoutingSettings
+    ) -> None:
         self.in_flight = 0
         self.draining = False
         self._ids = RequestIds(parts.epoch)
         self._intake = intake
         self._parts = parts
+        self._view = view
         self._routing = routing
+        self._upstreams: set[str] = set()
+        self._lengths = OutputEstimator()
+        self._limits = OrganisationLimits(parts.feed.configuration)
+        parts.feed.holder.subscribe(self._configuration_changed)
+
+    def list_hosts(self, _: list[Host]) -> None:
+        """Takes in how many entries share the limits of organisations."""
+        self._limits.set_entries(len(self._view.entries), _now())
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Returns the final answer to a request."""
@@ -52,7 +70,7 @@
             self.in_flight -= 1
 
     async def _handle(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
-        arrived = asyncio.get_running_loop().time()
+        arrived = _now()
         credentials, key = self._intake.authenticate(request)
         if is_models_list(request, credentials.path):
             return self._intake.list_models(key)
@@ -60,19 +78,37 @@
         class_name = call.classified.request_class.name
         self._record(call, DecisionStep.CLASSIFIED, f"class={class_name}")
         try:
-            return await self._run(request, call)
+            return await self._run_admitted(request, call, key)
         except Refused as refused:
             return self._refuse(request_id, refused, class_name)
 
-    async def _run(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
+    async def _run_admitted(
+        self, request: web.BaseRequest, call: Call, key: Key
+    ) -> web.StreamResponse:
+        """Runs a request under the limits of its organisation."""
+        class_name, organisation = call.classified.request_class.name, key.organisation
+        prompt = call.model_call.prompt_tokens if call.model_call else 0
+        limit = call.model_call.output_limit if call.model_call else 0
+        output = self._lengths.estimate(class_name, organisation, limit) if prompt else 0
+        admission = self._limits.admit(key, class_name, prompt + output, _now())
+        run = self._prepare(request, call)
+        try:
+            return await self._run(call, run)
+        finally:
+            used = run.usage
+            if used is not None and prompt:
+                self._lengths.observe(class_name, organisation, used.completion_tokens)
+            actual = used.prompt_tokens + used.completion_tokens if used is not None else 0
+            self._limits.settle(admission, actual)
+
+    def _prepare(self, request: web.BaseRequest, call: Call) -> RequestRun:
         answer = CallerAnswer(request, call.request_id, self.draining, not call.idempotent)
         intent = CallIntent(self._parts.intents, _identity_of(call))
-        run = RequestRun(self._parts, call, self._attempts(call), answer, intent)
+        return RequestRun(self._parts, call, self._attempts(call), answer, intent)
+
+    async def _run(self, call: Call, run: RequestRun) -> web.StreamResponse:
         try:
-            if call.idempotent:
-                resp = await run.run()
-            else:
-                resp = await self._run_to_end(run, answer)
+            resp = await (run.run() if call.idempotent else self._run_to_end(run))
         except (CallerGone, asyncio.CancelledError):
             run.note_caller_gone()
             self._log(call, "request_left")
@@ -80,13 +116,13 @@
         self._log(call, "request_answered")
         return resp
 
-    async def _run_to_end(self, run: RequestRun, answer: CallerAnswer) -> web.StreamResponse:
+    async def _run_to_end(self, run: RequestRun) -> web.StreamResponse:
         """Runs a call that may run once; its end is followed even where the caller leaves."""
         task = asyncio.create_task(run.run())
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
-            answer.discard()
+            run.answer.discard()
             self.in_flight += 1
             task.add_done_callback(self._left_run_ended)
             raise
@@ -110,19 +146,16 @@
             deadline=call.arrived + call.classified.request_class.deadline,
             asks_all=call.classified.rank < lowest,
             affinity=affinity,
+            tries_ejected=call.classified.rank > 0,
         )
         return RequestAttempts(
             traits,
-            self._candidates(call),
+            self._view.candidates(call.classified.upstreams),
             self._parts.chooser,
             self._parts.retry_budget,
             self._routing.max_attempts,
         )
 
-    def _candidates(self, call: Call) -> Sequence[Upstream]:
-        upstreams = self._parts.feed.configuration.upstreams
-        return [upstreams[name] for name in call.classified.upstreams]
-
     def _refuse(self, request_id: str, refused: Refused, class_name: str) -> web.Response:
         outcome = RequestOutcome.NOT_RUN if refused.not_run else RequestOutcome.MAY_HAVE_RUN
         self._parts.metrics.refused(refused.reason, class_name)
@@ -142,7 +175,7 @@
         return resp
 
     def _log(self, call: Call, event: str) -> None:
-        seconds = asyncio.get_running_loop().time() - call.arrived
+        seconds = _now() - call.arrived
         log_event(
             logger,
             event,
@@ -153,6 +186,12 @@
             seconds=seconds,
         )
 
+    def _configuration_changed(self, configuration: Configuration) -> None:
+        for name in self._upstreams - configuration.upstreams.keys():
+            self._parts.chooser.forget(name)
+        self._upstreams = set(configuration.upstreams)
+        self._limits.set_configuration(configuration, _now())
+
     def _record(self, call: Call, step: DecisionStep, detail: str = "") -> None:
         self._parts.journal.record(call.request_id, step, detail)
 
@@ -166,3 +205,7 @@
 
 
 _CLOSING_REASONS = frozenset((RefusalReason.SLOW_SENDER, RefusalReason.BODY_TOO_LARGE))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_host_feed.py
+++ b/packages/bilberryplank/bilberryplank/_host_feed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from loguru import logger
 from mode import Service
@@ -27,15 +28,25 @@
     def __init__(self, hosts: HostList, rng: random.Random) -> None:
         super().__init__()
         self.hosts: list[Host] = []
+        self._subscribers: list[Callable[[list[Host]], None]] = []
         self._source = hosts
         self._rng = rng
 
+    def subscribe(self, subscriber: Callable[[list[Host]], None]) -> None:
+        """Has `subscriber` called with the last list, and with each one that is read."""
+        self._subscribers.append(subscriber)
+        if self.hosts:
+            subscriber(self.hosts)
+
     async def refresh(self) -> None:
         """Reads the list once; keeps the last one where that fails."""
         try:
             self.hosts = await self._source.hosts()
         except PlatformError as exc:
             log_event(logger, "host_list_read_failed", level="WARNING", code=exc.code)
+            return
+        for subscriber in self._subscribers:
+            subscriber(self.hosts)
 
     async def on_started(self) -> None:
         """Begins to read."""
--- a/packages/bilberryplank/bilberryplank/_link_pool.py
+++ b/packages/bilberryplank/bilberryplank/_link_pool.py
@@ -83,6 +83,12 @@
         except TimeoutError as exc:
             raise LinkClosed(f"no link to {address} in time") from exc
 
+    def find(self, address: str) -> Link | None:
+        """Returns the open link to the sidecar at `address`, if there is one."""
+        peer = self._peers.get(address)
+        link = peer.link if peer is not None else None
+        return link if link is not None and link.is_open else None
+
     def open_links(self) -> list[Link]:
         """Returns the links whose handshake succeeded."""
         links = [peer.link for peer in self._peers.values() if peer.link is not None]
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from bilberryplank._attempt_channel import AttemptChannel, Frame, LinkLost
+from bilberryplank._attempt_channel import AttemptChannel, Event, Frame, LinkLost
 from bilberryplank._call_intent import CallIntent
 from bilberryplank._caller_answer import CallerAnswer, CallerGone
 from bilberryplank._configuration_feed import ConfigurationFeed
@@ -33,6 +33,7 @@
     Dispatch,
     End,
     Failed,
+    Heartbeat,
     NotRun,
     Settle,
     Usage,
@@ -56,6 +57,9 @@
 )
 from bilberryplank_core.world import Upstream
 
+PATIENCE_SECONDS = 0.25
+"""Time between looks at whether an attempt has taken too long to begin."""
+
 
 @dataclass(slots=True)
 class EntryParts:
@@ -96,7 +100,12 @@
 
 
 class RequestRun:
-    """Carries out the steps that a request's attempts decide."""
+    """Carries out the steps that a request's attempts decide.
+
+    Attributes:
+        answer: The answer to the caller.
+        usage: What the request used, once its answer is whole.
+    """
 
     def __init__(
         self,
@@ -109,7 +118,7 @@
         self._parts = parts
         self._call = call
         self._attempts = attempts
-        self._answer = answer
+        self.answer = answer
         self._deadline = call.arrived + call.classified.request_class.deadline
         shows_usage = call.model_call is None or call.model_call.include_usage
         self._assembler = AnswerAssembler(call.model_call is not None, shows_usage)
@@ -117,8 +126,9 @@
         self._collector = AnswerCollector()
         self._answered_by: AttemptChannel | None = None
         self._not_run = False
+        self._judged = False
         self._sidecar_epoch = ""
-        self._usage: Usage | None = None
+        self.usage: Usage | None = None
 
     async def run(self) -> web.StreamResponse:
         """Returns the answer once the caller has it whole.
@@ -146,6 +156,7 @@
     async def _send(self, step: SendTo) -> Step | Replay:
         upstream, attempt = step.upstream, step.attempt
         self._note_sending(step)
+        self._probe()
         try:
             link = await self._link_to(upstream, step.budget)
         except (LinkClosed, HandshakeFailed) as exc:
@@ -156,6 +167,7 @@
         self._sidecar_epoch = link.peer.epoch
         self._assembler.begin(attempt)
         self._not_run = False
+        self._judged = False
         channel = self._parts.links.open_channel(attempt, link)
         self._parts.chooser.record_sent(upstream.name, self._cost(), _now())
         try:
@@ -173,6 +185,15 @@
             release = chooser.record_refused if self._not_run else chooser.record_end
             release(upstream.name, _now())
 
+    def _probe(self) -> None:
+        """Asks an upstream for its load where too few hints are fresh."""
+        name = self._parts.chooser.wants_probe(_now())
+        upstream = self._parts.feed.configuration.upstreams.get(name) if name else None
+        link = self._parts.pool.find(upstream.address) if upstream else None
+        if link is not None:
+            shown = self._parts.feed.shown()
+            link.send(Heartbeat(shown.version, shown.confirmed_age))
+
     async def _claim(self, step: SendTo) -> StoredAnswer | None:
         """Returns the first answer of a repeated call; otherwise the attempt may be dispatched."""
         attempt, upstream = step.attempt, step.upstream.name
@@ -190,9 +211,9 @@
     async def _replay(self, answer: StoredAnswer) -> web.StreamResponse:
         self._record(DecisionStep.REPLAYED)
         assert answer.body is not None
-        await self._answer.start(answer.status, answer.headers)
-        await self._answer.write(answer.body)
-        return await self._answer.finish()
+        await self.answer.start(answer.status, answer.headers)
+        await self.answer.write(answer.body)
+        return await self.answer.finish()
 
     async def _settle(self, step: SettleWith) -> Step:
         await asyncio.sleep(step.delay)
@@ -218,16 +239,14 @@
     async def _follow(self, channel: AttemptChannel, upstream: Upstream) -> Step:
         sent_at = _now()
         while True:
-            try:
-                event = await channel.get(max(0.0, self._deadline - _now()))
-            except TimeoutError:
-                channel.link.send(Cancel(channel.attempt))
-                return self._attempts.expired(_now())
+            event = await self._next_event(channel)
             match event:
+                case None:
+                    return self._attempts.expired(_now())
                 case LinkLost():
-                    return self._attempts.link_lost(
-                        channel.attempt, _now(), self._assembler.progress
-                    )
+                    self._judge(upstream, None)
+                    progress = self._assembler.progress
+                    return self._attempts.link_lost(channel.attempt, _now(), progress)
                 case NotRun() | Failed():
                     return self._refused_by(event, upstream)
                 case _:
@@ -235,6 +254,30 @@
                     if step is not None:
                         return step
 
+    async def _next_event(self, channel: AttemptChannel) -> Event | None:
+        """Returns the next event, or None once the deadline has passed.
+
+        While nothing came, the attempt is cancelled where it has taken too long; the sidecar's
+        word on it is waited for all the same.
+        """
+        cancelled = False
+        while (remaining := self._deadline - _now()) > 0:
+            try:
+                return await channel.get(min(remaining, PATIENCE_SECONDS))
+            except TimeoutError:
+                if not cancelled and self._attempts.should_cancel(_now()):
+                    cancelled = True
+                    channel.link.send(Cancel(channel.attempt))
+        channel.link.send(Cancel(channel.attempt))
+        return None
+
+    def _judge(self, upstream: Upstream, first_token_seconds: float | None) -> None:
+        """Tells the chooser, once an attempt, how the upstream did."""
+        if not self._judged:
+            self._judged = True
+            ok = first_token_seconds is not None
+            self._parts.chooser.record_answer(upstream.name, first_token_seconds, ok, _now())
+
     def _refused_by(self, event: NotRun | Failed, upstream: Upstream) -> Step:
         reason = parse_reason(event.reason)
         progress = self._assembler.progress
@@ -244,7 +287,7 @@
             retry_after = event.retry_after
             return self._attempts.not_run(event.attempt, reason, retry_after, _now(), progress)
         self._record(DecisionStep.FAILED, f"{upstream.name}: {event.reason}")
-        self._parts.chooser.record_answer(upstream.name, None, False, _now())
+        self._judge(upstream, None)
         return self._attempts.failed(event.attempt, reason, _now(), progress)
 
     async def _take(
@@ -252,16 +295,15 @@
     ) -> Step | None:
         for output in self._assembler.accept(frame):
             if isinstance(output, AnswerBroken):
+                self._judge(upstream, None)
                 channel.link.send(Cancel(channel.attempt))
                 reason = RefusalReason.UPSTREAM_FAILED
                 progress = self._assembler.progress
                 return self._attempts.failed(channel.attempt, reason, _now(), progress)
-            begins = isinstance(output, AnswerPart) and self._answer.first_byte is None
-            if begins:
-                seconds = _now() - sent_at
-                self._parts.chooser.record_answer(upstream.name, seconds, True, _now())
+            if isinstance(output, AnswerPart):
+                self._judge(upstream, _now() - sent_at)
             await self._emit(output)
-        if isinstance(frame, End) and self._usage is not None:
+        if isinstance(frame, End) and self.usage is not None:
             self._answered_by = channel
             return self._attempts.finished(channel.attempt)
         return None
@@ -271,20 +313,20 @@
             self._collector.take(output)
         match output:
             case AnswerStart(status, headers):
-                await self._answer.start(status, headers)
+                await self.answer.start(status, headers)
             case AnswerPart(data):
-                await self._answer.write(data)
+                await self.answer.write(data)
             case AnswerEnd(usage):
-                self._usage = usage
+                self.usage = usage
 
     async def _deliver(self) -> web.StreamResponse:
-        if self._usage is None:
+        if self.usage is None:
             for output in self._assembler.complete(self._prompt_tokens()):
                 await self._emit(output)
-        assert self._usage is not None
-        self._record_usage(self._usage)
+        assert self.usage is not None
+        self._record_usage(self.usage)
         try:
-            resp = await self._answer.finish()
+            resp = await self.answer.finish()
         finally:
             await self._settle_up()
         self._note_end()
@@ -309,7 +351,7 @@
         self._record_partial_usage()
         class_name = self._call.classified.request_class.name
         self._parts.metrics.tokens_generated(class_name, TokenUse.WASTED, tokens)
-        await self._answer.cut_off(refused)
+        await self.answer.cut_off(refused)
 
     def note_caller_gone(self) -> None:
         """Counts a request whose caller left, and bills what it got."""
@@ -320,7 +362,7 @@
 
     def _record_partial_usage(self) -> None:
         tokens = self._assembler.progress.tokens
-        if tokens and self._usage is None:
+        if tokens and self.usage is None:
             usage = Usage(self._prompt_tokens(), tokens, 1)
             self._record_usage(usage)
 
@@ -379,13 +421,13 @@
         request_class = self._call.classified.request_class
         metrics.request_ended(request_class.name, RequestOutcome.ANSWERED)
         self._record(DecisionStep.ANSWERED)
-        first, last = self._answer.first_byte, self._answer.last_byte
-        if first is None or last is None or self._usage is None:
+        first, last = self.answer.first_byte, self.answer.last_byte
+        if first is None or last is None or self.usage is None:
             return
         waited = first - self._call.arrived
         met = waited <= request_class.first_token_target
         metrics.first_token(request_class.name, waited)
-        tokens = self._usage.completion_tokens
+        tokens = self.usage.completion_tokens
         metrics.tokens_generated(request_class.name, TokenUse.DELIVERED, tokens)
         if self._call.streamed and tokens > 1:
             gap = (last - first) / (tokens - 1)
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -37,6 +37,7 @@
     Usage,
     UsageStored,
 )
+from bilberryplank_core.routing import merge_usage
 from bilberryplank_core.scheduling import (
     KeptAnswer,
     KeptAnswers,
@@ -297,6 +298,8 @@
         attempt = held.dispatch.attempt
         now = _now()
         self._queue.finished(attempt, now, usage.prompt_tokens, usage.completion_tokens)
+        if held.dispatch.resume_tokens:
+            usage = merge_usage(held.dispatch.resume_tokens, 0, usage)
         self._kept.end(attempt, usage, now)
         dispatch = held.dispatch
         self._parts.usage.record(attempt.request, dispatch.organisation, dispatch.class_name, usage)
@@ -429,6 +432,8 @@
         link.send(Failed(message.attempt, reason.value, self.load()))
 
     def _configuration_changed(self, configuration: Configuration) -> None:
+        for link in self._links:
+            link.send(LoadReport(self.load()))
         withdrawn = [key.key_id for key in configuration.parts.keys if key.withdrawn]
         self._reject(self._queue.drop_keys(withdrawn))
         waiting = self._unclassified
