Bound links, let neighbouring releases talk, and test their edges

Cause: a peer that does not read let a link's buffer grow without bound; a sidecar never found out that an entry had vanished; a gentle end could wait for ever; backoffs had no jitter; a newer peer's further message or field ended the link; refused peers were not counted. Change: a link ends at four times buffer_bytes unread; the listener ends silent links; a gentle end has connect_timeout; half of a backoff is random; unknown messages after the handshake are counted and ignored, unknown trailing fields ignored and missing ones defaulted (the proof covers the hello as it came); LinkCounters count refused peers. A handler's failure ends its own link only. The handshake is a class of its own without sockets. Codec: shapes are read from the classes once and frames are not copied. Bytes on the wire are the same.

--- a/packages/bilberryplank-core/bilberryplank_core/_errors.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_errors.py
@@ -95,6 +95,12 @@
     code = "frame_invalid"
 
 
+class MessageUnknown(FrameInvalid):
+    """A peer sent a message of a kind that is not known here; it may be newer."""
+
+    code = "message_unknown"
+
+
 class HandshakeFailed(BilberryplankError):
     """A peer did not prove that it belongs to the fleet, or speaks another version."""
 
--- a/packages/bilberryplank-core/bilberryplank_core/_frames.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_frames.py
@@ -4,13 +4,14 @@
 
 import struct
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import MISSING, fields
+from operator import attrgetter
 from typing import Any, get_args, get_origin, get_type_hints
 
 import msgpack
 
 from bilberryplank_core import _messages
-from bilberryplank_core._errors import FrameInvalid
+from bilberryplank_core._errors import FrameInvalid, MessageUnknown
 from bilberryplank_core._messages import MESSAGE_TYPES, Message
 
 PROTOCOL_VERSION = 1
@@ -19,6 +20,7 @@
 
 _LENGTH = struct.Struct(">I")
 _TAGS = {message_type: tag for tag, message_type in enumerate(MESSAGE_TYPES)}
+Buffer = bytes | bytearray | memoryview
 _Reader = Callable[[Any], Any]
 
 
@@ -28,15 +30,13 @@
     Raises:
         FrameInvalid: The frame would be longer than `MAX_FRAME_BYTES`.
     """
-    values = [_TAGS[type(message)]]
-    values.extend(_plain(getattr(message, name)) for name, _ in _READERS[type(message)])
-    payload = msgpack.packb(values)
+    payload = msgpack.packb([_TAGS[type(message)], *_values(message)])
     if len(payload) > MAX_FRAME_BYTES:
         raise FrameInvalid(f"frame of {len(payload)} bytes, at most {MAX_FRAME_BYTES} allowed")
     return _LENGTH.pack(len(payload)) + payload
 
 
-def payload_length(header: bytes) -> int:
+def payload_length(header: Buffer) -> int:
     """Returns the length in bytes of the payload that follows `header`.
 
     Raises:
@@ -48,11 +48,12 @@
     return length
 
 
-def decode(payload: bytes) -> Message:
+def decode(payload: Buffer) -> Message:
     """Returns the message in a payload.
 
     Raises:
-        FrameInvalid: The payload is no known message.
+        MessageUnknown: It is a message of a kind that is not known here.
+        FrameInvalid: The payload is no message.
     """
     try:
         values = msgpack.unpackb(payload)
@@ -61,23 +62,30 @@
     if not isinstance(values, list) or not values:
         raise FrameInvalid("not a message array")
     tag = values[0]
-    if type(tag) is not int or not 0 <= tag < len(MESSAGE_TYPES):
-        raise FrameInvalid("unknown message tag")
-    return _build(MESSAGE_TYPES[tag], values[1:])
+    if type(tag) is not int or tag < 0:
+        raise FrameInvalid("no message tag")
+    if tag >= len(MESSAGE_TYPES):
+        raise MessageUnknown(f"unknown message tag {tag}")
+    del values[0]
+    return _build(MESSAGE_TYPES[tag], values)
 
 
-def _plain(value: Any) -> Any:
-    readers = _READERS.get(type(value))
-    if readers is None:
-        return value
-    return [_plain(getattr(value, name)) for name, _ in readers]
+def _values(message: Any) -> list[Any]:
+    kind = type(message)
+    values = list(_GETTERS[kind](message))
+    for index in _NESTED_AT[kind]:
+        values[index] = _values(values[index])
+    return values
 
 
 def _build(message_type: type, values: list[Any]) -> Any:
-    readers = _READERS[message_type]
-    if len(values) != len(readers):
+    if (plain := _PLAIN_TYPES.get(message_type)) and list(map(type, values)) == plain:
+        return message_type(*values)
+    if len(values) < _REQUIRED[message_type]:
         raise FrameInvalid(f"{message_type.__name__} with {len(values)} fields")
-    return message_type(*(read(value) for (_, read), value in zip(readers, values, strict=True)))
+    # The shorter of the two counts: a newer peer sends more fields, an older one fewer.
+    readers = _READERS[message_type]
+    return message_type(*[read(value) for read, value in zip(readers, values, strict=False)])
 
 
 def _scalar_reader(expected: type) -> _Reader:
@@ -133,10 +141,36 @@
     return _scalar_reader(annotation)
 
 
-def _readers_of(message_type: type) -> list[tuple[str, _Reader]]:
-    hints = get_type_hints(message_type)
-    return [(part.name, _reader(hints[part.name])) for part in fields(message_type)]
+def _readers_of(message_type: type) -> list[_Reader]:
+    return [_reader(kind) for kind in get_type_hints(message_type).values()]
+
+
+def _required(message_type: type) -> int:
+    return sum(part.default is MISSING is part.default_factory for part in fields(message_type))
+
+
+def _plain_types(message_type: type) -> list[type] | None:
+    """Returns the types of a message without floats and inner messages, else None."""
+    kinds = list(get_type_hints(message_type).values())
+    return kinds if all(kind in (int, str, bytes, bool) for kind in kinds) else None
+
+
+def _getter(message_type: type) -> Callable[[Any], tuple[Any, ...]]:
+    names = [part.name for part in fields(message_type)]
+    get = attrgetter(*names)
+    return get if len(names) > 1 else lambda message: (get(message),)
+
+
+def _nested_at(message_type: type) -> list[int]:
+    kinds = get_type_hints(message_type).values()
+    return [index for index, kind in enumerate(kinds) if kind in _NESTED]
 
 
+# What decides the shape of each message is read from its class once, as every frame needs it.
 _NESTED = (_messages.AttemptId, _messages.Load, _messages.Usage)
-_READERS = {kind: _readers_of(kind) for kind in (*_NESTED, *MESSAGE_TYPES)}
+_KINDS = (*_NESTED, *MESSAGE_TYPES)
+_READERS = {kind: _readers_of(kind) for kind in _KINDS}
+_REQUIRED = {kind: _required(kind) for kind in _KINDS}
+_PLAIN_TYPES = {kind: types for kind in _KINDS if (types := _plain_types(kind))}
+_GETTERS = {kind: _getter(kind) for kind in _KINDS}
+_NESTED_AT = {kind: _nested_at(kind) for kind in _KINDS}
--- a/packages/bilberryplank-core/bilberryplank_core/_messages.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_messages.py
@@ -1,6 +1,11 @@
 """Typed messages between entries and sidecars.
 
 Every message is one msgpack array `[tag, field, field, ...]`; `_frames` has the bytes on the wire.
+A process ignores messages and trailing fields that it does not know, and gives trailing fields that
+are missing their default, so that processes of neighbouring releases talk to each other: new
+messages and fields go to the end, fields with a default. What an older process must not miss needs
+a new `PROTOCOL_VERSION`.
+
 Times in messages are durations in seconds, never wall-clock times, because clocks of hosts differ.
 """
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_frames.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_frames.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bilberryplank_core.errors import FrameInvalid
+from bilberryplank_core.errors import FrameInvalid, MessageUnknown
 from bilberryplank_core.messages import (
     LENGTH_BYTES,
     MESSAGE_TYPES,
@@ -12,6 +12,7 @@
     Body,
     Dispatch,
     Load,
+    LoadReport,
     NotRun,
     decode,
     encode,
@@ -48,11 +49,26 @@
             msgpack.packb([6, ["r", 1, "e"], "0", b""]),
             msgpack.packb([7, ["r", 1], 0, b""]),
             msgpack.packb([7, ["r", 1, "e"], True, b""]),
+            msgpack.packb([7, ["r", 1, "e"], 0]),
+            msgpack.packb([3, [0, 0, 1, float("nan")]]),
+            msgpack.packb([-1]),
         ]
         for payload in cases:
             with self.subTest(payload=payload), self.assertRaises(FrameInvalid):
                 decode(payload)
 
+    def test_neighbouring_releases_understand_each_other(self):
+        cases = [
+            ([7, ["r1", 1, "e1", "new"], 3, b"abc", "new"], Body(ATTEMPT, 3, b"abc")),
+            ([3, [1, 2]], LoadReport(Load(1, 2))),
+            ([3, [], "new"], LoadReport(Load())),
+        ]
+        for values, expected in cases:
+            with self.subTest(values=values):
+                self.assertEqual(decode(msgpack.packb(values)), expected)
+        with self.assertRaises(MessageUnknown):
+            decode(msgpack.packb([len(MESSAGE_TYPES), "new"]))
+
     def test_lengths_out_of_range_are_refused(self):
         for header in (b"\0\0\0\0", b"\xff\xff\xff\xff"):
             with self.subTest(header=header), self.assertRaises(FrameInvalid):
--- a/packages/bilberryplank/bilberryplank/_link_pool.py
+++ b/packages/bilberryplank/bilberryplank/_link_pool.py
@@ -3,17 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import weakref
 from dataclasses import dataclass, field
 
 from mode import Service
 
-from bilberryplank._link import Identity, Link, LinkHandler
+from bilberryplank._link import Identity, Link, LinkCounters, LinkHandler
 from bilberryplank_core.errors import BilberryplankError, LinkClosed
 from bilberryplank_core.messages import Heartbeat, Message
 from bilberryplank_core.settings import LinkSettings
 
 MIN_BACKOFF_SECONDS = 0.2
 MAX_BACKOFF_SECONDS = 5.0
+JITTER_SHARE = 0.5
+"""Share of a backoff that is drawn at random, so that entries do not come back all at once."""
+
+SILENCE_CHECK_SECONDS = 1.0
+
+
+def backoff_after(backoff: float, rng: random.Random) -> tuple[float, float]:
+    """Returns the next backoff after a failure, and how much of it to wait; both in seconds."""
+    doubled = min(max(MIN_BACKOFF_SECONDS, backoff * 2), MAX_BACKOFF_SECONDS)
+    return doubled, doubled * (1 - JITTER_SHARE * rng.random())
 
 
 @dataclass(slots=True)
@@ -42,12 +54,16 @@
         fleet_key: Shared secret of the system's processes.
         settings: Link settings.
         handler: Gets the links' events.
+        counters: What links count.
+        rng: Source of the jitter of backoffs.
     """
 
     identity: Identity
     fleet_key: str
     settings: LinkSettings
     handler: LinkHandler
+    counters: LinkCounters = field(default_factory=LinkCounters)
+    rng: random.Random = field(default_factory=random.Random)
     _peers: dict[str, _Peer] = field(default_factory=dict)
 
     def link_ready(self, link: Link) -> None:
@@ -104,10 +120,8 @@
     def send_heartbeats(self, now: float, shown: VersionShown) -> None:
         """Sends heartbeats on silent links and ends those silent for too long."""
         for link in self.open_links():
-            silence = now - link.last_received
-            if silence > self.settings.silence_limit:
-                link.close(LinkClosed(f"silent for {silence:.1f} s"))
-            elif silence > self.settings.heartbeat_interval:
+            link.close_if_silent(now)
+            if now - link.last_received > self.settings.heartbeat_interval:
                 link.send(Heartbeat(shown.version, shown.confirmed_age))
 
     def close(self) -> None:
@@ -128,9 +142,8 @@
         if fut.exception() is None:
             peer.backoff = 0.0
             return
-        doubled = max(MIN_BACKOFF_SECONDS, peer.backoff * 2)
-        peer.backoff = min(doubled, MAX_BACKOFF_SECONDS)
-        peer.not_before = asyncio.get_running_loop().time() + peer.backoff
+        peer.backoff, wait = backoff_after(peer.backoff, self.rng)
+        peer.not_before = asyncio.get_running_loop().time() + wait
 
     async def _connect(self, peer: _Peer) -> Link:
         host, _, port = peer.address.rpartition(":")
@@ -148,7 +161,7 @@
         return link
 
     def _new_link(self) -> Link:
-        return Link(self.identity, self.fleet_key, self.settings, self)
+        return Link(self.identity, self.fleet_key, self.settings, self, self.counters)
 
 
 class LinkListener(Service):
@@ -161,6 +174,7 @@
         fleet_key: str,
         settings: LinkSettings,
         handler: LinkHandler,
+        counters: LinkCounters | None = None,
     ) -> None:
         super().__init__()
         self._address = address
@@ -168,18 +182,40 @@
         self._fleet_key = fleet_key
         self._settings = settings
         self._handler = handler
+        self._counters = counters
+        self._links: weakref.WeakSet[Link] = weakref.WeakSet()
         self._server: asyncio.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
 
     async def on_start(self) -> None:
         """Begins to listen."""
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._new_link, host.strip("[]"), int(port))
+        self._end_silent_links()
 
     async def on_stop(self) -> None:
         """Stops listening; open links are their owner's."""
+        if self._timer is not None:
+            self._timer.cancel()
         if self._server is not None:
             self._server.close()
 
+    def _end_silent_links(self) -> None:
+        # An entry that lost its host or network says nothing, and nothing else would find out.
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(SILENCE_CHECK_SECONDS, self._end_silent_links)
+        for link in list(self._links):
+            if link.is_open:
+                link.close_if_silent(loop.time())
+
     def _new_link(self) -> Link:
-        return Link(self._identity, self._fleet_key, self._settings, self._handler)
+        link = Link(self._identity, self._fleet_key, self._settings, self._handler, self._counters)
+        self._links.add(link)
+        return link
