Start several upstreams at once where the queue asks for it, and measure the scaling policy

Cause: one start at a time, each 90 s, left a pool short for most of a burst's ramp. Ruled out: dropping the rest after a start, which changed nothing, since the start itself takes longer. Change: as many as would work off what waits within 120 s, at most four, over the zones.

--- a/packages/bilberryplank-core/bilberryplank_core/_scaling.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_scaling.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from math import ceil
 
 SECONDS_PER_HOUR = 3600.0
 
@@ -105,6 +106,8 @@
         hold_up: Pressure must last this long before a start.
         hold_down: Slack must last this long before a drain.
         settle: After a change a pool rests this long.
+        catch_up: What waits should be worked off within this time.
+        starts_at_once: Upstreams started by one decision.
         drain_spread: Time after which every entry knows of a drain.
     """
 
@@ -116,6 +119,8 @@
     hold_up: float = 15.0
     hold_down: float = 300.0
     settle: float = 60.0
+    catch_up: float = 120.0
+    starts_at_once: int = 4
     drain_spread: float = 20.0
 
 
@@ -128,7 +133,7 @@
 
 
 class ScalingPolicy:
-    """Decides one change at a time for each pool.
+    """Decides one change at a time for each pool: some starts, one drain or one stop.
 
     Its memory lasts as long as the lease under which it runs: a new holder begins anew, so that a
     takeover only delays a change.
@@ -146,11 +151,11 @@
         for pool in pools:
             memory = self._memories.setdefault(pool.pool, _PoolMemory())
             self._remember(memory, pool, now)
-            intent = self._decide_pool(memory, pool, now)
-            if intent is not None:
+            changes = self._decide_pool(memory, pool, now)
+            if changes:
                 memory.rests_until = now + self._settings.settle
                 memory.pressed_since = memory.slack_since = None
-                intents.append(intent)
+                intents.extend(changes)
         return intents
 
     def _remember(self, memory: _PoolMemory, pool: PoolLoad, now: float) -> None:
@@ -167,37 +172,51 @@
         if drained:
             return self._finish_drain(memory, drained[0], now)
         if now < memory.rests_until:
-            return None
+            return []
         if self._lasted(memory.pressed_since, self._settings.hold_up, now):
             return self._start(pool)
         if self._lasted(memory.slack_since, self._settings.hold_down, now):
             return self._drain(pool)
-        return None
+        return []
 
     def _finish_drain(
         self, memory: _PoolMemory, member: PoolMember, now: float
-    ) -> ScalingIntent | None:
+    ) -> list[ScalingIntent]:
         pressed = self._lasted(memory.pressed_since, self._settings.hold_up, now)
         if member.needed or pressed:
-            return DrainIntent(member.name, draining=False)
+            return [DrainIntent(member.name, draining=False)]
         spread = self._lasted(memory.drained_since, self._settings.drain_spread, now)
         if member.busy or not spread:
-            return None
-        return StopIntent(member.name, member.zone)
+            return []
+        return [StopIntent(member.name, member.zone)]
 
-    def _start(self, pool: PoolLoad) -> ScalingIntent | None:
-        if len(pool.members) >= self._settings.most or not pool.zones:
-            return None
+    def _start(self, pool: PoolLoad) -> list[ScalingIntent]:
+        if not pool.zones:
+            return []
         counts = {zone: 0 for zone in pool.zones}
         for member in _working(pool):
             counts[member.zone] = counts.get(member.zone, 0) + 1
-        return StartIntent(pool.pool, min(pool.zones, key=lambda zone: (counts[zone], zone)))
-
-    def _drain(self, pool: PoolLoad) -> ScalingIntent | None:
+        starts: list[ScalingIntent] = []
+        for _ in range(min(self._missing(pool), self._settings.most - len(pool.members))):
+            zone = min(pool.zones, key=lambda zone: (counts[zone], zone))
+            counts[zone] += 1
+            starts.append(StartIntent(pool.pool, zone))
+        return starts
+
+    def _missing(self, pool: PoolLoad) -> int:
+        """Returns how many more would work the queue off in `catch_up`, at least one."""
+        working = len(_working(pool))
+        if not working or not pool.capacity:
+            return 1
+        wanted = pool.drain_rate + pool.queued_cost / self._settings.catch_up
+        more = ceil(wanted * working / pool.capacity) - working
+        return max(1, min(self._settings.starts_at_once, more))
+
+    def _drain(self, pool: PoolLoad) -> list[ScalingIntent]:
         working = _working(pool)
         spare = [member for member in working if not member.needed]
         if not spare:
-            return None
+            return []
         counts: dict[str, int] = {}
         for member in working:
             counts[member.zone] = counts.get(member.zone, 0) + 1
@@ -210,7 +229,7 @@
                 member.name,
             ),
         )
-        return DrainIntent(chosen.name, draining=True)
+        return [DrainIntent(chosen.name, draining=True)]
 
     def _is_pressed(self, pool: PoolLoad) -> bool:
         working = _working(pool)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_scaling.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_scaling.py
@@ -45,6 +45,14 @@
             "pressure that lasts": ([(BUSY, 20)], [(15.0, start)]),
             "pressure that passes": ([(BUSY, 14), (EVEN, 1), (BUSY, 14)], []),
             "one change, then a rest": ([(BUSY, 90)], [(15.0, start), (75.0, start)]),
+            "a long queue, several at once": (
+                [(replace(BUSY, queued_cost=900_000.0), 20)],
+                [(15.0, StartIntent("models", zone)) for zone in "cbca"],
+            ),
+            "no more than allowed": (
+                [(replace(BUSY, queued_cost=900_000.0, members=(U1,) * 998), 20)],
+                [(15.0, StartIntent("models", zone)) for zone in "bc"],
+            ),
             "none while an order is open": ([(replace(BUSY, open_orders=1), 100)], []),
             "slack that lasts": ([(IDLE, 301)], [(300.0, drain)]),
             "slack that passes": ([(IDLE, 290), (EVEN, 1), (IDLE, 290)], []),
--- a/packages/bilberryplank-testing/bilberryplank_testing/fleet_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/fleet_bench.py
@@ -8,6 +8,7 @@
 
 from bilberryplank_testing._fleet_configuration import measure_configuration
 from bilberryplank_testing._fleet_links import measure_ranking, measure_spread
+from bilberryplank_testing._fleet_scaling import measure_scaling
 from bilberryplank_testing._fleet_usage import measure_usage
 
 ORGANISATIONS = (100, 1000, 8600)
@@ -20,6 +21,7 @@
     measure_ranking()
     measure_usage()
     measure_spread()
+    measure_scaling()
 
 
 if __name__ == "__main__":
