Split leases and scaling into modules of one job each

No change of behaviour; the tests of leases, their interleavings, scaling, orders, drains and usage windows pass as before.

--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_lease_guard.py
@@ -0,0 +1,39 @@
+"""The guard of an order that is made under a lease."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from bilberryplank_core._contracts import Guard
+from bilberryplank_core._errors import LeaseLost
+
+if TYPE_CHECKING:
+    from bilberryplank_core._leases import LeaseHolder
+
+
+class LeaseGuard(Guard):
+    """Lets an order pass only while the lease under which it was made is held."""
+
+    __slots__ = ("_clock", "_fence", "_lease")
+
+    def __init__(self, lease: LeaseHolder, fence: int, clock: Callable[[], float]) -> None:
+        self._lease = lease
+        self._fence = fence
+        self._clock = clock
+
+    @property
+    def fence(self) -> int:
+        """The fencing number that the order carries."""
+        return self._fence
+
+    def check(self) -> None:
+        """Raises `LeaseLost` where the lease ended or began anew since."""
+        if not self._lease.held(self._clock()) or self._lease.fence != self._fence:
+            raise LeaseLost(f"lease {self._lease.name} with fence {self._fence} is not held")
+
+    def remaining(self) -> float:
+        """Returns the seconds that are left of the lease."""
+        if self._lease.fence != self._fence:
+            return 0.0
+        return self._lease.remaining(self._clock())
--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -12,45 +12,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import Any
 
-from bilberryplank_core._contracts import Condition, Guard, Put, Row, Table
-from bilberryplank_core._errors import Conflict, LeaseLost, PlatformUnavailable
+from bilberryplank_core._contracts import Condition, Put, Row, Table
+from bilberryplank_core._errors import Conflict, PlatformUnavailable
+from bilberryplank_core._lease_guard import LeaseGuard
+from bilberryplank_core._lease_rows import TABLE, LeaseRow, fence_key, lease_row
 
-TABLE = "leases"
 RENEWALS_PER_LEASE = 3
 JITTER = 0.2
 
 
-@dataclass(slots=True, frozen=True)
-class LeaseRow:
-    """Value of a lease's row.
-
-    Attributes:
-        holder: Name of the process that holds it.
-        grant: Unique id of the acquisition.
-        fence: Fencing number; grows with each acquisition.
-        duration: Seconds of the lease.
-        released: True once the holder gave it up.
-    """
-
-    holder: str
-    grant: str
-    fence: int
-    duration: float
-    released: bool = False
-
-    def to_value(self, released: bool = False) -> dict[str, Any]:
-        """Returns the row's JSON value."""
-        return {
-            "holder": self.holder,
-            "grant": self.grant,
-            "fence": self.fence,
-            "duration": self.duration,
-            "released": released,
-        }
-
-
 @dataclass(slots=True, frozen=True)
 class _Grant:
     row: LeaseRow
@@ -156,7 +127,7 @@
         """
         self.guard()
         assert self._grant is not None
-        return Condition(TABLE, _fence_key(self._name), self._grant.fence_revision)
+        return Condition(TABLE, fence_key(self._name), self._grant.fence_revision)
 
     def delay(self) -> float:
         """Returns the seconds to wait before the next `renew` or `try_acquire`."""
@@ -172,7 +143,7 @@
         if self.held(self._clock()):
             return True
         row = await self._table.read(TABLE, self._name)
-        value = _value_of(row)
+        value = lease_row(row)
         if value is not None and value.grant in self._pending:
             return await self._adopt(row, value)
         if not self._is_free(row, value):
@@ -219,7 +190,7 @@
         fence_value = {"grant": value.grant, "fence": value.fence}
         writes = [
             Put(TABLE, self._name, value.to_value()),
-            Put(TABLE, _fence_key(self._name), fence_value),
+            Put(TABLE, fence_key(self._name), fence_value),
         ]
         try:
             revision = await self._table.commit(
@@ -234,7 +205,7 @@
         return self.held(self._clock())
 
     async def _adopt(self, row: Row, value: LeaseRow) -> bool:
-        fence_row = await self._table.read(TABLE, _fence_key(self._name))
+        fence_row = await self._table.read(TABLE, fence_key(self._name))
         sent_at = self._pending.get(value.grant)
         if sent_at is None or fence_row is None or fence_row.value["grant"] != value.grant:
             return False
@@ -264,7 +235,7 @@
         if self._grant is None:
             return
         row = await self._table.read(TABLE, self._name)
-        value = _value_of(row)
+        value = lease_row(row)
         if row is None or value is None or self._grant is None:
             return
         if value.grant == self._grant.row.grant:
@@ -276,38 +247,3 @@
         self._grant = grant
         self._expires_at = sent_at + self._duration - self._margin
         self._pending = {grant.row.grant: sent_at}
-
-
-class LeaseGuard(Guard):
-    """Lets an order pass only while the lease under which it was made is held."""
-
-    __slots__ = ("_clock", "_fence", "_lease")
-
-    def __init__(self, lease: LeaseHolder, fence: int, clock: Callable[[], float]) -> None:
-        self._lease = lease
-        self._fence = fence
-        self._clock = clock
-
-    @property
-    def fence(self) -> int:
-        """The fencing number that the order carries."""
-        return self._fence
-
-    def check(self) -> None:
-        """Raises `LeaseLost` where the lease ended or began anew since."""
-        if not self._lease.held(self._clock()) or self._lease.fence != self._fence:
-            raise LeaseLost(f"lease {self._lease.name} with fence {self._fence} is not held")
-
-    def remaining(self) -> float:
-        """Returns the seconds that are left of the lease."""
-        if self._lease.fence != self._fence:
-            return 0.0
-        return self._lease.remaining(self._clock())
-
-
-def _fence_key(name: str) -> str:
-    return f"{name}/fence"
-
-
-def _value_of(row: Row | None) -> LeaseRow | None:
-    return None if row is None else LeaseRow(**row.value)
--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -6,24 +6,26 @@
 from bilberryplank_core._configuration_rows import ConfigurationHead
 from bilberryplank_core._configuration_store import ConfigurationStore
 from bilberryplank_core._configuration_updates import encode_update
-from bilberryplank_core._leases import LeaseGuard, LeaseHolder, LeaseRow
+from bilberryplank_core._lease_guard import LeaseGuard
+from bilberryplank_core._lease_rows import LeaseRow
+from bilberryplank_core._leases import LeaseHolder
 from bilberryplank_core._membership import Membership, MemberState
 from bilberryplank_core._orders import JournalledOrder, OrderJournal, OrderState
 from bilberryplank_core._policy_drains import PolicyDrains
 from bilberryplank_core._pollers import PollSchedule, poll_configuration, polls
 from bilberryplank_core._ranking import is_ranked, ranked, weight
-from bilberryplank_core._scaling import (
+from bilberryplank_core._scaling import ScalingPolicy
+from bilberryplank_core._scaling_needs import needed_upstreams
+from bilberryplank_core._scaling_types import (
     Drain,
     DrainIntent,
     PoolLoad,
     PoolMember,
     ScalingIntent,
-    ScalingPolicy,
     ScalingSettings,
     StartIntent,
     StopIntent,
 )
-from bilberryplank_core._scaling_needs import needed_upstreams
 from bilberryplank_core._usage_records import USAGE_SHARDS, RequestIds, UsageRecord
 from bilberryplank_core._usage_reports import (
     ReportState,
