--- a/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
@@ -32,12 +32,14 @@
         deployment: The processes; set by `start`.
         document: Configuration in force, without upstreams.
         secrets: Keys as callers send them, by key id.
+        frozen: Name of the process that is frozen; empty for none.
     """
 
     def __init__(self) -> None:
         self.deployment: Deployment | None = None
         self.document = scenario_document()
         self.secrets = scenario_secrets()
+        self.frozen = ""
         self._outcomes: dict[str, Future[Outcome]] = {}
         self._floods: list[Future[None]] = []
         self._last_runs: dict[str, list[dict[str, Any]]] = {}
