Send a call that may run once only once, and meter only tokens

Cause: the HTTP client repeats GET, PUT and DELETE by itself when a connection breaks, also a new one, so that a call of a route that is not idempotent could run twice. A connect timeout counted as may-have-run. A caller could set X-Priority, X-Resume-Tokens and X-Request-Id towards an engine. The client added Accept-Encoding that the caller had not sent; Content-Encoding of a request was lost; fields that Connection names went on; a byte in a header that is not UTF-8 could not be framed and left the request hanging. Role-only and finish events counted as tokens; CRLF streams were not split, so that they never had their end marker. Change: a middleware gives the first failure back instead of a second sending; header rules are a module of their own; the meter uses the core's event splitter and reads JSON for figures only; a message that cannot be packed raises FrameInvalid. Not told truthfully: an engine that answers 503 after it ran a request counts as not run.

--- a/packages/bilberryplank-core/bilberryplank_core/_frames.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_frames.py
@@ -28,9 +28,12 @@
     """Returns the frame of a message, its length included.
 
     Raises:
-        FrameInvalid: The frame would be longer than `MAX_FRAME_BYTES`.
+        FrameInvalid: A value cannot be sent, or the frame is longer than `MAX_FRAME_BYTES`.
     """
-    payload = msgpack.packb([_TAGS[type(message)], *_values(message)])
+    try:
+        payload = msgpack.packb([_TAGS[type(message)], *_values(message)])
+    except (OverflowError, TypeError, ValueError) as exc:
+        raise FrameInvalid(f"{type(message).__name__} cannot be sent: {exc}") from exc
     if len(payload) > MAX_FRAME_BYTES:
         raise FrameInvalid(f"frame of {len(payload)} bytes, at most {MAX_FRAME_BYTES} allowed")
     return _LENGTH.pack(len(payload)) + payload
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_frames.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_frames.py
@@ -7,6 +7,7 @@
 from bilberryplank_core.errors import FrameInvalid, MessageUnknown
 from bilberryplank_core.messages import (
     LENGTH_BYTES,
+    MAX_FRAME_BYTES,
     MESSAGE_TYPES,
     AttemptId,
     Body,
@@ -69,6 +70,16 @@
         with self.assertRaises(MessageUnknown):
             decode(msgpack.packb([len(MESSAGE_TYPES), "new"]))
 
+    def test_what_cannot_be_sent_is_refused_with_a_type(self):
+        for message in (
+            Body(ATTEMPT, 2**64, b""),
+            Body(ATTEMPT, 0, object()),
+            Body(AttemptId("\udcff", 1, "e1"), 0, b""),
+            Body(ATTEMPT, 0, bytes(MAX_FRAME_BYTES)),
+        ):
+            with self.assertRaises(FrameInvalid):
+                encode(message)
+
     def test_lengths_out_of_range_are_refused(self):
         for header in (b"\0\0\0\0", b"\xff\xff\xff\xff"):
             with self.subTest(header=header), self.assertRaises(FrameInvalid):
--- a/packages/bilberryplank/bilberryplank/_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_call.py
@@ -8,38 +8,19 @@
 from typing import Protocol
 
 import aiohttp
-from multidict import CIMultiDict
 from yarl import URL
 
+from bilberryplank._upstream_headers import AUTOMATIC_HEADERS, answer_headers, request_headers
 from bilberryplank._usage_meter import UsageMeter
 from bilberryplank_core.errors import BilberryplankError
 from bilberryplank_core.messages import Dispatch, Headers, Usage
 from bilberryplank_core.world import UpstreamKind
 
-REQUEST_ID_HEADER = "X-Request-Id"
-PRIORITY_HEADER = "X-Priority"
-RESUME_HEADER = "X-Resume-Tokens"
-CHUNK_BYTES = 64 * 1024
+CONNECT_TIMEOUT_SECONDS = 2.0
 OVERLOAD_STATUSES = (429, 503)
 FIRST_SERVER_ERROR = 500
 EVENT_STREAM = "text/event-stream"
 
-_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "transfer-encoding",
-        "te",
-        "trailer",
-        "upgrade",
-        "proxy-connection",
-        "content-length",
-        "date",
-        "server",
-        "content-encoding",
-    )
-)
-
 
 class UpstreamNotReached(BilberryplankError):
     """No byte of the request went out, or the engine refused it before it began."""
@@ -67,8 +48,8 @@
 class UpstreamCaller:
     """Calls one upstream.
 
-    Connections are closed after each call that may run only once, because an HTTP client may
-    silently repeat a call on a connection that it kept open.
+    A call that may run only once gets a connection of its own, because one that was kept open may
+    be closed by the upstream just then, and nobody could tell whether the call arrived.
 
     Attributes:
         url: `http://ip:port` of the upstream.
@@ -83,10 +64,12 @@
     single: aiohttp.ClientSession
 
     @classmethod
-    def from_url(cls, url: str, kind: UpstreamKind) -> UpstreamCaller:
+    def from_url(
+        cls, url: str, kind: UpstreamKind, connect_timeout: float = CONNECT_TIMEOUT_SECONDS
+    ) -> UpstreamCaller:
         """Returns a caller with sessions of its own."""
         options = {
-            "timeout": aiohttp.ClientTimeout(total=None, sock_connect=2.0),
+            "timeout": aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout),
             "auto_decompress": False,
             "cookie_jar": aiohttp.DummyCookieJar(),
         }
@@ -107,11 +90,10 @@
             UpstreamBroke: The call may have run.
             TimeoutError: The request's budget ran out.
         """
-        session = self.kept if dispatch.idempotent else self.single
         try:
             async with asyncio.timeout(dispatch.budget):
-                return await self._exchange(session, dispatch, rank, sink)
-        except aiohttp.ClientConnectorError as exc:
+                return await self._exchange(dispatch, rank, sink)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise UpstreamNotReached(str(exc)) from exc
         except aiohttp.ClientError as exc:
             raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
@@ -120,15 +102,16 @@
                 raise
             raise UpstreamBroke(str(exc)) from exc
 
-    async def _exchange(
-        self, session: aiohttp.ClientSession, dispatch: Dispatch, rank: int, sink: AnswerSink
-    ) -> Usage:
+    async def _exchange(self, dispatch: Dispatch, rank: int, sink: AnswerSink) -> Usage:
+        session = self.kept if dispatch.idempotent else self.single
         async with session.request(
             dispatch.method,
             URL(self.url + dispatch.path, encoded=True),
-            headers=self._headers(dispatch, rank),
+            headers=request_headers(dispatch, rank, self.kind),
             data=self._body(dispatch),
             allow_redirects=False,
+            skip_auto_headers=AUTOMATIC_HEADERS,
+            middlewares=() if dispatch.idempotent else (_Once(),),
         ) as resp:
             if self.kind is UpstreamKind.ENGINE and resp.status in OVERLOAD_STATUSES:
                 raise UpstreamNotReached(f"engine refused with {resp.status}")
@@ -136,7 +119,7 @@
                 raise UpstreamBroke(f"engine failed with {resp.status}")
             streamed = resp.content_type == EVENT_STREAM
             meter = UsageMeter(streamed)
-            await sink.head(resp.status, _answer_headers(resp))
+            await sink.head(resp.status, answer_headers(resp.headers))
             async for data in resp.content.iter_any():
                 if self.kind is UpstreamKind.ENGINE:
                     meter.feed(data)
@@ -147,33 +130,47 @@
             return Usage()
         return meter.usage(dispatch.prompt_tokens)
 
-    def _headers(self, dispatch: Dispatch, rank: int) -> CIMultiDict[str]:
-        headers = [pair for pair in dispatch.headers if pair[0].lower() not in _HOP_HEADERS]
-        headers.append([REQUEST_ID_HEADER, dispatch.attempt.request])
-        if self.kind is UpstreamKind.ENGINE:
-            headers.append([PRIORITY_HEADER, str(rank)])
-            if dispatch.resume_tokens:
-                headers.append([RESUME_HEADER, str(dispatch.resume_tokens)])
-        return CIMultiDict((name, value) for name, value in headers)
-
     def _body(self, dispatch: Dispatch) -> bytes | None:
         if not dispatch.body:
             return None
         if self.kind is UpstreamKind.SERVICE or b'"stream"' not in dispatch.body:
             return dispatch.body
-        document = json.loads(dispatch.body)
-        if not document.get("stream"):
-            return dispatch.body
-        document["stream_options"] = {"include_usage": True}
-        return json.dumps(document).encode()
-
-
-def _answer_headers(resp: aiohttp.ClientResponse) -> Headers:
-    length = resp.headers.get("Content-Length")
-    headers = [[k, v] for k, v in resp.headers.items() if k.lower() not in _HOP_HEADERS]
-    encoding = resp.headers.get("Content-Encoding")
-    if encoding:
-        headers.append(["Content-Encoding", encoding])
-    if length is not None:
-        headers.append(["Content-Length", length])
-    return headers
+        return _with_usage(dispatch.body)
+
+
+class _Once:
+    """Keeps the HTTP client from sending a call again by itself.
+
+    It does so for methods that HTTP calls idempotent, also on a new connection, although a route
+    may say that its calls are not.
+    """
+
+    __slots__ = ("_failure",)
+
+    def __init__(self) -> None:
+        self._failure: Exception | None = None
+
+    async def __call__(
+        self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        if self._failure is not None:
+            raise UpstreamBroke(str(self._failure)) from self._failure
+        try:
+            return await handler(req)
+        except Exception as exc:
+            self._failure = exc
+            raise
+
+
+def _with_usage(body: bytes) -> bytes:
+    """Returns the body of a streamed request, asking for usage; any other body as it is."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return body
+    if not isinstance(document, dict) or not document.get("stream"):
+        return body
+    options = document.get("stream_options")
+    others = options if isinstance(options, dict) else {}
+    document["stream_options"] = {**others, "include_usage": True}
+    return json.dumps(document).encode()
--- a/packages/bilberryplank/bilberryplank/_usage_meter.py
+++ b/packages/bilberryplank/bilberryplank/_usage_meter.py
@@ -3,80 +3,93 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
+from bilberryplank_core.events import EventSplitter, event_data
 from bilberryplank_core.messages import Usage
 
-EVENT_END = b"\n\n"
-DATA_PREFIX = b"data:"
 DONE = b"[DONE]"
-MAX_EVENT_BYTES = 1024 * 1024
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
+# Nearly all events are tokens, and reading the JSON of each would cost more than all else here.
+# Within a JSON text each quote has a backslash before it, so that texts cannot match.
+_CONTENT = re.compile(rb'"(?:arguments|content|reasoning_content|text)"\s*:\s*"(?!")')
+_FIGURES = re.compile(rb'"usage"\s*:\s*\{')
+
 
 class UsageMeter:
     """Meters one answer of a model engine, streamed or whole.
 
     Attributes:
-        tokens: Answer tokens seen so far: one for each streamed event with text.
+        tokens: Answer tokens seen so far: one for each streamed event with content.
         done: True once a stream ended with its end marker.
     """
 
-    __slots__ = ("tokens", "done", "_streamed", "_pending", "_usage")
+    __slots__ = ("tokens", "done", "_document", "_events", "_skips", "_usage")
 
     def __init__(self, streamed: bool) -> None:
         self.tokens = 0
         self.done = False
-        self._streamed = streamed
-        self._pending = bytearray()
+        self._document = bytearray()
+        self._events = EventSplitter() if streamed else None
+        self._skips = False
         self._usage: Usage | None = None
 
     def feed(self, data: bytes) -> None:
         """Takes a part of the answer."""
-        limit = MAX_EVENT_BYTES if self._streamed else MAX_DOCUMENT_BYTES
-        if len(self._pending) + len(data) > limit:
-            self._pending.clear()
+        if self._events is None:
+            self._feed_document(data)
             return
-        self._pending += data
-        if self._streamed:
-            self._feed_events()
+        for event in self._events.feed(data):
+            # What is left of an event that was too long to be held is no event.
+            if not self._skips:
+                self._read_event(event)
+            self._skips = False
+        if self._events.overflowed:
+            self._events = EventSplitter()
+            self._skips = True
 
     def usage(self, prompt_tokens: int) -> Usage:
         """Returns the upstream's own figures, or what was seen and estimated without them."""
-        if not self._streamed and self._pending:
-            self._read(bytes(self._pending))
-            self._pending.clear()
+        if self._document:
+            self._read_usage(bytes(self._document))
+            self._document.clear()
         if self._usage is not None:
             return self._usage
         return Usage(prompt_tokens, self.tokens, 1)
 
-    def _feed_events(self) -> None:
-        while (end := self._pending.find(EVENT_END)) >= 0:
-            event = bytes(self._pending[:end])
-            del self._pending[: end + len(EVENT_END)]
-            if event.startswith(DATA_PREFIX):
-                self._read_event(event[len(DATA_PREFIX) :].strip())
+    def _feed_document(self, data: bytes) -> None:
+        self._skips |= len(self._document) + len(data) > MAX_DOCUMENT_BYTES
+        if self._skips:
+            self._document.clear()
+        else:
+            self._document += data
 
-    def _read_event(self, data: bytes) -> None:
-        if data == DONE:
+    def _read_event(self, event: bytes) -> None:
+        data = event_data(event)
+        if data is None:
+            return
+        if data.strip() == DONE:
             self.done = True
-        elif b'"usage"' in data:
-            self._read(data)
-        else:
+            return
+        if _FIGURES.search(data):
+            self._read_usage(data)
+        if _CONTENT.search(data):
             self.tokens += 1
 
-    def _read(self, data: bytes) -> None:
+    def _read_usage(self, data: bytes) -> None:
         try:
             document = json.loads(data)
-        except ValueError:
+        except (ValueError, RecursionError):
             return
         figures = document.get("usage") if isinstance(document, dict) else None
-        if isinstance(figures, dict):
-            self._usage = _usage_of(figures)
+        usage = _usage_of(figures) if isinstance(figures, dict) else None
+        self._usage = usage or self._usage
 
 
-def _usage_of(figures: dict[str, Any]) -> Usage:
+def _usage_of(figures: dict[str, Any]) -> Usage | None:
     prompt = figures.get("prompt_tokens", 0)
     completion = figures.get("completion_tokens", 0)
     valid = all(type(count) is int and count >= 0 for count in (prompt, completion))
-    return Usage(prompt, completion, 1) if valid else Usage()
+    return Usage(prompt, completion, 1) if valid else None
