Have sidecars tell how many targets they met, and give scaling settings

Scaling decides by attainment and arrivals, which no message carried. Load gets both at its end with defaults, so neighbouring releases still talk. The sidecar counts first tokens in time against the class's target; a refusal for want of capacity is a miss, one for a withdrawn key is not. Ruled out: counting at entries, which see only their subset. The policy's settings become a section of the entry's file, off by default; one data class in place of two.

--- a/packages/bilberryplank-core/bilberryplank_core/_messages.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_messages.py
@@ -45,6 +45,8 @@
         leaving: True once it takes no new work.
         version: Configuration version in force at the sidecar.
         confirmed_age: Seconds since a store read confirmed that version.
+        attainment: Share of recent requests whose first token came in time; a refusal is a miss.
+        arrivals: Requests that arrived a second.
     """
 
     queued: int = 0
@@ -55,6 +57,8 @@
     leaving: bool = False
     version: int = 0
     confirmed_age: float = 0.0
+    attainment: float = 1.0
+    arrivals: float = 0.0
 
 
 @dataclass(slots=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_scaling.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_scaling.py
@@ -12,10 +12,10 @@
     PoolLoad,
     PoolMember,
     ScalingIntent,
-    ScalingSettings,
     StartIntent,
     StopIntent,
 )
+from bilberryplank_core._settings import ScalingSettings
 
 SECONDS_PER_HOUR = 3600.0
 
--- a/packages/bilberryplank-core/bilberryplank_core/_scaling_types.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_scaling_types.py
@@ -87,34 +87,3 @@
 
 
 ScalingIntent = StartIntent | DrainIntent | StopIntent
-
-
-@dataclass(slots=True, frozen=True)
-class ScalingSettings:
-    """Bounds and thresholds; durations in seconds.
-
-    Attributes:
-        most: Upstreams of a pool that may run.
-        wait_limit: A longer wait in the queue is pressure.
-        attainment_target: Share of requests that should meet their targets.
-        cost_per_miss: What a request that misses its targets costs, in the operators' currency.
-        low_use: The rest of a pool must stay below this share of its capacity after a stop.
-        hold_up: Pressure must last this long before a start.
-        hold_down: Slack must last this long before a drain.
-        settle: After a change a pool rests this long.
-        catch_up: What waits should be worked off within this time.
-        starts_at_once: Upstreams started by one decision.
-        drain_spread: Time after which every entry knows of a drain.
-    """
-
-    most: int = 1000
-    wait_limit: float = 1.0
-    attainment_target: float = 0.95
-    cost_per_miss: float = 0.01
-    low_use: float = 0.6
-    hold_up: float = 15.0
-    hold_down: float = 300.0
-    settle: float = 60.0
-    catch_up: float = 120.0
-    starts_at_once: int = 4
-    drain_spread: float = 20.0
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -121,6 +121,49 @@
     usage_buffer: int = 20000
 
 
+@dataclass(slots=True, frozen=True)
+class ScalingSettings:
+    """Starting and stopping of upstreams; durations in seconds.
+
+    Attributes:
+        enabled: True where this entry contends for the scaling lease.
+        pools: Values of the upstream label `pool` whose upstreams are started and stopped.
+        zones: Zones in which pools may grow; empty for all.
+        sample_interval: The holder asks sidecars for their load this often.
+        sample_size: Upstreams of a pool that it asks.
+        join_timeout: A started upstream that has not joined by then is no longer waited for.
+        most: Upstreams of a pool that may run.
+        wait_limit: A longer wait in the queue is pressure.
+        attainment_target: Share of requests that should meet their targets.
+        cost_per_miss: What a request that misses its targets costs, in the operators' currency.
+        low_use: The rest of a pool must stay below this share of its capacity after a stop.
+        hold_up: Pressure must last this long before a start.
+        hold_down: Slack must last this long before a drain.
+        settle: After a change a pool rests this long.
+        catch_up: What waits should be worked off within this time.
+        starts_at_once: Upstreams started by one decision.
+        drain_spread: Time after which every entry knows of a drain.
+    """
+
+    enabled: bool = False
+    pools: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    sample_interval: float = 15.0
+    sample_size: int = 12
+    join_timeout: float = 300.0
+    most: int = 1000
+    wait_limit: float = 1.0
+    attainment_target: float = 0.95
+    cost_per_miss: float = 0.01
+    low_use: float = 0.6
+    hold_up: float = 15.0
+    hold_down: float = 300.0
+    settle: float = 60.0
+    catch_up: float = 120.0
+    starts_at_once: int = 4
+    drain_spread: float = 20.0
+
+
 @dataclass(slots=True, frozen=True)
 class LogSettings:
     """Logs: one line of key=value pairs for each event on standard error."""
@@ -156,6 +199,7 @@
     callers: CallerSettings = CallerSettings()
     links: LinkSettings = LinkSettings()
     routing: RoutingSettings = RoutingSettings()
+    scaling: ScalingSettings = ScalingSettings()
     fleet: FleetSettings = FleetSettings()
     logs: LogSettings = LogSettings()
 
--- a/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
@@ -27,7 +27,15 @@
         "upstream_url",
     }
 )
-_SHARES = frozenset({"long_prefill_share", "wasted_work_budget", "retry_ratio"})
+_SHARES = frozenset(
+    {
+        "long_prefill_share",
+        "wasted_work_budget",
+        "retry_ratio",
+        "attainment_target",
+        "low_use",
+    }
+)
 _NAMES = frozenset({"name", "zone", "upstream"})
 _NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
 _PORT = re.compile(r"[0-9]{1,5}")
--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -22,10 +22,10 @@
     PoolLoad,
     PoolMember,
     ScalingIntent,
-    ScalingSettings,
     StartIntent,
     StopIntent,
 )
+from bilberryplank_core._settings import ScalingSettings
 from bilberryplank_core._usage_records import USAGE_SHARDS, RequestIds, UsageRecord
 from bilberryplank_core._usage_reports import (
     ReportState,
--- a/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bilberryplank._answer_stream import AnswerStream
@@ -71,16 +72,22 @@
         first_byte: Loop time in seconds at which the answer began; None before.
     """
 
-    __slots__ = ("first_byte", "_held", "_kept", "_load", "_metrics")
+    __slots__ = ("first_byte", "_held", "_kept", "_load", "_metrics", "_seen")
 
     def __init__(
-        self, held: HeldAttempt, kept: KeptAnswers, load: Load, metrics: ProcessMetrics
+        self,
+        held: HeldAttempt,
+        kept: KeptAnswers,
+        load: Load,
+        metrics: ProcessMetrics,
+        first_byte_seen: Callable[[HeldAttempt, float], None] = lambda held, waited: None,
     ) -> None:
         self.first_byte: float | None = None
         self._held = held
         self._kept = kept
         self._load = load
         self._metrics = metrics
+        self._seen = first_byte_seen
 
     async def head(self, status: int, headers: Headers) -> None:
         """Takes status and headers."""
@@ -99,3 +106,4 @@
         self.first_byte = asyncio.get_running_loop().time()
         waited = self.first_byte - self._held.arrived
         self._metrics.first_token(self._held.dispatch.class_name, waited)
+        self._seen(self._held, waited)
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -14,6 +14,7 @@
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import FrameDropCause, ProcessMetrics, RequestOutcome, TokenUse
 from bilberryplank._sidecar_attempts import HeldAttempt, KeepingSink
+from bilberryplank._target_meter import TargetMeter
 from bilberryplank._upstream_call import UpstreamBroke, UpstreamCaller, UpstreamNotReached
 from bilberryplank._usage_feed import UsageFeed
 from bilberryplank_core.configuration import Configuration
@@ -94,6 +95,7 @@
         self._links: set[Link] = set()
         self._unclassified: list[HeldAttempt] = []
         self._expiry: asyncio.TimerHandle | None = None
+        self._targets = TargetMeter()
         parts.feed.holder.subscribe(self._configuration_changed)
 
     @property
@@ -111,6 +113,8 @@
             leaving=self.leaving,
             version=shown.version,
             confirmed_age=shown.confirmed_age,
+            attainment=self._targets.attainment(_now()),
+            arrivals=self._targets.arrivals(_now()),
         )
 
     def leave(self) -> None:
@@ -222,6 +226,7 @@
             self._refuse(held, reason, RETRY_ELSEWHERE_SECONDS)
             return
         held.rank = self._configuration.rank(held.dispatch.class_name)
+        self._targets.arrived(_now())
         rejections = self._queue.offer(held.queued(self._configuration), _now())
         self._record(held, DecisionStep.QUEUED)
         self._reject(rejections)
@@ -275,7 +280,9 @@
         attempt = held.dispatch.attempt
         budget = max(0.0, held.deadline - _now())
         dispatch = replace(held.dispatch, budget=budget)
-        sink = KeepingSink(held, self._kept, self.load(), self._parts.metrics)
+        sink = KeepingSink(
+            held, self._kept, self.load(), self._parts.metrics, self._first_byte_seen
+        )
         try:
             usage = await self._parts.caller.run(dispatch, held.rank, sink)
         except UpstreamNotReached as exc:
@@ -294,6 +301,11 @@
             self._held.pop(attempt, None)
             self._pump()
 
+    def _first_byte_seen(self, held: HeldAttempt, waited: float) -> None:
+        request_class = self._configuration.classes.get(held.dispatch.class_name)
+        if request_class is not None:
+            self._targets.answered(waited <= request_class.first_token_target, _now())
+
     def _finish(self, held: HeldAttempt, usage: Usage) -> None:
         attempt = held.dispatch.attempt
         now = _now()
@@ -343,6 +355,7 @@
             raise AssertionError("only an attempt that never ran can be refused")
         self._held.pop(attempt, None)
         self._parts.metrics.refused(reason, held.dispatch.class_name)
+        self._targets.refused(reason, _now())
         self._send_not_run(held, reason, retry_after)
 
     def _send_not_run(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
--- a/packages/bilberryplankctl/bilberryplankctl/tests/test_pages.py
+++ b/packages/bilberryplankctl/bilberryplankctl/tests/test_pages.py
@@ -23,6 +23,7 @@
     "Callers": settings.CallerSettings,
     "Links": settings.LinkSettings,
     "Routing": settings.RoutingSettings,
+    "Scaling": settings.ScalingSettings,
     "Queue": settings.QueueSettings,
     "Fleet": settings.FleetSettings,
     "Logs": settings.LogSettings,
