--- a/packages/bilberryplank/bilberryplank/_answer_stream.py
+++ b/packages/bilberryplank/bilberryplank/_answer_stream.py
@@ -107,8 +107,19 @@
         """True once the answer's end was sent."""
         return self._closing_sent
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the body that are held here."""
+        return sum(map(len, self._parts))
+
     def attach(self, link: Link) -> None:
-        """Sends the whole answer again, from its start, over another link."""
+        """Sends the whole answer again, from its start, over another link.
+
+        Raises:
+            ValueError: The answer is no longer replayable.
+        """
+        if not self.replayable:
+            raise ValueError("parts of the answer were dropped")
         self._link = link
         self._cursor = 0
         self._unacknowledged = 0
