Measure slopes beside a listed fleet, and memory in flight on fresh processes

Cause: a process alone won every lease, so that its rest held the sums of usage (6 to 12 ms of processor a second against 2 to 3 without); and memory in flight was hidden by what an earlier repeat had left to the allocator (27, then 1 KB). Change: the host list names other hosts, which take the leases; each repeat in flight has new processes.

--- a/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
@@ -39,6 +39,7 @@
 POLL_SECONDS = 0.05
 KIND = "service"
 ANSWER = b"{}"
+OTHER_HOSTS = 100
 
 
 class BenchPlatform:
@@ -73,6 +74,7 @@
         self._session = aiohttp.ClientSession(connector=connector)
         await self._platform.start()
         await self._wait_for(f"{self.url}/_log")
+        await self._list_hosts()
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -93,7 +95,7 @@
         self.listen = new_address()
         operations = new_address()
         values = {
-            "name": f"{role.value}-1",
+            "name": f"measured-{role.value}",
             "zone": "zone-a",
             "listen": self.listen,
             "operations_listen": operations,
@@ -140,6 +142,21 @@
         names = ("table", "object_store", "upstream_orders", "usage_reports", "host_list")
         return dict.fromkeys(names, self.url)
 
+    async def _list_hosts(self) -> None:
+        """Lists hosts of another zone, so that leases of the fleet's jobs are theirs to take."""
+        hosts = [
+            {
+                "name": f"other-{number}",
+                "zone": "zone-b",
+                "role": Role.ENTRY.value,
+                "address": "127.0.0.1:1",
+                "state": "live",
+            }
+            for number in range(OTHER_HOSTS)
+        ]
+        async with self.session.put(f"{self.url}/_hosts", json={"hosts": hosts}) as resp:
+            resp.raise_for_status()
+
     async def _wait_for(self, url: str) -> None:
         for _ in range(int(START_TIMEOUT_SECONDS / POLL_SECONDS)):
             try:
--- a/packages/bilberryplank-testing/bilberryplank_testing/_slope_requests.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_slope_requests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import aiohttp
@@ -102,16 +104,30 @@
 
 
 async def measure_requests(repeats: int, seconds: float) -> list[Slope]:
-    """Returns slopes over requests, tokens and requests in flight."""
+    """Returns slopes over requests and tokens."""
+    async with _open_bench() as bench:
+        slopes = await _measure_rates(bench, repeats, seconds)
+        return slopes + await _measure_tokens(bench, repeats, seconds)
+
+
+async def measure_in_flight(repeats: int, seconds: float) -> list[Slope]:
+    """Returns slopes over requests in flight; each repeat has processes of its own."""
+    slopes = _pair("memory per request in flight", "KB", KILOBYTES)
+    for _ in range(repeats):
+        async with _open_bench() as bench:
+            _add(slopes, [await _resident(bench, count) for count in IN_FLIGHT_COUNTS])
+    return slopes
+
+
+@asynccontextmanager
+async def _open_bench() -> AsyncIterator[RequestBench]:
+    """Yields a bench that has served its first requests."""
     connector = aiohttp.TCPConnector(limit=0)
     deployment = RequestBench.new_deployment()
     async with deployment, aiohttp.ClientSession(connector=connector) as session:
         bench = RequestBench(deployment, session)
         await bench.send_evenly(WARM_UP_REQUESTS, 1.0, UNSTREAMED_TOKENS, True)
-        slopes = await _measure_rates(bench, repeats, seconds)
-        slopes += await _measure_tokens(bench, repeats, seconds)
-        slopes += await _measure_in_flight(bench, repeats)
-    return slopes
+        yield bench
 
 
 async def _measure_rates(bench: RequestBench, repeats: int, seconds: float) -> list[Slope]:
@@ -137,14 +153,6 @@
     return slopes
 
 
-async def _measure_in_flight(bench: RequestBench, repeats: int) -> list[Slope]:
-    slopes = _pair("memory per request in flight", "KB", KILOBYTES)
-    for _ in range(repeats):
-        found = [await _resident(bench, count) for count in IN_FLIGHT_COUNTS]
-        _add(slopes, found)
-    return slopes
-
-
 async def _resident(bench: RequestBench, count: int) -> list[Point]:
     await bench.hang(True)
     tasks = [asyncio.create_task(bench.send(UNSTREAMED_TOKENS, True)) for _ in range(count)]
--- a/packages/bilberryplank-testing/bilberryplank_testing/load.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/load.py
@@ -62,7 +62,7 @@
     seconds: float = 20.0,
     fault: str = "none",
     engines: int = 6,
-    slots: int = 4,
+    slots: int = 8,
     step_seconds: float = 0.02,
     json: Path | None = None,
     plot: Path | None = None,
--- a/packages/bilberryplank-testing/bilberryplank_testing/slopes.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/slopes.py
@@ -24,7 +24,7 @@
     measure_sidecar_links,
 )
 from bilberryplank_testing._slope_platform import measure_platform
-from bilberryplank_testing._slope_requests import measure_requests
+from bilberryplank_testing._slope_requests import measure_in_flight, measure_requests
 
 Measurement = Callable[[int, float], Awaitable[list[Slope]]]
 
@@ -53,6 +53,7 @@
     "entry-reports": measure_entry_reports,
     "sidecar-links": measure_sidecar_links,
     "requests": measure_requests,
+    "in-flight": measure_in_flight,
     "entry-configuration": measure_entry_configuration,
     "sidecar-configuration": measure_sidecar_configuration,
     "platform": measure_platform,
