Count the links that subsets make at three sizes of a fleet

Cause: messages between 350 entries and 690 sidecars are the first sum of docs/CAPACITY.md. Conclusion: the links of an entry follow the subset's size and the number of models, not that of the fleet.

--- a/packages/bilberryplank-testing/bilberryplank_testing/slopes.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/slopes.py
@@ -25,6 +25,7 @@
 )
 from bilberryplank_testing._slope_platform import measure_platform
 from bilberryplank_testing._slope_requests import measure_in_flight, measure_requests
+from bilberryplank_testing._slope_subsets import FLEETS, fleet_links
 
 Measurement = Callable[[int, float], Awaitable[list[Slope]]]
 
@@ -34,6 +35,8 @@
     print(f"heartbeat and its answer: {heartbeat_bytes()} bytes")
     for count in ORGANISATION_COUNTS:
         print(f"configuration of {count} organisations: {document_bytes(count)} bytes")
+    for entries, sidecars in FLEETS:
+        print(fleet_links(entries, sidecars).format())
     return []
 
 
--- a/packages/bilberryplank-testing/bilberryplank_testing/tests/test_slopes.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/tests/test_slopes.py
@@ -4,6 +4,7 @@
 from bilberryplank_testing._slope_bench import configuration
 from bilberryplank_testing._slope_fit import Point, Slope
 from bilberryplank_testing._slope_platform import PlatformCounts
+from bilberryplank_testing._slope_subsets import FLEETS, MODELS, fleet_links
 
 
 class SlopeTest(unittest.TestCase):
@@ -38,3 +39,11 @@
         ]
         counts = PlatformCounts.of(entries, 2.0).by_kind
         self.assertEqual(counts, {"table reads": 0.5, "host list reads": 0.5, "writes": 1.0})
+
+
+class SubsetsTest(unittest.TestCase):
+    def test_links_stay_in_bounds_at_the_largest_size(self):
+        links = fleet_links(*FLEETS[-1])
+        self.assertLessEqual(max(links.by_entry), 12 * MODELS + 4)
+        self.assertGreater(min(links.by_sidecar), 0)
+        self.assertEqual(sum(links.by_entry), sum(links.by_sidecar))
