Read what a newer release wrote, and let only a release that knows all of it write

Cause: one unknown field in a change made every older process refuse the whole configuration from then on. Ambiguous classes and routes were refused by the command only, not where a document is written. Ruled out: leaving out any faulty item. A limit or class left out would change what callers may do, so that only unknown names, and items with an unknown member of an enumeration, pass; all other faults still refuse the document. Passing on a part as the whole would have taken fields away from newer peers. Change: from_document and from_bytes take strict; rows, chunks and updates are read leniently and counted in Configuration.ignored. A change goes on to peers as it came; a process that knows only a part sends no whole. Such a configuration is not written over. An item that became unknown is taken out. write and edit refuse ambiguities that they add; a key can still be withdrawn where there is one.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration.py
@@ -47,10 +47,13 @@
     Attributes:
         version: Grows with each accepted change; 0 before the first.
         parts: The document.
+        ignored: Number of names and items that were left out of the document, because a newer
+            release wrote them.
     """
 
     version: int = 0
     parts: ConfigurationParts = field(default_factory=ConfigurationParts)
+    ignored: int = 0
     organisations: dict[str, Organisation] = field(init=False)
     keys: dict[str, Key] = field(init=False)
     keys_by_digest: dict[str, Key] = field(init=False)
@@ -67,24 +70,34 @@
         self.upstreams = {item.name: item for item in self.parts.upstreams}
 
     @classmethod
-    def from_document(cls, version: int, document: Any) -> Configuration:
+    def from_document(cls, version: int, document: Any, strict: bool = True) -> Configuration:
         """Returns the checked configuration in a parsed JSON document.
 
+        Args:
+            version: Its version.
+            document: The document.
+            strict: False where the document was accepted already, perhaps by a newer release.
+
         Raises:
             ConfigurationInvalid: With every fault of the document.
         """
-        reader = DocumentReader(check_item)
+        reader = DocumentReader(check_item, strict=strict)
         parts = reader.read(ConfigurationParts, document, PLACE)
         if parts is None:
             raise ConfigurationInvalid(reader.faults)
         if faults := check_parts(parts, PLACE):
             raise ConfigurationInvalid(faults)
-        return cls(version, parts)
+        return cls(version, parts, reader.ignored)
 
     @classmethod
-    def from_bytes(cls, version: int, data: bytes) -> Configuration:
+    def from_bytes(cls, version: int, data: bytes, strict: bool = True) -> Configuration:
         """Returns the checked configuration in bytes of JSON, with or without comments.
 
+        Args:
+            version: Its version.
+            data: The document.
+            strict: False where the document was accepted already, perhaps by a newer release.
+
         Raises:
             ConfigurationInvalid: With every fault of the document.
         """
@@ -95,7 +108,7 @@
         document, faults = parse_json(text, PLACE)
         if faults:
             raise ConfigurationInvalid(faults)
-        return cls.from_document(version, document)
+        return cls.from_document(version, document, strict)
 
     def to_document(self) -> dict[str, Any]:
         """Returns the document as plain JSON values."""
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_chunks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_chunks.py
@@ -42,9 +42,10 @@
 class ChunkReader:
     """Puts a configuration together from its chunks; it was checked before it was accepted."""
 
-    __slots__ = ("_items", "_labels")
+    __slots__ = ("_ignored", "_items", "_labels")
 
     def __init__(self) -> None:
+        self._ignored = 0
         self._items: dict[str, list[Any]] = {name: [] for name in PART_NAMES}
         self._labels: dict[tuple[tuple[str, str], ...], Labels] = {}
 
@@ -54,17 +55,18 @@
         Raises:
             ConfigurationInvalid: With every fault of the chunk.
         """
-        reader = DocumentReader()
+        reader = DocumentReader(strict=False)
         parts = reader.read(ConfigurationParts, chunk, "configuration")
         if parts is None:
             raise ConfigurationInvalid(reader.faults)
+        self._ignored += reader.ignored
         for name, items in self._items.items():
             items.extend(self._shared(item) for item in getattr(parts, name))
 
     def build(self, version: int) -> Configuration:
         """Returns the configuration of all chunks."""
         parts = {name: tuple(items) for name, items in self._items.items()}
-        return Configuration(version, ConfigurationParts(**parts))
+        return Configuration(version, ConfigurationParts(**parts), self._ignored)
 
     def _shared(self, item: Any) -> Any:
         if not hasattr(item, "labels"):
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_delta.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_delta.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import MISSING, Field, dataclass, field, fields
+from dataclasses import MISSING, Field, dataclass, field, fields, replace
 from enum import Enum
 from typing import Any
 
@@ -15,6 +15,14 @@
 PART_NAMES = tuple(part.name for part in fields(ConfigurationParts))
 
 
+@dataclass(slots=True, frozen=True)
+class _Received:
+    """A change of a newer release as it came, so that peers that know more get all of it."""
+
+    document: dict[str, Any]
+    ignored: int
+
+
 @dataclass(slots=True, frozen=True)
 class ConfigurationDelta:
     """What turns one version into a later one.
@@ -25,6 +33,7 @@
         upserts: Items that are new or changed.
         removals: Identities of removed items, by list.
         replaced: Lists that `upserts` holds whole, because their order changed.
+        received: The change as it came, where a part of it is not known here; else None.
     """
 
     from_version: int
@@ -32,6 +41,7 @@
     upserts: ConfigurationParts = field(default_factory=ConfigurationParts)
     removals: dict[str, tuple[str, ...]] = field(default_factory=dict)
     replaced: tuple[str, ...] = ()
+    received: _Received | None = field(default=None, init=False, compare=False, repr=False)
 
     @classmethod
     def between(cls, old: Configuration, new: Configuration) -> ConfigurationDelta:
@@ -50,16 +60,26 @@
         return cls(old.version, new.version, parts, removals, tuple(replaced))
 
     @classmethod
-    def from_document(cls, document: Any) -> ConfigurationDelta:
+    def from_document(cls, document: Any, strict: bool = True) -> ConfigurationDelta:
         """Returns the difference in a parsed JSON document.
 
+        Args:
+            document: The document.
+            strict: False where the change was accepted already, perhaps by a newer release.
+
         Raises:
             ConfigurationInvalid: With every fault of the document.
         """
-        reader = DocumentReader()
+        reader = DocumentReader(strict=strict)
         delta = reader.read(cls, document, "change")
         if delta is None:
             raise ConfigurationInvalid(reader.faults)
+        if not reader.ignored:
+            return delta
+        # An item that changed into one that is not known here must not stay as it was.
+        removals = _with_left_out(delta.removals, reader.left_out)
+        delta = replace(delta, removals=removals)
+        object.__setattr__(delta, "received", _Received(document, reader.ignored))
         return delta
 
     @property
@@ -70,6 +90,8 @@
 
     def to_document(self) -> dict[str, Any]:
         """Returns the difference as plain JSON values."""
+        if self.received is not None:
+            return self.received.document
         upserts = {name: plain_items(getattr(self.upserts, name)) for name in PART_NAMES}
         return {
             "from_version": self.from_version,
@@ -93,7 +115,8 @@
             fault = Fault("change.from_version", f"is {self.from_version}", str(old.version))
             raise ConfigurationInvalid([fault])
         merged = {name: self._merged(name, old) for name in PART_NAMES}
-        return Configuration(self.to_version, ConfigurationParts(**merged))
+        ignored = old.ignored + (self.received.ignored if self.received else 0)
+        return Configuration(self.to_version, ConfigurationParts(**merged), ignored)
 
     def _merged(self, name: str, old: Configuration) -> tuple[Any, ...]:
         upserts = getattr(self.upserts, name)
@@ -132,6 +155,16 @@
     return list(value) if isinstance(value, tuple) else value
 
 
+def _with_left_out(
+    removals: dict[str, tuple[str, ...]], left_out: list[tuple[str, Any]]
+) -> dict[str, tuple[str, ...]]:
+    merged = dict(removals)
+    for place, item in left_out:
+        name = place.rpartition(".")[2]
+        merged[name] = (*merged.get(name, ()), item.get("key_id") or item.get("name", ""))
+    return merged
+
+
 def _differences(
     before: tuple[Any, ...], after: tuple[Any, ...]
 ) -> tuple[tuple[Any, ...], tuple[str, ...]]:
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_rows.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_rows.py
@@ -42,7 +42,10 @@
     @classmethod
     def from_row(cls, row: Row | None) -> ConfigurationHead:
         """Returns the head in a row; version 0 without a row."""
-        return cls() if row is None else cls(**row.value)
+        if row is None:
+            return cls()
+        # A newer release may keep more in it.
+        return cls(**{name: row.value[name] for name in cls.__slots__ if name in row.value})
 
     def part_keys(self) -> list[str]:
         """Returns the keys of the checkpoint's rows."""
@@ -84,7 +87,7 @@
         row = await table.read(TABLE, change_key(number))
         if row is None or row.value["change"] is None:
             return None
-        changes.append(ConfigurationDelta.from_document(row.value["change"]))
+        changes.append(ConfigurationDelta.from_document(row.value["change"], strict=False))
     return changes
 
 
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_store.py
@@ -8,6 +8,7 @@
 from dataclasses import asdict, dataclass, replace
 from typing import Any
 
+from bilberryplank_core._ambiguity import find_ambiguities
 from bilberryplank_core._configuration import Configuration, ConfigurationParts
 from bilberryplank_core._configuration_chunks import chunks
 from bilberryplank_core._configuration_delta import ConfigurationDelta
@@ -24,7 +25,12 @@
     read_whole,
 )
 from bilberryplank_core._contracts import Condition, Delete, Put, Table
-from bilberryplank_core._errors import Conflict, PlatformUnavailable
+from bilberryplank_core._errors import (
+    ConfigurationInvalid,
+    Conflict,
+    Fault,
+    PlatformUnavailable,
+)
 from bilberryplank_core._world import Key
 
 KEPT_CHANGES = 1024
@@ -90,7 +96,8 @@
             Conflict: Another version is in force; nothing was written.
         """
         configuration = Configuration.from_document(expected_version + 1, document)
-        current = await self._read_current()
+        _check_ambiguities(configuration.parts, ConfigurationParts())
+        current = await self._read_writable()
         found = current.head.version
         if found > expected_version:
             raise Conflict(f"version {found} is in force, not {expected_version}")
@@ -106,11 +113,12 @@
             Conflict: Other writers won each of `MAX_EDIT_ATTEMPTS` times; nothing was written.
         """
         for attempt in range(MAX_EDIT_ATTEMPTS):
-            current = await self._read_current()
+            current = await self._read_writable()
             before = current.configuration
             parts = edit(before.parts)
             if parts == before.parts:
                 return before
+            _check_ambiguities(parts, before.parts)
             try:
                 return await self._write(current, _checked(before.version + 1, parts))
             except Conflict:
@@ -148,6 +156,13 @@
         configuration = await read_whole(self._table, head)
         return _Current(row.revision if row else 0, head, configuration)
 
+    async def _read_writable(self) -> _Current:
+        current = await self._read_current()
+        if current.configuration.ignored:
+            message = "was written by a newer release, and this one knows only a part of it"
+            raise ConfigurationInvalid([Fault("configuration", message, "that release")])
+        return current
+
     async def _write(self, current: _Current, configuration: Configuration) -> Configuration:
         head = current.head
         delta = ConfigurationDelta.between(current.configuration, configuration)
@@ -212,6 +227,18 @@
             return
 
 
+def _check_ambiguities(parts: ConfigurationParts, before: ConfigurationParts) -> None:
+    """Refuses ambiguities that a write adds; an edit must be possible where there were some."""
+    known = {_identity(fault) for fault in find_ambiguities(before)}
+    faults = [fault for fault in find_ambiguities(parts) if _identity(fault) not in known]
+    if faults:
+        raise ConfigurationInvalid(faults)
+
+
+def _identity(fault: Fault) -> tuple[str, str]:
+    return fault.place, fault.message
+
+
 def _old_change_keys(version: int) -> list[str]:
     last = version - KEPT_CHANGES
     first = max(1, last - 2 * CHANGES_PER_CHECKPOINT)
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_updates.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_updates.py
@@ -35,12 +35,17 @@
 def encode_update(configuration: Configuration, deltas: list[ConfigurationDelta] | None) -> bytes:
     """Returns the update that leads to a configuration.
 
+    A process that knows only a part of a configuration does not pass that part on as the whole: its
+    update is then empty, and the peer reads the table or asks another.
+
     Args:
         configuration: The configuration to which it leads.
         deltas: The changes that lead to it, oldest first; None to send the whole.
     """
     lines: list[Any] = [{"version": configuration.version, "whole": deltas is None}]
-    if deltas is None:
+    if deltas is None and configuration.ignored:
+        lines = [{"version": 0, "whole": False}]
+    elif deltas is None:
         lines.extend(chunks(configuration))
     else:
         lines.extend(delta.to_document() for delta in deltas)
@@ -56,7 +61,7 @@
     lines = _values(update)
     newest, whole = _header(next(lines))
     if not whole:
-        return ChangesUpdate(newest, tuple(map(ConfigurationDelta.from_document, lines)))
+        return ChangesUpdate(newest, tuple(_change(line) for line in lines))
     if newest <= version:
         return ChangesUpdate(newest, ())
     reader = ChunkReader()
@@ -65,6 +70,10 @@
     return WholeUpdate(reader.build(newest))
 
 
+def _change(line: Any) -> ConfigurationDelta:
+    return ConfigurationDelta.from_document(line, strict=False)
+
+
 def _values(update: bytes) -> Iterator[Any]:
     for line in BytesIO(update):
         yield _parsed(line)
--- a/packages/bilberryplank-core/bilberryplank_core/_documents.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_documents.py
@@ -21,23 +21,41 @@
 MAX_SHOWN_CHARS = 60
 
 
+class UnknownMember(Exception):
+    """A value that no member of an enumeration has; a newer release may know it."""
+
+
 class DocumentReader:
     """Builds data classes from parsed JSON and collects faults instead of stopping at the first.
 
+    A document that a newer release wrote is read leniently: names that are not known here are
+    ignored, and an item of a list is left out where an enumeration lacks its value.
+
     Attributes:
         faults: Every fault so far.
+        ignored: Number of names that were ignored, and of items that were left out.
+        left_out: Those items, each with the path of its list.
     """
 
-    __slots__ = ("_check", "_check_field", "faults")
+    __slots__ = ("_check", "_check_field", "_strict", "faults", "ignored", "left_out")
 
-    def __init__(self, check: Check | None = None, check_field: FieldCheck | None = None) -> None:
+    def __init__(
+        self,
+        check: Check | None = None,
+        check_field: FieldCheck | None = None,
+        strict: bool = True,
+    ) -> None:
         """Makes a reader.
 
         Args:
             check: Called with each object that could be built.
             check_field: Called with each plain value whose type is right.
+            strict: False to read what a newer release may have written.
         """
         self.faults: list[Fault] = []
+        self.ignored = 0
+        self.left_out: list[tuple[str, Any]] = []
+        self._strict = strict
         self._check = check
         self._check_field = check_field
 
@@ -52,8 +70,7 @@
             return None
         before = len(self.faults)
         shape = _shape_of(kind)
-        for name in value.keys() - shape.keys():
-            self.fault(f"{place}.{name}", "unknown name", ", ".join(sorted(shape)))
+        self._note_unknown(value.keys() - shape.keys(), shape, place)
         arguments = {}
         for name, (part, annotation) in shape.items():
             if name in value:
@@ -67,6 +84,13 @@
             self.faults.extend(self._check(built, place))
         return built if len(self.faults) == before else None
 
+    def _note_unknown(self, names: set[str], shape: dict[str, Any], place: str) -> None:
+        if not self._strict:
+            self.ignored += len(names)
+            return
+        for name in names:
+            self.fault(f"{place}.{name}", "unknown name", ", ".join(sorted(shape)))
+
     def _read_field(self, annotation: Any, name: str, value: Any, place: str) -> Any:
         before = len(self.faults)
         path = f"{place}.{name}"
@@ -107,14 +131,20 @@
             self.fault(place, f"is {_name_of(value)}", "a list")
             return ()
         inner = get_args(annotation)[0]
-        items = [
-            self._convert(inner, item, f"{place}[{index}]") for index, item in enumerate(value)
-        ]
+        items = []
+        for index, item in enumerate(value):
+            try:
+                items.append(self._convert(inner, item, f"{place}[{index}]"))
+            except UnknownMember:
+                self.ignored += 1
+                self.left_out.append((place, item))
         return tuple(items) if get_origin(annotation) is tuple else items
 
     def _convert_enum(self, annotation: type[Enum], value: Any, place: str) -> Any:
         allowed = [member.value for member in annotation]
         if value not in allowed:
+            if not self._strict and isinstance(value, str):
+                raise UnknownMember(value)
             self.fault(place, f"is {show(value)}", "one of " + ", ".join(allowed))
             return None
         return annotation(value)
@@ -144,7 +174,7 @@
 @cache
 def _shape_of(kind: type) -> dict[str, tuple[Field[Any], Any]]:
     hints = get_type_hints(kind)
-    return {part.name: (part, hints[part.name]) for part in fields(kind)}
+    return {part.name: (part, hints[part.name]) for part in fields(kind) if part.init}
 
 
 def _name_of(value: Any) -> str:
