--- a/packages/bilberryplank/bilberryplank/_logs.py
+++ b/packages/bilberryplank/bilberryplank/_logs.py
@@ -39,7 +39,7 @@
 )
 
 _PLAIN = re.compile(r"[!#-<>-\[\]-~]+")
-_SECRET_TEXT = re.compile(rf"{KEY_PREFIX}[A-Za-z0-9_-]+|(?i:(?<=bearer )\S+)")
+_SECRET_TEXT = re.compile(rf"{KEY_PREFIX}[A-Za-z0-9_-]+|(?i:(?<=bearer )\S+|(?<=basic )\S+)")
 _FIELD_NAME = re.compile(r"[^A-Za-z0-9_.]")
 _ESCAPES = {'"': '\\"', "\\": "\\\\", "\n": "\\n", "\r": "\\r", "\t": "\\t"}
 
--- a/packages/bilberryplank/bilberryplank/tests/test_logs.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_logs.py
@@ -39,6 +39,7 @@
             ("authorization", "anything", "authorization=***"),
             ("fleet_key", "anything", "fleet_key=***"),
             ("header", "Bearer sk-123", 'header="Bearer ***"'),
+            ("header", "a: basic dXNlcjpr+w==, b", 'header="a: basic *** b"'),
             ("path", "/v1?key=bpk_abc-d_e", 'path="/v1?key=***"'),
         ]
         for name, value, expected in cases:
