Wait for an entry's own links in the slopes

Cause: an entry now opens its links itself; a request at once after it was ready got no_upstream, and opened none. Change: the measurement waits until each sidecar has its link, and sends no requests.

--- a/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
@@ -16,15 +16,10 @@
 from bilberryplank_core.fleet import ConfigurationStore
 from bilberryplank_core.keys import digest_secret
 from bilberryplank_core.messages import (
-    Body,
-    Dispatch,
-    End,
-    Head,
     Heartbeat,
     Load,
     LoadReport,
     Message,
-    Usage,
 )
 from bilberryplank_core.settings import LinkSettings, PlatformSettings
 from bilberryplank_core.world import Role
@@ -34,11 +29,9 @@
 
 FLEET_KEY = "fleet-key-of-the-slopes"
 KEY_HASH_SECRET = "key-hash-secret-of-the-slopes"
-SECRET = "bpk_slope_secret"
 START_TIMEOUT_SECONDS = 60.0
 POLL_SECONDS = 0.05
 KIND = "service"
-ANSWER = b"{}"
 OTHER_HOSTS = 100
 
 
@@ -125,14 +118,6 @@
         used = self.usage().processor_seconds - before.processor_seconds
         return used / (loop.time() - start)
 
-    async def call(self, path: str, body: Any) -> int:
-        """Sends a caller's request and returns the status."""
-        headers = {"Authorization": f"Bearer {SECRET}"}
-        url = f"http://{self.listen}{path}"
-        async with self.session.post(url, json=body, headers=headers) as resp:
-            await resp.read()
-            return resp.status
-
     async def platform_log(self) -> list[dict[str, Any]]:
         """Returns everything that the platform received."""
         async with self.session.get(f"{self.url}/_log") as resp:
@@ -170,7 +155,7 @@
 
 
 class AnsweringSidecars:
-    """Sidecars played by the tool: they answer heartbeats, and every dispatch at once.
+    """Sidecars played by the tool: they answer heartbeats.
 
     Attributes:
         addresses: `ip:port` of each.
@@ -197,6 +182,18 @@
         for listener in self._listeners:
             await listener.on_stop()
 
+    async def linked(self) -> None:
+        """Waits until each has a link.
+
+        Raises:
+            TimeoutError: Some have none within a bounded time.
+        """
+        for _ in range(int(START_TIMEOUT_SECONDS / POLL_SECONDS)):
+            if len(self.links) == len(self.addresses):
+                return
+            await asyncio.sleep(POLL_SECONDS)
+        raise TimeoutError(f"{len(self.links)} links of {len(self.addresses)}")
+
     async def report(self, seconds: float, interval: float) -> int:
         """Sends reports on every link; returns how many."""
         return await send_evenly(self.links, LoadReport(_idle_load()), seconds, interval)
@@ -211,16 +208,10 @@
         self.links.remove(link)
 
     def link_message(self, link: Link, message: Message) -> None:
-        """Answers."""
-        match message:
-            case Heartbeat():
-                self.heartbeats += 1
-                link.send(LoadReport(_idle_load()))
-            case Dispatch(attempt=attempt):
-                headers = [["Content-Type", "application/json"]]
-                link.send(Head(attempt, 200, headers, _idle_load()))
-                link.send(Body(attempt, 0, ANSWER))
-                link.send(End(attempt, 1, Usage(), _idle_load()))
+        """Answers a heartbeat."""
+        if isinstance(message, Heartbeat):
+            self.heartbeats += 1
+            link.send(LoadReport(_idle_load()))
 
 
 class SilentEntries:
@@ -282,9 +273,9 @@
             {
                 "key_id": f"key-{name}",
                 "organisation": name,
-                "digest": digest_secret(SECRET if not number else name, KEY_HASH_SECRET),
+                "digest": digest_secret(name, KEY_HASH_SECRET),
             }
-            for number, name in enumerate(names)
+            for name in names
         ],
         "tiers": [{"name": "only", "rank": 0}],
         "classes": [{"name": "call", "tier": "only"}],
--- a/packages/bilberryplank-testing/bilberryplank_testing/_slope_links.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_slope_links.py
@@ -25,7 +25,6 @@
 SETTLE_SECONDS = 1.0
 MICROSECONDS = 1e6
 KILOBYTES = 1 / 1024
-CONNECT_ROUNDS = 4
 
 
 @dataclass(slots=True, frozen=True)
@@ -115,11 +114,8 @@
             await bench.store().write(0, configuration(10, sidecars.addresses))
             routing = {"policy": "round_robin", "subset_size": count}
             await bench.start(Role.ENTRY, links=links, routing=routing)
-            for _ in range(CONNECT_ROUNDS):
-                await asyncio.gather(*(bench.call("/any", {}) for _ in range(count)))
+            await sidecars.linked()
             await asyncio.sleep(SETTLE_SECONDS)
-            if len(sidecars.links) != count:
-                raise RuntimeError(f"{len(sidecars.links)} links of {count}")
             yield bench, sidecars
     finally:
         await sidecars.stop()
