--- a/packages/bilberryplank-testing/bilberryplank_testing/_plots.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_plots.py
@@ -7,6 +7,8 @@
 import matplotlib
 
 matplotlib.use("Agg")
+matplotlib.rcParams["svg.fonttype"] = "none"
+matplotlib.rcParams["svg.hashsalt"] = "bilberryplank"
 
 from matplotlib import pyplot  # noqa: E402
 from matplotlib.axes import Axes  # noqa: E402
@@ -28,14 +30,14 @@
         1 + len(MEASURES),
         figsize=size,
         squeeze=False,
+        layout="constrained",
         gridspec_kw={"width_ratios": [3] + [1] * len(MEASURES)},
     )
     for number, row in enumerate(rows):
         found = [c for c in cells if (c.workload, c.fault, c.rate_factor) == row]
         _plot_row(list(axes[number]), found, f"{row[0]}, {row[2]:g}x, fault {row[1]}")
     handles = [pyplot.Rectangle((0, 0), 1, 1, color=colour) for colour in COLOURS.values()]
-    figure.legend(handles, COLOURS, loc="upper right", ncols=2, fontsize=8)
-    figure.tight_layout()
+    figure.legend(handles, COLOURS, loc="outside upper right", ncols=2, fontsize=8)
     figure.savefig(path, metadata={"Date": None} if path.suffix == ".svg" else None)
     pyplot.close(figure)
 
