Take a caller that stops reading for gone, and show what a newer release wrote

Cause: a caller that took nothing more held its connection, and a stopping entry, for ever. Change: a write that waits for 60 s ends the connection; writes that cannot wait set no timer. A gauge shows how much of the configuration is not known here; its caller has yet to pass it.

--- a/packages/bilberryplank/bilberryplank/_caller_answer.py
+++ b/packages/bilberryplank/bilberryplank/_caller_answer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -12,6 +14,11 @@
 from bilberryplank_core.messages import Headers
 
 EVENT_STREAM = "text/event-stream"
+STALL_SECONDS = 60.0
+"""A caller that takes nothing for this long is taken for gone."""
+
+LOW_WATER_BYTES = 16 * 1024
+"""With less than this unsent, a write never waits (asyncio's low-water mark)."""
 
 
 class CallerGone(ConnectionError):
@@ -27,6 +34,7 @@
         closes: True to end the connection after the answer.
         outlives_caller: True for a call that is followed to its end although its caller left; the
             rest of its answer is then taken without being sent.
+        stall_timeout: Seconds without the caller taking anything until it is taken for gone.
 
     Attributes:
         first_byte: Loop time in seconds of the first byte of the body; None before.
@@ -42,6 +50,7 @@
         "_request",
         "_request_id",
         "_resp",
+        "_stall_timeout",
     )
 
     def __init__(
@@ -50,6 +59,7 @@
         request_id: str,
         closes: bool = False,
         outlives_caller: bool = False,
+        stall_timeout: float = STALL_SECONDS,
     ) -> None:
         self.first_byte: float | None = None
         self.last_byte: float | None = None
@@ -59,6 +69,7 @@
         self._request = request
         self._request_id = request_id
         self._resp: web.StreamResponse | None = None
+        self._stall_timeout = stall_timeout
 
     def discard(self) -> None:
         """Drops the rest of the answer."""
@@ -95,7 +106,7 @@
         self.first_byte = self.first_byte or now
         self.last_byte = now
         try:
-            await self._resp.write(data)
+            await self._write(self._resp, data)
         except ConnectionError as exc:
             self._caller_left(exc)
 
@@ -109,7 +120,8 @@
             raise CallerGone("the caller left before the end")
         assert self._resp is not None
         try:
-            await self._resp.write_eof()
+            async with self._stall_bound():
+                await self._resp.write_eof()
         except ConnectionError as exc:
             raise CallerGone(str(exc)) from exc
         return self._resp
@@ -126,6 +138,27 @@
             self._request.transport.close()
         raise CallerGone(f"cut off: {refused.reason.value}")
 
+    async def _write(self, resp: web.StreamResponse, data: bytes) -> None:
+        transport = self._request.transport
+        if transport is not None and self._is_short(transport, data):
+            await resp.write(data)
+            return
+        async with self._stall_bound():
+            await resp.write(data)
+
+    def _is_short(self, transport: asyncio.Transport, data: bytes) -> bool:
+        return transport.get_write_buffer_size() + len(data) < LOW_WATER_BYTES
+
+    @asynccontextmanager
+    async def _stall_bound(self) -> AsyncIterator[None]:
+        try:
+            async with asyncio.timeout(self._stall_timeout):
+                yield
+        except TimeoutError as exc:
+            if self._request.transport is not None:
+                self._request.transport.abort()
+            raise ConnectionError("the caller reads nothing") from exc
+
     def _caller_left(self, exc: ConnectionError) -> None:
         if not self._outlives_caller:
             raise CallerGone(str(exc)) from exc
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -176,8 +176,15 @@
         self._platform_calls.labels(service.value, outcome.value).inc()
         self._platform_seconds.labels(service.value).observe(seconds)
 
-    def set_configuration(self, version: int, confirmed_age: float) -> None:
-        """Sets the version in force and the seconds since a store read confirmed it."""
+    def set_configuration(self, version: int, confirmed_age: float, ignored: int = 0) -> None:
+        """Sets the state of the configuration.
+
+        Args:
+            version: The version in force.
+            confirmed_age: Seconds since a store read confirmed it.
+            ignored: Names and items in it that only a newer release knows.
+        """
+        self._ignored.set(ignored)
         self._version.set(version)
         self._confirmed_age.set(confirmed_age)
 
@@ -235,6 +242,9 @@
             "platform_seconds", "Time of calls.", PLATFORM_BUCKETS_SECONDS, "service"
         )
         self._version = self._gauge("configuration_version", "Configuration in force.")
+        self._ignored = self._gauge(
+            "configuration_ignored", "What only a newer release knows in it."
+        )
         self._confirmed_age = self._gauge(
             "configuration_confirmed_age_seconds", "Since a store read confirmed it."
         )
--- a/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
@@ -102,6 +102,7 @@
         self.refused = Counter()
         self.gone = asyncio.Event()
         self.parts_sent = 0
+        self.stall_timeout = NEVER
         self.callers = []
         await self.start(SETTINGS)
 
@@ -135,7 +136,7 @@
             raise
         if request.method == "OPTIONS":
             raise Refused(Reason.ROUTE_UNKNOWN, "no route")
-        answer = CallerAnswer(request, "r1")
+        answer = CallerAnswer(request, "r1", stall_timeout=self.stall_timeout)
         try:
             if request.path == "/stream":
                 return await self.stream(answer)
@@ -294,6 +295,15 @@
         caller.writer.transport.resume_reading()
         self.assertGreaterEqual(len(await self.whole_stream(caller)), MAX_PARTS * len(PART))
 
+    async def test_a_caller_that_stops_reading_is_taken_for_gone(self):
+        self.stall_timeout = 0.05
+        caller = await self.connect()
+        caller.writer.transport.pause_reading()
+        caller.writer.write(call(b"", method="GET", path="/stream", length=False))
+        await asyncio.wait_for(self.gone.wait(), TIMEOUT)
+        self.assertLess(self.parts_sent, MAX_PARTS)
+        await self.check_serves()
+
     async def whole_stream(self, caller):
         body = bytearray()
         while not body.endswith(b"\r\n0\r\n\r\n"):
--- a/packages/bilberryplank/bilberryplank/tests/test_metrics.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_metrics.py
@@ -42,7 +42,7 @@
         metrics.first_token("reply", 0.3)
         metrics.platform_called(PlatformService.TABLE, PlatformOutcome.CONFLICT, 0.01)
         metrics.set_load(3, 4)
-        metrics.set_configuration(12, 1.5)
+        metrics.set_configuration(12, 1.5, 2)
         metrics.set_lease("scaling", True)
         metrics.usage_records(UsageEvent.SPILLED, 5)
         cases = [
@@ -58,6 +58,7 @@
             (3, "queued_requests", {}),
             (4, "running_requests", {}),
             (12, "configuration_version", {}),
+            (2, "configuration_ignored", {}),
             (1, "lease_held", {"lease": "scaling"}),
             (5, "usage_records_total", {"event": "spilled"}),
         ]
