--- a/packages/bilberryplank-core/bilberryplank_core/_frames.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_frames.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Callable
 from dataclasses import MISSING, fields
+from functools import lru_cache
 from operator import attrgetter
 from typing import Any, get_args, get_origin, get_type_hints
 
@@ -73,6 +74,10 @@
     return _build(MESSAGE_TYPES[tag], values)
 
 
+# Each attempt is named in hundreds of frames; a frozen object can be shared by all of them.
+_attempt_id = lru_cache(maxsize=512)(_messages.AttemptId)
+
+
 def _values(message: Any) -> list[Any]:
     kind = type(message)
     values = list(_GETTERS[kind](message))
@@ -83,7 +88,9 @@
 
 def _build(message_type: type, values: list[Any]) -> Any:
     if (plain := _PLAIN_TYPES.get(message_type)) and list(map(type, values)) == plain:
-        return message_type(*values)
+        return (
+            _attempt_id(*values) if message_type is _messages.AttemptId else message_type(*values)
+        )
     if len(values) < _REQUIRED[message_type]:
         raise FrameInvalid(f"{message_type.__name__} with {len(values)} fields")
     # The shorter of the two counts: a newer peer sends more fields, an older one fewer.
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_frames.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_frames.py
@@ -51,6 +51,7 @@
             msgpack.packb([7, ["r", 1], 0, b""]),
             msgpack.packb([7, ["r", 1, "e"], True, b""]),
             msgpack.packb([7, ["r", 1, "e"], 0]),
+            msgpack.packb([7, ["r1", True, "e1"], 0, b""]),
             msgpack.packb([3, [0, 0, 1, float("nan")]]),
             msgpack.packb([-1]),
         ]
