--- a/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
@@ -38,13 +38,17 @@
 class BenchPlatform:
     """The fake platform in a process of its own, and one process under measurement beside it.
 
+    Args:
+        hosts: Hosts of another zone that the platform lists.
+
     Attributes:
         url: Where the platform is reached.
         child: The process under measurement, once started.
         listen: `ip:port` where callers or entries reach it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, hosts: int = OTHER_HOSTS) -> None:
+        self._hosts = hosts
         self._temporary = tempfile.TemporaryDirectory(prefix="bilberryplank-")
         self._directory = Path(self._temporary.name)
         self._session: aiohttp.ClientSession | None = None
@@ -137,7 +141,7 @@
                 "address": "127.0.0.1:1",
                 "state": "live",
             }
-            for number in range(OTHER_HOSTS)
+            for number in range(self._hosts)
         ]
         async with self.session.put(f"{self.url}/_hosts", json={"hosts": hosts}) as resp:
             resp.raise_for_status()
--- a/packages/bilberryplank-testing/bilberryplank_testing/slopes.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/slopes.py
@@ -17,6 +17,7 @@
     measure_configuration,
 )
 from bilberryplank_testing._slope_fit import Slope
+from bilberryplank_testing._slope_hosts import measure_hosts
 from bilberryplank_testing._slope_links import (
     heartbeat_bytes,
     measure_entry_heartbeats,
@@ -55,6 +56,7 @@
     "entry-heartbeats": measure_entry_heartbeats,
     "entry-reports": measure_entry_reports,
     "sidecar-links": measure_sidecar_links,
+    "hosts": measure_hosts,
     "requests": measure_requests,
     "in-flight": measure_in_flight,
     "entry-configuration": measure_entry_configuration,
