Check the shape of every refusal of a real entry

The test of key masking sends some 600 broken and refused requests to a real entry; each answer is checked now for code, status, outcome, not_run and Retry-After, and the file is named for it.

--- a/packages/bilberryplank/bilberryplank/tests/test_key_masking.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_entry_refusals.py
@@ -1,4 +1,4 @@
-"""No key of a caller is in an entry's log or decisions, whatever became of its request."""
+"""Every refusal of an entry is typed, and no key of a caller is in its log or decisions."""
 
 import asyncio
 import base64
@@ -14,6 +14,7 @@
 from bilberryplank._entry import Entry
 from bilberryplank.logs import configure_logs
 from bilberryplank.platform import Platform
+from bilberryplank_core.errors import REFUSAL_STATUS, RefusalReason
 from bilberryplank_core.fleet import ConfigurationStore
 from bilberryplank_core.keys import digest_secret
 from bilberryplank_core.settings import CallerSettings, EntrySettings, LogSettings, PlatformSettings
@@ -77,7 +78,7 @@
     return {"key": secret, "quoted": quote(secret, safe=""), "basic": basic}
 
 
-class KeyMaskingTest(unittest.IsolatedAsyncioTestCase):
+class EntryRefusalsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.platform = FakePlatform()
         url = await self.platform.start()
@@ -112,8 +113,21 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", self.entry._server.port)
         writer.write(sent)
         head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), TIMEOUT)
+        first, *lines = head.decode().rstrip().split("\r\n")
+        fields = dict(line.split(": ", 1) for line in lines)
+        body = await asyncio.wait_for(reader.readexactly(int(fields["Content-Length"])), TIMEOUT)
         writer.close()
-        return int(head.split()[1])
+        status = int(first.split()[1])
+        self.check_refusal(status, fields, json.loads(body))
+        return status
+
+    def check_refusal(self, status, fields, document):
+        error = document["error"]
+        self.assertEqual(status, REFUSAL_STATUS[RefusalReason(error["code"])])
+        self.assertTrue(error["message"])
+        self.assertEqual(fields["Bilberryplank-Outcome"], "not-run")
+        self.assertIs(error["not_run"], True)
+        self.assertEqual("Retry-After" in fields, status == 503, error)
 
     def requests(self, secret):
         forms = forms_of(secret)
@@ -129,7 +143,7 @@
         yield head + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + secret.encode() + b"\r\n"
         yield head
 
-    async def test_no_key_is_logged(self):
+    async def test_refusals_are_typed_and_no_key_is_logged(self):
         statuses = set()
         for secret in (GENERATED, BROUGHT, WITHDRAWN, UNKNOWN):
             for sent in self.requests(secret):
