Read the configuration before work begins, and let requests reach sidecars that just came up

Cause, each seen in a scenario: a restarted entry whose table reads were stale or silent never became ready; a request right after a sidecar came up was refused no_upstream, since the pool kept its backoff for requests too; a stale, older head counted as a confirmation. Also from review: one holder summed all usage shards (4 to 6 us a record, over its share at the target), a spool over 6,000 records lost its rest at a stop, links of spilled records were kept for good, contenders ranked the whole host list every 2 s. Ruled out: reading confirmations from the loop's clock, which stands still while a host is suspended.

--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -209,7 +209,7 @@
 def step_two_operators(context):
     world = context.world
     version = world.run(world.deployment.store().read_head()).version
-    document = configuration_of(world).to_document()
+    document = json.loads(configuration_of(world).to_bytes())
 
     async def write():
         store = world.deployment.store()
@@ -234,7 +234,7 @@
 def step_regrant(context, organisation, other):
     world = context.world
     current = configuration_of(world)
-    document = current.to_document()
+    document = json.loads(current.to_bytes())
     for key in document["keys"]:
         if key["key_id"] == f"key-{organisation}":
             key["organisation"] = other
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_holder.py
@@ -55,8 +55,10 @@
         return self._configuration.version
 
     def subscribe(self, subscriber: Subscriber) -> None:
-        """Has `subscriber` called with each new configuration."""
+        """Has `subscriber` called with the configuration in force, and with each new one."""
         self._subscribers.append(subscriber)
+        if self.version:
+            subscriber(self._configuration)
 
     def offer(self, version: int, configuration: Configuration, confirmed_at: float) -> bool:
         """Takes a whole configuration where it is newer; returns True where it did."""
--- a/packages/bilberryplank/bilberryplank/_configuration_feed.py
+++ b/packages/bilberryplank/bilberryplank/_configuration_feed.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from mode import Service
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._link import Link
 from bilberryplank._link_pool import VersionShown
 from bilberryplank._logs import log_event
@@ -19,6 +20,7 @@
     ConfigurationHolder,
     ConfigurationStore,
     PollSchedule,
+    poll_configuration,
     polls,
 )
 from bilberryplank_core.messages import ConfigurationDocument, FetchConfiguration
@@ -28,6 +30,8 @@
 TICK_SECONDS = 0.25
 FETCH_TIMEOUT_SECONDS = 2.0
 NEVER_CONFIRMED_SECONDS = 1e9
+UNKNOWN_FLEET_SIZE = 100
+"""Size that is taken for the fleet's while no host list was read."""
 
 Members = Callable[[], Iterable[Host]]
 
@@ -37,6 +41,7 @@
 
     Attributes:
         holder: The configuration in force.
+        failing: True where the last read of the table failed, or showed no configuration.
     """
 
     def __init__(
@@ -49,7 +54,7 @@
         members: Members,
     ) -> None:
         super().__init__()
-        self.holder = ConfigurationHolder(_now)
+        self.holder = ConfigurationHolder(boot_time)
         self._name = name
         self._zone = zone
         self._settings = settings
@@ -58,6 +63,7 @@
         self._members = members
         self._schedule = PollSchedule(settings.poll_interval, random.Random(name))
         self._fetching_until = 0.0
+        self.failing = False
 
     @property
     def configuration(self) -> Configuration:
@@ -66,18 +72,18 @@
 
     def shown(self) -> VersionShown:
         """Returns the version in force, as messages to peers carry it."""
-        age = min(self.holder.confirmed_age(_now()), NEVER_CONFIRMED_SECONDS)
+        age = min(self.holder.confirmed_age(boot_time()), NEVER_CONFIRMED_SECONDS)
         return VersionShown(self.holder.version, age)
 
     def is_stale(self) -> bool:
         """Returns True where nothing has confirmed the configuration for too long."""
-        return self.holder.stale(_now(), self._settings.stale_limit)
+        return self.holder.stale(boot_time(), self._settings.stale_limit)
 
     def peer_showed(self, link: Link, version: int, confirmed_age: float) -> None:
         """Takes in what a peer's message says, and fetches what is newer there."""
-        if not self.holder.seen(version, confirmed_age) or _now() < self._fetching_until:
+        if not self.holder.seen(version, confirmed_age) or boot_time() < self._fetching_until:
             return
-        self._fetching_until = _now() + FETCH_TIMEOUT_SECONDS
+        self._fetching_until = boot_time() + FETCH_TIMEOUT_SECONDS
         link.send(FetchConfiguration(self.holder.version))
 
     def peer_fetched(self, link: Link, message: FetchConfiguration) -> None:
@@ -103,21 +109,25 @@
         Raises:
             PlatformError: The table cannot be read.
         """
-        asked_at = _now()
-        deltas = await self._store.read_since(self.holder.version) if self.holder.version else None
         before = self.holder.version
-        if deltas is None:
-            configuration = await self._store.read()
-            self.holder.offer(configuration.version, configuration, asked_at)
-        else:
-            for delta in deltas:
-                self.holder.offer_delta(delta, asked_at)
-            self.holder.offer(self.holder.version, self.holder.configuration, asked_at)
+        await poll_configuration(self._store, self.holder, boot_time)
         if self.holder.version != before:
             self._log_change("table")
 
+    def push(self, update: bytes) -> bool:
+        """Takes an update that an operator's command sent; returns True where it is newer.
+
+        Raises:
+            ConfigurationInvalid: The bytes are no update.
+        """
+        changed = self.holder.accept_update(update, NEVER_CONFIRMED_SECONDS)
+        if changed:
+            self._log_change("operator")
+        return changed
+
     async def on_started(self) -> None:
-        """Begins to poll."""
+        """Reads once, and begins to poll."""
+        await self._read_table()
         self.add_future(self._poll())
 
     async def _poll(self) -> None:
@@ -126,21 +136,26 @@
             await asyncio.sleep(TICK_SECONDS)
 
     async def _poll_once(self) -> None:
-        members = list(self._members())
-        elected = polls(self._name, self._zone, members, self._settings.pollers_per_zone)
-        age = self.holder.confirmed_age(_now())
+        age = self.holder.confirmed_age(boot_time())
         self._metrics.set_configuration(self.holder.version, age)
-        if not self._schedule.due(_now(), elected, len(members), age):
-            return
+        if self._is_due(age):
+            await self._read_table()
+
+    async def _read_table(self) -> None:
         try:
             await self.refresh()
+            self.failing = not self.holder.version
         except (PlatformError, ConfigurationInvalid) as exc:
+            self.failing = True
             log_event(logger, "configuration_read_failed", level="WARNING", code=exc.code)
 
+    def _is_due(self, age: float) -> bool:
+        members = list(self._members())
+        if not members:
+            return self._schedule.due(boot_time(), False, UNKNOWN_FLEET_SIZE, age)
+        elected = polls(self._name, self._zone, members, self._settings.pollers_per_zone)
+        return self._schedule.due(boot_time(), elected, len(members), age)
+
     def _log_change(self, source: str) -> None:
         self._metrics.declare_classes(self.configuration.classes)
         log_event(logger, "configuration_changed", version=self.holder.version, source=source)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_lease_job.py
+++ b/packages/bilberryplank/bilberryplank/_lease_job.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-import time
 from abc import abstractmethod
 
 from loguru import logger
 from mode import Service
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._host_feed import HostFeed
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
@@ -17,15 +17,11 @@
 from bilberryplank_core.errors import Conflict, LeaseLost, PlatformError
 from bilberryplank_core.fleet import LeaseHolder, is_ranked
 from bilberryplank_core.settings import FleetSettings
+from bilberryplank_core.world import Host, HostState
 
 IDLE_SECONDS = 2.0
 
 
-def boot_time() -> float:
-    """Returns seconds that go on while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class LeaseJob(Service):
     """Contends for a lease and does its job while it holds it.
 
@@ -55,6 +51,8 @@
         self._settings = settings
         self._hosts = hosts
         self._metrics = metrics
+        self._candidate = True
+        hosts.subscribe(self._rank)
 
     @abstractmethod
     async def work(self) -> None:
@@ -77,7 +75,7 @@
 
     async def _contend(self) -> None:
         while not self.should_stop:
-            if self.lease.held(boot_time()) or self._is_candidate():
+            if self.lease.held(boot_time()) or self.contends():
                 await self._contend_once()
             self._metrics.set_lease(self.lease.name, self.lease.held(boot_time()))
             await asyncio.sleep(self.lease.delay())
@@ -99,6 +97,10 @@
             if self.lease.held(boot_time()):
                 await self._work_once()
 
+    def contends(self) -> bool:
+        """Returns True where this process is among the few that try to get the lease."""
+        return self._candidate
+
     def pause(self) -> float:
         """Returns the seconds until the next piece of work."""
         return IDLE_SECONDS
@@ -109,7 +111,7 @@
         except (LeaseLost, Conflict, PlatformError) as exc:
             log_event(logger, "lease_work_ended", job=self.lease.name, code=exc.code, cause=exc)
 
-    def _is_candidate(self) -> bool:
-        names = [host.name for host in self._hosts.hosts]
+    def _rank(self, hosts: list[Host]) -> None:
+        names = [host.name for host in hosts if host.state is HostState.LIVE]
         job = f"lease/{self.lease.name}"
-        return is_ranked(job, self._name, names, self._settings.lease_candidates)
+        self._candidate = is_ranked(job, self._name, names, self._settings.lease_candidates)
--- a/packages/bilberryplank/bilberryplank/_link_keeper.py
+++ b/packages/bilberryplank/bilberryplank/_link_keeper.py
@@ -51,7 +51,7 @@
         while not self.should_stop:
             if self._feed.holder.version:
                 self._keep_links()
-            else:
+            elif self._feed.failing:
                 self._ask_peers()
             now = asyncio.get_running_loop().time()
             self._pool.send_heartbeats(now, self._feed.shown())
@@ -76,7 +76,7 @@
 
     async def _open_link(self, address: str, fetch: bool) -> None:
         try:
-            link = await self._pool.get(address, CONNECT_TIMEOUT_SECONDS)
+            link = await self._pool.get(address, CONNECT_TIMEOUT_SECONDS, patient=True)
         except (LinkClosed, HandshakeFailed):
             return
         finally:
--- a/packages/bilberryplank/bilberryplank/_link_pool.py
+++ b/packages/bilberryplank/bilberryplank/_link_pool.py
@@ -81,9 +81,15 @@
                 peer.link = None
         self.handler.link_closed(link, exc)
 
-    async def get(self, address: str, timeout: float) -> Link:
+    async def get(self, address: str, timeout: float, patient: bool = False) -> Link:
         """Returns an open link to the sidecar at `address` (`ip:port`).
 
+        Args:
+            address: Where the sidecar listens.
+            timeout: Seconds to wait.
+            patient: True to keep the backoff after a failure; a caller that has a request at hand
+                tries at once, as its chooser avoids what failed wherever it can.
+
         Raises:
             LinkClosed: It cannot be reached, or failed a moment ago.
             HandshakeFailed: It did not prove itself.
@@ -92,7 +98,7 @@
         if peer.link is not None and peer.link.is_open:
             return peer.link
         if peer.connecting is None:
-            self._start_connecting(peer)
+            self._start_connecting(peer, patient)
         assert peer.connecting is not None
         try:
             return await asyncio.wait_for(asyncio.shield(peer.connecting), timeout)
@@ -128,9 +134,9 @@
         """Ends every link."""
         self.retain(set())
 
-    def _start_connecting(self, peer: _Peer) -> None:
+    def _start_connecting(self, peer: _Peer, patient: bool) -> None:
         loop = asyncio.get_running_loop()
-        if loop.time() < peer.not_before:
+        if patient and loop.time() < peer.not_before:
             raise LinkClosed(f"{peer.address} failed a moment ago")
         peer.connecting = loop.create_task(self._connect(peer))
         peer.connecting.add_done_callback(lambda fut: self._connected(peer, fut))
--- a/packages/bilberryplank/bilberryplank/_process.py
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -10,19 +10,20 @@
 import aiohttp
 from mode import Service
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._decisions import DecisionJournal
 from bilberryplank._host_feed import HostFeed
-from bilberryplank._lease_job import boot_time
+from bilberryplank._lease_job import LeaseJob
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
 from bilberryplank._platform import Platform
 from bilberryplank._platform_metrics import meter_platform
 from bilberryplank._seeds import process_rng
 from bilberryplank._usage_feed import UsageFeed
-from bilberryplank._usage_job import UsageJob
+from bilberryplank._usage_job import UsageReportJob, UsageSumJob
 from bilberryplank_core.configuration import Configuration
-from bilberryplank_core.fleet import ConfigurationStore
+from bilberryplank_core.fleet import USAGE_SHARDS, ConfigurationStore
 from bilberryplank_core.settings import EntrySettings, SidecarSettings
 from bilberryplank_core.world import Role
 
@@ -77,18 +78,14 @@
             lambda: self._hosts.hosts,
         )
         self._usage = UsageFeed(self.role, self.epoch, settings.fleet, platform, self.metrics, rng)
+        await self._hosts.refresh()
         for part in (self._operations, self._hosts, self._feed, self._usage):
             await self._start_part(part)
-        await self._hosts.refresh()
-        self._jobs = (
-            UsageJob(settings.name, settings.fleet, platform, self._hosts, self.metrics, rng),
-        )
+        self._jobs = self._make_jobs(platform)
         for job in self._jobs:
             await self._start_part(job)
         await self.start_work(platform)
         self._feed.holder.subscribe(self._configured)
-        if self._feed.holder.version:
-            self._configured(self._feed.configuration)
 
     def held_leases(self) -> tuple[str, ...]:
         """Returns the names of the leases that this process holds."""
@@ -118,6 +115,12 @@
         if operations is not None and operations.readiness is Readiness.STARTING:
             operations.readiness = Readiness.READY
 
+    def _make_jobs(self, platform: Platform) -> list[LeaseJob]:
+        cfg = self._settings
+        shared = (cfg.name, cfg.fleet, platform, self._hosts, self.metrics, process_rng(cfg.name))
+        sums = [UsageSumJob(group, *shared) for group in range(USAGE_SHARDS)]
+        return [UsageReportJob(*shared), *sums]
+
     async def _start_part(self, part: Service) -> None:
         self.add_dependency(part)
         await part.maybe_start()
--- a/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
@@ -13,6 +13,8 @@
 from bilberryplank_core.messages import Dispatch, Head, Headers, Load
 from bilberryplank_core.scheduling import KeptAnswers, QueuedRequest
 
+EVENT_END = b"\n\n"
+
 
 @dataclass(slots=True, eq=False)
 class HeldAttempt:
@@ -70,9 +72,10 @@
 
     Attributes:
         first_byte: Loop time in seconds at which the answer began; None before.
+        events: Server-sent events that came, about one a token; 0 for an answer in one piece.
     """
 
-    __slots__ = ("first_byte", "_held", "_kept", "_load", "_metrics", "_seen")
+    __slots__ = ("events", "first_byte", "_held", "_kept", "_load", "_metrics", "_seen")
 
     def __init__(
         self,
@@ -82,6 +85,7 @@
         metrics: ProcessMetrics,
         first_byte_seen: Callable[[HeldAttempt, float], None] = lambda held, waited: None,
     ) -> None:
+        self.events = 0
         self.first_byte: float | None = None
         self._held = held
         self._kept = kept
@@ -99,6 +103,7 @@
         """Takes the next bytes of the body."""
         if self.first_byte is None:
             self._note_first_byte()
+        self.events += data.count(EVENT_END)
         self._kept.keep_part(self._held.dispatch.attempt, data)
         await self._held.stream.part(data)
 
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -251,16 +251,17 @@
         return None
 
     def _pump(self) -> None:
+        while (attempt := self._queue.preempt(_now())) is not None:
+            self._preempt(self._held[attempt])
         while (req := self._queue.take(_now())) is not None:
             self._start(req)
-        attempt = self._queue.preempt(_now())
-        if attempt is not None and attempt in self._held:
-            held = self._held[attempt]
-            self._parts.metrics.preempted(held.dispatch.class_name)
-            self._record(held, DecisionStep.PREEMPTED)
-            held.stop(RefusalReason.PREEMPTED)
         self._plan_expiry()
 
+    def _preempt(self, held: HeldAttempt) -> None:
+        self._parts.metrics.preempted(held.dispatch.class_name)
+        self._record(held, DecisionStep.PREEMPTED)
+        held.stop(RefusalReason.PREEMPTED)
+
     def _start(self, req: QueuedRequest) -> None:
         held = self._held[req.attempt]
         reason = self._key_refusal(held.dispatch)
@@ -288,13 +289,13 @@
         except UpstreamNotReached as exc:
             self._never_reached(held, exc)
         except UpstreamBroke as exc:
-            self._broke(held, RefusalReason.UPSTREAM_FAILED, exc)
+            self._broke(held, sink.events, RefusalReason.UPSTREAM_FAILED, exc)
         except TimeoutError as exc:
-            self._broke(held, RefusalReason.DEADLINE_PASSED, exc)
+            self._broke(held, sink.events, RefusalReason.DEADLINE_PASSED, exc)
         except asyncio.CancelledError as exc:
             if held.stopped_for is None:
                 raise
-            self._broke(held, held.stopped_for, exc)
+            self._broke(held, sink.events, held.stopped_for, exc)
         else:
             self._finish(held, usage)
         finally:
@@ -302,6 +303,7 @@
             self._pump()
 
     def _first_byte_seen(self, held: HeldAttempt, waited: float) -> None:
+        self._queue.first_token(held.dispatch.attempt, _now())
         request_class = self._configuration.classes.get(held.dispatch.class_name)
         if request_class is not None:
             self._targets.answered(waited <= request_class.first_token_target, _now())
@@ -328,9 +330,12 @@
         self._log_failure(held, RefusalReason.UPSTREAM_FAILED, exc)
         self._send_not_run(held, RefusalReason.UPSTREAM_FAILED, RETRY_ELSEWHERE_SECONDS)
 
-    def _broke(self, held: HeldAttempt, reason: RefusalReason, exc: BaseException) -> None:
+    def _broke(
+        self, held: HeldAttempt, generated: int, reason: RefusalReason, exc: BaseException
+    ) -> None:
         attempt = held.dispatch.attempt
-        self._queue.finished(attempt, _now(), held.dispatch.prompt_tokens, 0, False)
+        prompt_tokens = held.dispatch.prompt_tokens
+        self._queue.finished(attempt, _now(), prompt_tokens, generated, whole=False)
         self._kept.fail(attempt)
         self._log_failure(held, reason, exc)
         held.stream.fail(reason.value, self.load())
--- a/packages/bilberryplank/bilberryplank/_usage_feed.py
+++ b/packages/bilberryplank/bilberryplank/_usage_feed.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections import OrderedDict
 
 from loguru import logger
 from mode import Service
@@ -48,7 +49,8 @@
         )
         self._platform = platform
         self._metrics = metrics
-        self._links: dict[str, Link] = {}
+        self._links: OrderedDict[str, Link] = OrderedDict()
+        self._most_links = settings.usage_buffer
         self._lost = 0
 
     @property
@@ -77,6 +79,8 @@
         self._spool.add(record)
         if link is not None:
             self._links[request_id] = link
+            if len(self._links) > self._most_links:
+                self._links.popitem(last=False)
         self._count_lost()
 
     def peer_stored(self, record_ids: list[str]) -> None:
@@ -93,12 +97,11 @@
 
     async def on_stop(self) -> None:
         """Stores everything that is left, as far as the store takes it."""
-        for _ in range(STOP_ATTEMPTS):
-            if not len(self._spool):
-                return
-            await self._flush(everything=True)
-        if len(self._spool):
-            await self._spill()
+        failures = 0
+        while len(self._spool) and failures < STOP_ATTEMPTS:
+            failures += not await self._flush(everything=True)
+        while len(self._spool) and failures < 2 * STOP_ATTEMPTS:
+            failures += not await self._spill()
 
     async def _store_regularly(self) -> None:
         while not self.should_stop:
@@ -109,24 +112,26 @@
                 await self._spill()
             self._metrics.set_usage_waiting(len(self._spool))
 
-    async def _flush(self, everything: bool) -> None:
+    async def _flush(self, everything: bool) -> bool:
         try:
             stored = await self._spool.flush(self._platform.table, everything)
         except PlatformError as exc:
             log_event(logger, "usage_store_failed", level="WARNING", code=exc.code)
-            return
+            return False
         if stored:
             self._metrics.usage_records(UsageEvent.STORED, len(stored))
             self._tell_sidecars(stored)
+        return True
 
-    async def _spill(self) -> None:
+    async def _spill(self) -> bool:
         try:
             moved = await self._spool.spill(self._platform.objects)
         except PlatformError as exc:
             log_event(logger, "usage_spill_failed", level="WARNING", code=exc.code)
-            return
+            return False
         self._metrics.usage_records(UsageEvent.SPILLED, moved)
         log_event(logger, "usage_spilled", level="WARNING", records=moved)
+        return True
 
     def _tell_sidecars(self, stored: list[str]) -> None:
         by_link: dict[Link, list[str]] = {}
