--- a/packages/bilberryplank-testing/bilberryplank_testing/_load_trial.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_load_trial.py
@@ -23,6 +23,7 @@
 from bilberryplank_testing.deployment import Deployment, DeploymentSpec
 
 GRACE_SECONDS = 25.0
+START_ATTEMPTS = 3
 FAULT_SHARE = 1 / 3
 STRAGGLER_SPEED = 0.1
 MAX_EXPLAINED = 40
@@ -108,8 +109,11 @@
 async def run_trial(plan: TrialPlan, policies: list[Policy]) -> list[TrialRecord]:
     """Runs each policy in a deployment of its own, all at the same time."""
     ready = asyncio.Barrier(len(policies))
-    runs = (PolicyRun(plan, policy, ready).run() for policy in policies)
-    return list(await asyncio.gather(*runs))
+    runs = [PolicyRun(plan, policy, ready) for policy in policies]
+    try:
+        return list(await asyncio.gather(*(run.run() for run in runs)))
+    finally:
+        await asyncio.gather(*(run.stop() for run in runs))
 
 
 class PolicyRun:
@@ -119,12 +123,14 @@
         self._plan = plan
         self._ready = ready
         self._record = TrialRecord(plan, policy)
-        self._deployment = Deployment(_build_spec(plan, policy))
+        self._spec = _build_spec(plan, policy)
+        self._deployment = Deployment(self._spec)
         self._killed_runs: list[dict[str, Any]] = []
 
     async def run(self) -> TrialRecord:
         """Starts the processes, sends the plan's requests and reads what came of them."""
-        async with self._deployment, _new_session() as session:
+        await self._start()
+        async with _new_session() as session:
             await self._ready.wait()
             before = self._processor_seconds()
             tasks = await self._send_all(session)
@@ -138,6 +144,21 @@
             await self._read_logs()
         return self._record
 
+    async def stop(self) -> None:
+        """Ends every process."""
+        await self._deployment.stop()
+
+    async def _start(self) -> None:
+        """Starts the processes; again where another program took a port meanwhile."""
+        for attempt in range(START_ATTEMPTS):
+            try:
+                await self._deployment.__aenter__()
+                return
+            except (OSError, TimeoutError):
+                if attempt == START_ATTEMPTS - 1:
+                    raise
+                self._deployment = Deployment(self._spec)
+
     async def _send_all(self, session: aiohttp.ClientSession) -> list[asyncio.Task[Outcome]]:
         plan = self._plan
         callers = [Caller(session, url) for url in self._deployment.entry_urls.values()]
