--- a/packages/bilberryplank-core/bilberryplank_core/_attempt_rules.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempt_rules.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from bilberryplank_core._errors import RefusalReason
+from bilberryplank_core._request_kind import UNKNOWN_KIND, RequestKind
 
 FINAL_REASONS = frozenset(
     (
@@ -43,6 +44,7 @@
             all tiers but the lowest.
         affinity: Key of the prompt's prefix; None without affinity.
         tries_ejected: True where it may try out an ejected upstream; for all tiers but the highest.
+        kind: Its class and tier.
     """
 
     request: str
@@ -52,6 +54,12 @@
     asks_all: bool = True
     affinity: bytes | None = None
     tries_ejected: bool = True
+    kind: RequestKind = UNKNOWN_KIND
+
+
+def blames_upstream(reason: RefusalReason) -> bool:
+    """Returns whether a failed attempt speaks against its upstream; a preempted one doesn't."""
+    return reason is not RefusalReason.PREEMPTED
 
 
 def parse_reason(text: str) -> RefusalReason:
--- a/packages/bilberryplank-core/bilberryplank_core/_candidates.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_candidates.py
@@ -25,7 +25,7 @@
         """Returns an upstream whose name is not excluded, or None without one."""
         traits = self._traits
         return self._chooser.choose(
-            self._upstreams, now, excluded, traits.affinity, traits.tries_ejected
+            self._upstreams, now, excluded, traits.affinity, traits.tries_ejected, traits.kind
         )
 
     def all_in(self, names: set[str]) -> bool:
--- a/packages/bilberryplank-core/bilberryplank_core/_choice.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_choice.py
@@ -12,12 +12,13 @@
 
 import random
 from collections.abc import Sequence
-from math import exp
+from math import exp, inf
 
 from bilberryplank_core._affinity import pick_within_bound
 from bilberryplank_core._chooser import UpstreamChooser, takes_work
 from bilberryplank_core._ejection import MAX_EJECTED_SHARE, StragglerDetector
 from bilberryplank_core._messages import Load
+from bilberryplank_core._request_kind import UNKNOWN_KIND, RequestKind
 from bilberryplank_core._settings import RoutingSettings
 from bilberryplank_core._track import UpstreamTrack
 from bilberryplank_core._world import Upstream
@@ -69,6 +70,7 @@
         excluded: set[str],
         affinity: bytes | None = None,
         tries_ejected: bool = True,
+        kind: RequestKind = UNKNOWN_KIND,
     ) -> Upstream | None:
         """Returns the next in turn of the less loaded half, suspects left out where others are."""
         self._pool = tuple(item.name for item in candidates)
@@ -83,17 +85,19 @@
         if tries_ejected and (tried := self._pick_ejected(usable, now)):
             return tried
         steady = self._without_suspects(usable, now)
-        waits = self._estimate(steady, now)
+        waits = self._estimate(steady, now, kind.rank)
         chosen = self._pick_near(steady, waits)
         if affinity is not None:
-            chosen = self._prefer_cached(affinity, steady, chosen, waits)
+            chosen = self._prefer_cached(affinity, steady, chosen, waits, kind.rank)
         self._uses += 1
         self._track(chosen.name).use(self._uses, self._pool)
         return chosen
 
-    def record_sent(self, upstream: str, cost: float, now: float) -> None:
+    def record_sent(
+        self, upstream: str, cost: float, now: float, kind: RequestKind = UNKNOWN_KIND
+    ) -> None:
         """Adds the request to the entry's own."""
-        self._track(upstream).send(cost, now)
+        self._track(upstream).send(cost, now, kind)
 
     def record_load(self, upstream: str, load: Load, now: float) -> None:
         """Replaces the upstream's hint; the link works."""
@@ -103,23 +107,28 @@
         track.lost_until = now
 
     def record_answer(
-        self, upstream: str, first_token_seconds: float | None, ok: bool, now: float
+        self,
+        upstream: str,
+        first_token_seconds: float | None,
+        ok: bool,
+        now: float,
+        kind: RequestKind = UNKNOWN_KIND,
     ) -> None:
         """Judges the upstream against the pool that it was last chosen from."""
         track = self._track(upstream)
-        track.answer()
+        track.answer(kind.rank)
         pool = track.pool or (upstream,)
-        self._detector.record(upstream, first_token_seconds, ok, pool, now)
+        self._detector.record(upstream, first_token_seconds, ok, pool, now, kind.class_name)
 
-    def record_refused(self, upstream: str, now: float) -> None:
+    def record_refused(self, upstream: str, now: float, kind: RequestKind = UNKNOWN_KIND) -> None:
         """Takes the request off the entry's own."""
         track = self._track(upstream)
-        track.withdraw()
-        track.end()
+        track.withdraw(kind.rank)
+        track.end(kind.rank)
 
-    def record_end(self, upstream: str, now: float) -> None:
+    def record_end(self, upstream: str, now: float, kind: RequestKind = UNKNOWN_KIND) -> None:
         """Takes the request off the entry's own."""
-        self._track(upstream).end()
+        self._track(upstream).end(kind.rank)
 
     def record_lost(self, upstream: str, now: float) -> None:
         """Keeps new work away for a cool-down that doubles with each loss in a row."""
@@ -174,20 +183,33 @@
         return [item for item in steady if item.name not in overdue] or steady
 
     def _overdue(self, names: Sequence[str], pool: Sequence[str], now: float) -> set[str]:
-        """Returns those that owe a first token for much longer than their pool takes."""
-        typical = self._detector.typical_seconds(pool, now)
-        if typical is None:
-            return set()
-        limit = max(typical * OVERDUE_FACTOR, typical + OVERDUE_EXCESS_SECONDS)
-        owed = {name: self._track(name).owed_for(now) for name in names}
-        late = [name for name, seconds in owed.items() if seconds > limit]
-        late.sort(key=owed.__getitem__, reverse=True)
+        """Returns those where a request that began has no first token for much too long."""
+        limits: dict[str, float] = {}
+        lateness = {}
+        for name in names:
+            track = self._track(name)
+            for owed in track.owed_tokens():
+                class_name = owed.kind.class_name
+                if class_name not in limits:
+                    limits[class_name] = self._overdue_limit(class_name, pool, now)
+                late_by = track.owed_for(owed, now) - limits[class_name]
+                lateness[name] = max(lateness.get(name, 0.0), late_by)
+        late = [name for name, seconds in lateness.items() if seconds > 0]
+        late.sort(key=lateness.__getitem__, reverse=True)
         return set(late[: int(len(pool) * MAX_EJECTED_SHARE)])
 
-    def _estimate(self, usable: list[Upstream], now: float) -> dict[str, float]:
+    def _overdue_limit(self, class_name: str, pool: Sequence[str], now: float) -> float:
+        typical = self._detector.typical_seconds(pool, now, class_name)
+        if typical is None:
+            return inf
+        return max(typical * OVERDUE_FACTOR, typical + OVERDUE_EXCESS_SECONDS)
+
+    def _estimate(self, usable: list[Upstream], now: float, rank: int) -> dict[str, float]:
         """Returns the estimated wait at each; an old hint is drawn towards the mean."""
         tracks = {item.name: self._track(item.name) for item in usable}
-        known = {name: track.wait(now) for name, track in tracks.items() if track.load is not None}
+        known = {
+            name: track.wait(now, rank) for name, track in tracks.items() if track.load is not None
+        }
         mean = sum(known.values()) / len(known) if known else 0.0
         waits = {}
         for item in usable:
@@ -212,9 +234,14 @@
         return min(better_half, key=lambda item: self._track(item.name).last_use)
 
     def _prefer_cached(
-        self, affinity: bytes, usable: list[Upstream], best: Upstream, waits: dict[str, float]
+        self,
+        affinity: bytes,
+        usable: list[Upstream],
+        best: Upstream,
+        waits: dict[str, float],
+        rank: int,
     ) -> Upstream:
-        in_flight = {item.name: self._track(item.name).in_flight for item in usable}
+        in_flight = {item.name: self._track(item.name).in_flight_ahead(rank) for item in usable}
         name = pick_within_bound(affinity, in_flight)
         if waits[name] > waits[best.name] + AFFINITY_MARGIN_SECONDS:
             return best
--- a/packages/bilberryplank-core/bilberryplank_core/_chooser.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_chooser.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from bilberryplank_core._messages import Load
+from bilberryplank_core._request_kind import UNKNOWN_KIND, RequestKind
 from bilberryplank_core._world import Upstream
 
 
@@ -26,6 +27,7 @@
         excluded: set[str],
         affinity: bytes | None = None,
         tries_ejected: bool = True,
+        kind: RequestKind = UNKNOWN_KIND,
     ) -> Upstream | None:
         """Returns the upstream for a request, or None where no candidate takes new work.
 
@@ -36,11 +38,14 @@
             affinity: Key of the prompt's prefix; None without affinity.
             tries_ejected: True where the request may try out whether an ejected upstream is well
                 again.
+            kind: Class and tier of the request; the same goes with all that is recorded of it.
         """
 
     @abstractmethod
-    def record_sent(self, upstream: str, cost: float, now: float) -> None:
-        """Takes in that a request was sent."""
+    def record_sent(
+        self, upstream: str, cost: float, now: float, kind: RequestKind = UNKNOWN_KIND
+    ) -> None:
+        """Takes in that a request was sent; `cost` is in the unit of load hints."""
 
     @abstractmethod
     def record_load(self, upstream: str, load: Load, now: float) -> None:
@@ -48,16 +53,30 @@
 
     @abstractmethod
     def record_answer(
-        self, upstream: str, first_token_seconds: float | None, ok: bool, now: float
+        self,
+        upstream: str,
+        first_token_seconds: float | None,
+        ok: bool,
+        now: float,
+        kind: RequestKind = UNKNOWN_KIND,
     ) -> None:
-        """Takes in how long the first token took, or that the attempt failed; once an attempt."""
+        """Takes in how an attempt went, once.
+
+        Args:
+            upstream: Name of the upstream.
+            first_token_seconds: Time from its start at the upstream to the first token, without
+                the wait in the sidecar; None where no token came.
+            ok: False where the attempt failed.
+            now: Current time.
+            kind: Class and tier of the request.
+        """
 
     @abstractmethod
-    def record_refused(self, upstream: str, now: float) -> None:
+    def record_refused(self, upstream: str, now: float, kind: RequestKind = UNKNOWN_KIND) -> None:
         """Takes in that a request was refused, or cancelled before its first token."""
 
     @abstractmethod
-    def record_end(self, upstream: str, now: float) -> None:
+    def record_end(self, upstream: str, now: float, kind: RequestKind = UNKNOWN_KIND) -> None:
         """Takes in that a request that was not refused is no longer there."""
 
     @abstractmethod
@@ -93,6 +112,7 @@
         excluded: set[str],
         affinity: bytes | None = None,
         tries_ejected: bool = True,
+        kind: RequestKind = UNKNOWN_KIND,
     ) -> Upstream | None:
         """Returns the next candidate that takes new work."""
         for _ in range(len(candidates)):
@@ -109,18 +129,25 @@
         else:
             self._leaving.discard(upstream)
 
-    def record_sent(self, upstream: str, cost: float, now: float) -> None:
+    def record_sent(
+        self, upstream: str, cost: float, now: float, kind: RequestKind = UNKNOWN_KIND
+    ) -> None:
         """Learns nothing."""
 
     def record_answer(
-        self, upstream: str, first_token_seconds: float | None, ok: bool, now: float
+        self,
+        upstream: str,
+        first_token_seconds: float | None,
+        ok: bool,
+        now: float,
+        kind: RequestKind = UNKNOWN_KIND,
     ) -> None:
         """Learns nothing."""
 
-    def record_refused(self, upstream: str, now: float) -> None:
+    def record_refused(self, upstream: str, now: float, kind: RequestKind = UNKNOWN_KIND) -> None:
         """Learns nothing."""
 
-    def record_end(self, upstream: str, now: float) -> None:
+    def record_end(self, upstream: str, now: float, kind: RequestKind = UNKNOWN_KIND) -> None:
         """Learns nothing."""
 
     def record_lost(self, upstream: str, now: float) -> None:
--- a/packages/bilberryplank-core/bilberryplank_core/_ejection.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_ejection.py
@@ -1,8 +1,8 @@
 """Ejection of stragglers: latency quantiles against the pool, re-admission by trickle.
 
 Outlier detection as service meshes do it, with a bound on how much of a pool may be ejected: an
-upstream's median first-token time over its last answers is compared with the median of the
-others' medians.
+upstream's median first-token time over its last answers of a class is compared with the median
+of the others' medians in that class, for a class with long prompts is slow everywhere.
 """
 
 from __future__ import annotations
@@ -26,10 +26,23 @@
 
 
 @dataclass(slots=True)
-class _Record:
+class _Window:
     samples: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_ANSWERS))
     sampled_at: float = float("-inf")
     median: float | None = None
+
+    def add(self, seconds: float, now: float) -> None:
+        if now - self.sampled_at > SAMPLE_LIFETIME_SECONDS:
+            self.samples.clear()
+        self.samples.append(seconds)
+        self.sampled_at = now
+        enough = len(self.samples) >= MIN_ANSWERS
+        self.median = median(self.samples) if enough else None
+
+
+@dataclass(slots=True)
+class _Record:
+    windows: dict[str, _Window] = field(default_factory=dict)
     failures: int = 0
     ejected_until: float | None = None
     ejections: int = 0
@@ -51,24 +64,32 @@
         self._records: dict[str, _Record] = {}
 
     def record(
-        self, upstream: str, seconds: float | None, ok: bool, pool: Iterable[str], now: float
+        self,
+        upstream: str,
+        seconds: float | None,
+        ok: bool,
+        pool: Iterable[str],
+        now: float,
+        class_name: str = "",
     ) -> None:
         """Takes in one answer and ejects or re-admits its upstream.
 
         Args:
             upstream: Name of the upstream.
-            seconds: Time until the first token; None where none came.
+            seconds: Time at the upstream until the first token; None where none came.
             ok: False where the attempt failed.
             pool: Names of the upstreams that it is compared with, itself included.
             now: Monotonic time.
+            class_name: Class of the request; answers are compared within it.
         """
         record = self._records.setdefault(upstream, _Record())
         if seconds is not None:
-            self._sample(record, seconds, now)
+            record.windows.setdefault(class_name, _Window()).add(seconds, now)
         record.failures = 0 if ok else record.failures + 1
-        suspect = self._is_suspect(upstream, record, pool, now)
+        suspect = self._is_suspect(upstream, record, pool, now, class_name)
         if record.ejected_until is not None:
-            self._judge_trickle(record, ok, seconds, upstream, pool, now)
+            slow = seconds is None or self._is_slow(seconds, upstream, pool, now, class_name)
+            self._judge_trickle(record, ok and not slow, now)
         elif suspect and self._may_eject(pool):
             self._eject(record, now)
 
@@ -91,39 +112,38 @@
         """Returns the names in the pool that are ejected."""
         return {name for name in pool if self.is_ejected(name)}
 
-    def typical_seconds(self, pool: Iterable[str], now: float) -> float | None:
+    def typical_seconds(
+        self, pool: Iterable[str], now: float, class_name: str = ""
+    ) -> float | None:
         """Returns the median of the pool's median first-token times, or None without samples."""
-        medians = [value for name in pool if (value := self._median(name, now)) is not None]
+        found = (self._median(name, now, class_name) for name in pool)
+        medians = [value for value in found if value is not None]
         return median(medians) if medians else None
 
     def forget(self, upstream: str) -> None:
         """Drops what is known of an upstream, as when it was replaced."""
         self._records.pop(upstream, None)
 
-    def _median(self, upstream: str, now: float) -> float | None:
+    def _median(self, upstream: str, now: float, class_name: str) -> float | None:
         record = self._records.get(upstream)
-        if record is None:
+        window = record.windows.get(class_name) if record is not None else None
+        if window is None or now - window.sampled_at > SAMPLE_LIFETIME_SECONDS:
             return None
-        return record.median if now - record.sampled_at <= SAMPLE_LIFETIME_SECONDS else None
-
-    def _sample(self, record: _Record, seconds: float, now: float) -> None:
-        if now - record.sampled_at > SAMPLE_LIFETIME_SECONDS:
-            record.samples.clear()
-        record.median = None
-        record.samples.append(seconds)
-        record.sampled_at = now
-        enough = len(record.samples) >= MIN_ANSWERS
-        record.median = median(record.samples) if enough else None
-
-    def _is_suspect(self, upstream: str, record: _Record, pool: Iterable[str], now: float) -> bool:
+        return window.median
+
+    def _is_suspect(
+        self, upstream: str, record: _Record, pool: Iterable[str], now: float, class_name: str
+    ) -> bool:
         if record.failures >= FAILURES_LIMIT:
             return True
-        own = self._median(upstream, now)
-        return own is not None and self._is_slow(own, upstream, pool, now)
+        own = self._median(upstream, now, class_name)
+        return own is not None and self._is_slow(own, upstream, pool, now, class_name)
 
-    def _is_slow(self, seconds: float, upstream: str, pool: Iterable[str], now: float) -> bool:
+    def _is_slow(
+        self, seconds: float, upstream: str, pool: Iterable[str], now: float, class_name: str
+    ) -> bool:
         others = (name for name in pool if name != upstream and not self.is_ejected(name))
-        typical = self.typical_seconds(others, now)
+        typical = self.typical_seconds(others, now, class_name)
         if typical is None:
             return False
         return seconds > max(typical * SLOWNESS_LIMIT, typical + MIN_EXCESS_SECONDS)
@@ -138,19 +158,10 @@
         record.ejections += 1
         record.successes = 0
 
-    def _judge_trickle(
-        self,
-        record: _Record,
-        ok: bool,
-        seconds: float | None,
-        upstream: str,
-        pool: Iterable[str],
-        now: float,
-    ) -> None:
+    def _judge_trickle(self, record: _Record, well: bool, now: float) -> None:
         if now < record.ejected_until:
             return
-        slow = seconds is None or self._is_slow(seconds, upstream, pool, now)
-        if slow or not ok:
+        if not well:
             self._eject(record, now)
             return
         record.successes += 1
@@ -161,5 +172,4 @@
         record.ejected_until = None
         record.failures = 0
         record.ejections -= 1
-        record.samples.clear()
-        record.median = None
+        record.windows.clear()
--- a/packages/bilberryplank-core/bilberryplank_core/_messages.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_messages.py
@@ -11,11 +11,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 Headers = list[list[str]]
 """Header fields as `[name, value]` pairs, in order."""
 
+MAX_RANKS = 16
+"""Tiers whose queued cost a load hint tells apart; that of later ones is dropped."""
+
 
 @dataclass(slots=True, frozen=True)
 class AttemptId:
@@ -47,6 +50,8 @@
         confirmed_age: Seconds since a store read confirmed that version.
         attainment: Share of recent requests whose first token came in time; a refusal is a miss.
         arrivals: Requests that arrived a second.
+        queued_by_rank: Estimated tokens waiting of each tier, by its rank from 0; empty where they
+            are not told apart.
     """
 
     queued: int = 0
@@ -59,6 +64,22 @@
     confirmed_age: float = 0.0
     attainment: float = 1.0
     arrivals: float = 0.0
+    queued_by_rank: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        del self.queued_by_rank[MAX_RANKS:]
+
+    def queued_ahead(self, rank: int) -> float:
+        """Returns the estimated tokens waiting that run before a newcomer of a tier."""
+        if not self.queued_by_rank:
+            return self.queued_cost
+        return sum(self.queued_by_rank[: rank + 1])
+
+    def may_queue(self, rank: int) -> bool:
+        """Returns False where no request of a tier was waiting."""
+        if not self.queued_by_rank:
+            return self.queued > 0
+        return rank < len(self.queued_by_rank) and self.queued_by_rank[rank] > 0
 
 
 @dataclass(slots=True)
@@ -165,12 +186,21 @@
 
 @dataclass(slots=True)
 class Head:
-    """Status and headers of an answer; it has begun to run."""
+    """Status and headers of an answer; it has begun to run.
+
+    Attributes:
+        attempt: Identity of the attempt.
+        status: HTTP status.
+        headers: Headers of the answer.
+        load: Load of the upstream.
+        waited: Seconds that the attempt waited in the sidecar before it went to the upstream.
+    """
 
     attempt: AttemptId
     status: int
     headers: Headers
     load: Load
+    waited: float = 0.0
 
 
 @dataclass(slots=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_queue.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queue.py
@@ -179,6 +179,7 @@
             slots=self._slots.slots,
             queued_cost=self._queued_cost(),
             drain_rate=self._waits.drain_rate(self._slots.slots),
+            queued_by_rank=self._queued_by_rank(),
         )
 
     def set_slots(self, slots: int) -> None:
@@ -209,6 +210,12 @@
     def _queued_cost(self) -> float:
         return sum(queue.cost for queue in self._classes.values())
 
+    def _queued_by_rank(self) -> list[float]:
+        costs = [0.0] * (1 + max((queue.rank for queue in self._classes.values()), default=0))
+        for queue in self._classes.values():
+            costs[queue.rank] += queue.cost
+        return costs
+
     def _refuse(self, req: QueuedRequest, reason: RefusalReason, now: float) -> Rejection:
         """Returns a rejection, noting that its class has demand."""
         self._class_of(req).turned_away = now
--- a/packages/bilberryplank-core/bilberryplank_core/routing.py
+++ b/packages/bilberryplank-core/bilberryplank_core/routing.py
@@ -11,7 +11,7 @@
     AnswerStart,
     FrameCounts,
 )
-from bilberryplank_core._attempt_rules import RequestTraits, parse_reason
+from bilberryplank_core._attempt_rules import RequestTraits, blames_upstream, parse_reason
 from bilberryplank_core._attempts import RequestAttempts
 from bilberryplank_core._choice import InformedChooser
 from bilberryplank_core._chooser import RoundRobinChooser, UpstreamChooser
@@ -22,7 +22,9 @@
 )
 from bilberryplank_core._credentials import Credentials, extract_credentials
 from bilberryplank_core._ejection import StragglerDetector
+from bilberryplank_core._estimates import cost_of
 from bilberryplank_core._limits import Admission, LimitId, OrganisationLimits
+from bilberryplank_core._request_kind import RequestKind
 from bilberryplank_core._resume import merge_usage
 from bilberryplank_core._retry_budget import RetryBudget
 from bilberryplank_core._route_table import RouteTable, is_model_path, route_labels, upstream_labels
@@ -61,6 +63,7 @@
     "Progress",
     "RequestAttempts",
     "RequestClassifier",
+    "RequestKind",
     "RequestTraits",
     "RetryBudget",
     "RoundRobinChooser",
@@ -71,6 +74,8 @@
     "StragglerDetector",
     "UpstreamChooser",
     "affinity_key",
+    "blames_upstream",
+    "cost_of",
     "divide_shares",
     "extract_credentials",
     "find_ambiguities",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
@@ -11,11 +11,13 @@
     Ignore,
     Progress,
     RequestAttempts,
+    RequestKind,
     RequestTraits,
     RetryBudget,
     RoundRobinChooser,
     SendTo,
     SettleWith,
+    blames_upstream,
 )
 from bilberryplank_core.world import Upstream, UpstreamKind
 
@@ -42,7 +44,24 @@
     return RequestAttempts(traits, UPSTREAMS, chooser or RoundRobinChooser(), budget, max_attempts)
 
 
+class Listening(RoundRobinChooser):
+    def choose(self, candidates, now, excluded, affinity=None, tries_ejected=True, kind=None):
+        self.kind = kind
+        return super().choose(candidates, now, excluded)
+
+
 class AttemptsTest(unittest.TestCase):
+    def test_the_chooser_learns_the_kind_of_request(self):
+        kind, chooser = RequestKind(2, "bulk"), Listening()
+        traits = RequestTraits("r", "e", True, 10.0, kind=kind)
+        RequestAttempts(traits, UPSTREAMS, chooser, RetryBudget(0.2, 5.0), 3).start(0.0)
+        self.assertEqual(chooser.kind, kind)
+
+    def test_a_preempted_attempt_does_not_speak_against_its_upstream(self):
+        for reason, blamed in ((RefusalReason.PREEMPTED, False), (FAILED, True)):
+            with self.subTest(reason=reason):
+                self.assertEqual(blames_upstream(reason), blamed)
+
     def test_a_higher_tier_asks_every_upstream(self):
         for asks_all, expected in ((True, 5), (False, 3)):
             with self.subTest(asks_all=asks_all):
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
@@ -3,7 +3,12 @@
 from collections import Counter
 
 from bilberryplank_core.messages import Load
-from bilberryplank_core.routing import InformedChooser, RoundRobinChooser, affinity_key
+from bilberryplank_core.routing import (
+    InformedChooser,
+    RequestKind,
+    RoundRobinChooser,
+    affinity_key,
+)
 from bilberryplank_core.settings import RoutingSettings
 from bilberryplank_core.world import Upstream, UpstreamKind
 
@@ -17,6 +22,8 @@
 NEAR = [upstream(f"a{index}") for index in range(3)]
 FAR = [upstream(f"b{index}", "b") for index in range(3)]
 ALL = NEAR + FAR
+TOP = RequestKind(0, "top")
+LOW = RequestKind(2, "low")
 
 
 def load(queued=0, running=0, **more):
@@ -31,13 +38,24 @@
     return subject
 
 
-def counts(subject, candidates, now=0.1, draws=200, affinity=None):
+def counts(subject, candidates, now=0.1, draws=200, affinity=None, kind=TOP):
     found = Counter()
     for _ in range(draws):
-        found[subject.choose(candidates, now, set(), affinity).name] += 1
+        found[subject.choose(candidates, now, set(), affinity, kind=kind).name] += 1
     return found
 
 
+def answered_chooser():
+    subject = chooser({item.name: load() for item in NEAR})
+    counts(subject, NEAR, now=0.0)
+    for name in ("a0", "a1", "a2") * 5:
+        for kind in (TOP, LOW):
+            subject.record_sent(name, 1, 0.0, kind)
+            subject.record_answer(name, 0.1, True, 0.1, kind)
+            subject.record_end(name, 0.1, kind)
+    return subject
+
+
 class InformedChooserTest(unittest.TestCase):
     def test_zone_preference_and_spill(self):
         idle = {item.name: load() for item in ALL}
@@ -91,6 +109,62 @@
                 ended("a0", sent + 2)
                 self.assertGreater(counts(subject, NEAR, now=sent + 2)["a0"], 0)
 
+    def test_only_the_queue_of_its_own_tier_and_above_counts(self):
+        bulk = load(queued=9, running=4, queued_by_rank=[0.0, 0.0, 900.0])
+        top = load(queued=5, running=4, queued_by_rank=[500.0])
+        cases = [(TOP, {"a0", "a1"}), (LOW, {"a2"})]
+        for kind, found in cases:
+            with self.subTest(kind=kind):
+                subject = chooser({"a0": bulk, "a1": bulk, "a2": top})
+                self.assertEqual(set(counts(subject, NEAR, kind=kind)), found)
+
+    def test_own_requests_of_lower_tiers_count_for_lower_tiers_only(self):
+        busy = load(running=4, queued_by_rank=[0.0])
+        for kind, count in ((TOP, 100), (LOW, 0)):
+            with self.subTest(kind=kind):
+                subject = chooser({"a0": busy, "a1": busy})
+                for _ in range(10):
+                    subject.record_sent("a0", 100, 0.1, LOW)
+                self.assertEqual(counts(subject, NEAR[:2], kind=kind)["a0"], count)
+
+    def test_who_waits_in_a_queue_owes_nothing_until_it_began(self):
+        subject = answered_chooser()
+        queue = load(queued=3, running=4, queued_by_rank=[0.0, 0.0, 300.0])
+        subject.record_load("a0", queue, 1.0)
+        subject.record_sent("a0", 1, 1.0, LOW)
+        self.assertFalse(subject.is_suspect("a0", 9.0))
+        subject.record_load("a0", load(running=4, queued_by_rank=[0.0, 0.0, 0.0]), 9.0)
+        self.assertFalse(subject.is_suspect("a0", 9.5))
+        self.assertTrue(subject.is_suspect("a0", 10.0))
+        subject.record_answer("a0", 0.1, True, 10.0, LOW)
+        self.assertFalse(subject.is_suspect("a0", 10.0))
+
+    def test_a_later_queue_hides_no_request_that_began(self):
+        for confirmed in (False, True):
+            with self.subTest(confirmed=confirmed):
+                subject = answered_chooser()
+                subject.record_sent("a0", 1, 1.5, LOW)
+                if confirmed:
+                    subject.record_load("a0", load(running=1, queued_by_rank=[0.0]), 2.0)
+                queue = load(queued=3, running=4, queued_by_rank=[0.0, 0.0, 300.0])
+                subject.record_load("a0", queue, 3.0)
+                self.assertEqual(subject.is_suspect("a0", 3.0), confirmed)
+
+    def test_a_low_request_at_an_idle_upstream_owes_from_sending(self):
+        subject = answered_chooser()
+        subject.record_load("a0", load(running=1, queued_by_rank=[0.0]), 1.5)
+        subject.record_sent("a0", 1, 1.5, LOW)
+        self.assertTrue(subject.is_suspect("a0", 3.0))
+
+    def test_an_answer_settles_the_oldest_request_of_its_own_tier(self):
+        subject = answered_chooser()
+        subject.record_sent("a0", 1, 2.0, TOP)
+        subject.record_sent("a0", 1, 3.5, LOW)
+        subject.record_answer("a0", 0.1, True, 3.6, LOW)
+        self.assertTrue(subject.is_suspect("a0", 3.7))
+        subject.record_answer("a0", 1.7, True, 3.7, TOP)
+        self.assertFalse(subject.is_suspect("a0", 3.7))
+
     def test_what_takes_no_new_work(self):
         loads = {"a0": load(leaving=True), "a1": load()}
         candidates = [NEAR[0], NEAR[1], upstream("a9", draining=True)]
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_ejection.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_ejection.py
@@ -31,6 +31,19 @@
                 feed(subject, **options)
                 self.assertEqual(subject.ejected(POOL), ejected)
 
+    def test_classes_are_judged_apart(self):
+        subject = StragglerDetector()
+        for index in range(40):
+            for name in POOL:
+                long = name == "a"
+                class_name, seconds = ("prefill", 3.0) if long else ("chat", 0.2)
+                subject.record(name, seconds, True, POOL, index * 0.1, class_name)
+                subject.record(name, 3.0, True, POOL, index * 0.1, "prefill")
+        self.assertEqual(subject.ejected(POOL), set())
+        for index in range(8):
+            subject.record("b", 2.0, True, POOL, 4.0 + index * 0.1, "chat")
+        self.assertEqual(subject.ejected(POOL), {"b"})
+
     @settings(derandomize=True, deadline=None, max_examples=200)
     @given(
         st.integers(1, 8),
--- a/packages/bilberryplank-testing/bilberryplank_testing/_routing_engine.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_routing_engine.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from bilberryplank_core.messages import Load
+from bilberryplank_core.scheduling import QueuedRequest
 from bilberryplank_testing._routing_clock import VirtualClock
 
 SLOTS = 8
@@ -29,6 +30,9 @@
         on_first_token: Called when the first token is there.
         on_end: Called when the answer is whole.
         on_lost: Called when the upstream dies.
+        on_refused: Called when the queue drops it later on.
+        queued: What a tiered queue knows of it; None at a plain one.
+        began: When it began to run; None before.
     """
 
     prompt_tokens: int
@@ -38,6 +42,9 @@
     on_first_token: Callable[[], None]
     on_end: Callable[[], None]
     on_lost: Callable[[], None]
+    on_refused: Callable[[], None] = lambda: None
+    queued: QueuedRequest | None = None
+    began: float | None = None
 
     @property
     def cost(self) -> int:
@@ -109,6 +116,7 @@
 
     def _start(self, work: Work) -> None:
         self._running.append(work)
+        work.began = self._clock.now
         self.started += 1
         hit = work.prefix in self._cache
         self.cache_hits += hit
--- a/packages/bilberryplank-testing/bilberryplank_testing/_routing_entry.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_routing_entry.py
@@ -12,6 +12,7 @@
     GiveUp,
     InformedChooser,
     RequestAttempts,
+    RequestKind,
     RequestTraits,
     RetryBudget,
     RoundRobinChooser,
@@ -20,12 +21,19 @@
     Step,
     UpstreamChooser,
     affinity_key,
+    cost_of,
 )
 from bilberryplank_core.settings import RoutingSettings
 from bilberryplank_core.world import Upstream
 from bilberryplank_testing._routing_clock import VirtualClock
 from bilberryplank_testing._routing_engine import VirtualUpstream, Work
 from bilberryplank_testing._routing_figures import DEADLINE, TrialOptions, TrialResult
+from bilberryplank_testing._routing_tiers import (
+    TierClass,
+    draw_class,
+    queued_request,
+    without_ranks,
+)
 
 ORGANISATIONS = 10
 PREFIXES_PER_ORGANISATION = 3
@@ -33,6 +41,7 @@
 DURATION = 120.0
 WARM_UP = 10.0
 HEARTBEAT_SECONDS = 5.0
+BURST = (40.0, 80.0)
 HOP_SECONDS = 0.001
 WATCH_SECONDS = 0.25
 
@@ -54,6 +63,7 @@
 
     def __init__(self, trial: TrialWorld, zone: str, seed: int) -> None:
         self.trial = trial
+        self._seed = seed
         cfg = RoutingSettings()
         self.chooser: UpstreamChooser = RoundRobinChooser()
         if trial.opts.policy == "informed":
@@ -66,13 +76,15 @@
     def receive(self) -> None:
         """Takes a request."""
         self.count += 1
-        _Request(self, f"r{self.count}").start()
+        _Request(self, f"{self._seed}-{self.count}").start()
 
     def hear(self, name: str) -> None:
         """Takes in a load hint that comes with an answer."""
         engine = self.trial.engines[name]
         if engine.alive:
             load = engine.load(self.trial.opts.lag)
+            if self.trial.opts.tiers and not self.trial.opts.told_apart:
+                load = without_ranks(load)
             self.chooser.record_load(name, load, self.trial.clock.now)
 
     def probe(self) -> None:
@@ -101,10 +113,15 @@
         self.arrived = self.trial.clock.now
         organisation = min(int(rng.paretovariate(1.0)) - 1, ORGANISATIONS - 1)
         prefix = f"prefix {rng.randrange(PREFIXES_PER_ORGANISATION)}".encode()
-        self.top = rng.random() < TOP_TIER_SHARE
         self.prefix = affinity_key(f"org-{organisation}", prefix)
-        self.prompt_tokens = rng.randrange(1000, 6000)
-        self.output_tokens = min(int(rng.lognormvariate(4.3, 0.6)) + 1, 600)
+        self.tier: TierClass | None = None
+        self.kind: dict[str, RequestKind] = {}
+        if self.trial.opts.tiers:
+            self._draw_tier(rng)
+        else:
+            self.top = rng.random() < TOP_TIER_SHARE
+            self.prompt_tokens = rng.randrange(1000, 6000)
+            self.output_tokens = min(int(rng.lognormvariate(4.3, 0.6)) + 1, 600)
         traits = RequestTraits(
             request_id,
             "epoch",
@@ -112,6 +129,7 @@
             self.arrived + DEADLINE,
             affinity=self.prefix if self.trial.opts.affinity else None,
             tries_ejected=not self.top,
+            **self.kind,
         )
         self.attempts = RequestAttempts(
             traits, self.trial.upstreams, entry.chooser, entry.budget, entry.max_attempts
@@ -119,8 +137,19 @@
         self.waited = False
         self.answered = 0
 
+    def _draw_tier(self, rng: random.Random) -> None:
+        self.tier = tier = draw_class(rng)
+        self.counted = BURST[0] <= self.arrived < BURST[1]
+        self.top = tier.rank == 0
+        self.prompt_tokens = rng.randrange(*tier.prompt_tokens)
+        self.output_tokens = max(1, int(rng.expovariate(1 / tier.output_tokens)))
+        if self.trial.opts.told_apart:
+            self.kind = {"kind": RequestKind(tier.rank, tier.name)}
+
     def start(self) -> None:
         """Makes the first attempt."""
+        if self.tier is not None:
+            self.trial.result.arrivals[self.tier.rank] += self.counted
         self.trial.result.offered += self.counted
         self.trial.result.top_offered += self.counted and self.top
         self._take(self.attempts.start(self.trial.clock.now))
@@ -140,7 +169,7 @@
         clock = self.trial.clock
         name = step.upstream.name
         self.trial.result.attempts += self.counted
-        self.entry.chooser.record_sent(name, self.prompt_tokens + self.output_tokens, clock.now)
+        self.entry.chooser.record_sent(name, self._cost(), clock.now, **self.kind)
         self.entry.probe()
         clock.at(clock.now + HOP_SECONDS, lambda: self._arrive(step, clock.now))
 
@@ -155,10 +184,14 @@
             self.prompt_tokens * 3 // 4,
             self.prefix,
             self.output_tokens,
-            lambda: self._first_token(step, sent),
+            lambda: self._first_token(step, sent, work),
             lambda: self._end(step),
             lambda: self._lose(step, sent, reached=True),
+            lambda: self._refuse(step, RefusalReason.SHED),
         )
+        if self.tier is not None:
+            now, deadline = self.trial.clock.now, self.arrived + DEADLINE
+            work.queued = queued_request(step.attempt, self.tier, self.prompt_tokens, now, deadline)
         if not engine.submit(work):
             self._refuse(step, RefusalReason.QUEUE_FULL)
             return
@@ -180,29 +213,40 @@
         if self.trial.engines[name].cancel(work):
             self._refuse(step, RefusalReason.CANCELLED)
             return
-        self.entry.chooser.record_answer(name, None, False, now)
-        self.entry.chooser.record_end(name, now)
+        self.entry.chooser.record_answer(name, None, False, now, **self.kind)
+        self.entry.chooser.record_end(name, now, **self.kind)
         self._take(self.attempts.failed(step.attempt, RefusalReason.CANCELLED, now))
 
-    def _first_token(self, step: SendTo, sent: float) -> None:
+    def _cost(self) -> float:
+        if self.tier is not None and self.trial.opts.told_apart:
+            return cost_of(self.prompt_tokens, self.tier.output_tokens)
+        return self.prompt_tokens + self.output_tokens
+
+    def _first_token(self, step: SendTo, sent: float, work: Work) -> None:
         now = self.trial.clock.now
         if self.counted and not self.waited:
+            if self.tier is not None:
+                self.trial.result.timely[self.tier.rank] += now - self.arrived <= self.tier.target
             self.trial.result.waits.append(now - self.arrived)
             if self.top:
                 self.trial.result.top_waits.append(now - self.arrived)
         self.waited = True
         self.answered = step.attempt.number
-        self.entry.chooser.record_answer(step.upstream.name, now - sent, True, now)
+        told = self.trial.opts.told_apart and work.began is not None
+        seconds = now - (work.began if told else sent)
+        name = step.upstream.name
+        self.entry.chooser.record_answer(name, seconds, True, now, **self.kind)
         self.entry.hear(step.upstream.name)
 
     def _end(self, step: SendTo) -> None:
-        self.entry.chooser.record_end(step.upstream.name, self.trial.clock.now)
+        now = self.trial.clock.now
+        self.entry.chooser.record_end(step.upstream.name, now, **self.kind)
         self.entry.hear(step.upstream.name)
         self._take(self.attempts.finished(step.attempt))
 
     def _refuse(self, step: SendTo, reason: RefusalReason) -> None:
         now = self.trial.clock.now
-        self.entry.chooser.record_refused(step.upstream.name, now)
+        self.entry.chooser.record_refused(step.upstream.name, now, **self.kind)
         self.entry.hear(step.upstream.name)
         self._take(self.attempts.not_run(step.attempt, reason, 1.0, now))
 
@@ -213,9 +257,9 @@
         chooser.record_lost(name, now)
         if reached:
             if not answered:
-                chooser.record_answer(name, None, False, now)
-            chooser.record_end(name, now)
+                chooser.record_answer(name, None, False, now, **self.kind)
+            chooser.record_end(name, now, **self.kind)
             self._take(self.attempts.link_lost(step.attempt, now))
         else:
-            chooser.record_refused(name, now)
+            chooser.record_refused(name, now, **self.kind)
             self._take(self.attempts.not_sent(step.attempt, now))
--- a/packages/bilberryplank-testing/bilberryplank_testing/_routing_figures.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_routing_figures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -27,6 +28,10 @@
         fault: What happens to one upstream.
         affinity: True where requests carry the key of their prefix.
         load: Offered load as a share of capacity.
+        tiers: True with classes of three tiers and tiered queues; only the burst counts.
+        burst: Offered load of the burst, from 40 to 80 s, as a share of capacity.
+        entries: Number of entries.
+        told_apart: False where entries neither know tiers nor the wait in a sidecar.
     """
 
     policy: str
@@ -34,6 +39,10 @@
     fault: FaultKind = FaultKind.NONE
     affinity: bool = False
     load: float = 0.7
+    tiers: bool = False
+    burst: float = 2.0
+    entries: int = 3
+    told_apart: bool = True
 
 
 @dataclass(slots=True)
@@ -50,6 +59,8 @@
         cancelled: Attempts that were cancelled to be made elsewhere.
         shares: Requests begun by each healthy upstream after the warm-up.
         cache_hits: Share of requests begun whose prefix was cached.
+        timely: Requests of each rank whose first token came within its target.
+        arrivals: Requests of each rank.
     """
 
     waits: list[float] = field(default_factory=list)
@@ -61,6 +72,12 @@
     cancelled: int = 0
     shares: list[int] = field(default_factory=list)
     cache_hits: float = 0.0
+    timely: Counter[int] = field(default_factory=Counter)
+    arrivals: Counter[int] = field(default_factory=Counter)
+
+    def in_target(self, rank: int) -> float:
+        """Share of a tier's requests whose first token came within its target."""
+        return self.timely[rank] / max(self.arrivals[rank], 1)
 
     def quantile(self, share: float) -> float:
         """Returns a quantile of the waits; a request without a first token counts as `DEADLINE`."""
--- a/packages/bilberryplank-testing/bilberryplank_testing/_routing_trial.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_routing_trial.py
@@ -7,11 +7,11 @@
 from bilberryplank_core.world import Upstream, UpstreamKind
 from bilberryplank_testing._routing_clock import VirtualClock
 from bilberryplank_testing._routing_engine import VirtualUpstream
-from bilberryplank_testing._routing_entry import DURATION, WARM_UP, TrialWorld, VirtualEntry
+from bilberryplank_testing._routing_entry import BURST, DURATION, WARM_UP, TrialWorld, VirtualEntry
 from bilberryplank_testing._routing_figures import DEADLINE, FaultKind, TrialOptions, TrialResult
+from bilberryplank_testing._routing_tiers import CAPACITY, TieredUpstream
 
 ZONES = ("a", "b", "c")
-ENTRIES = 3
 UPSTREAMS = 6
 CAPACITY_PER_UPSTREAM = 3.0
 FAULT_AT = 40.0
@@ -29,16 +29,16 @@
             Upstream(f"up-{index}", ZONES[index % 3], UpstreamKind.ENGINE, f"127.0.0.1:{index + 1}")
             for index in range(UPSTREAMS)
         ]
-        self._engines = {item.name: VirtualUpstream(clock) for item in upstreams}
+        kind = TieredUpstream if opts.tiers else VirtualUpstream
+        self._engines = {item.name: kind(clock) for item in upstreams}
         world = TrialWorld(opts, clock, rng, self._result, upstreams, self._engines)
         self._entries = [
-            VirtualEntry(world, ZONES[index % 3], seed + index) for index in range(ENTRIES)
+            VirtualEntry(world, ZONES[index % 3], seed + index) for index in range(opts.entries)
         ]
 
     def run(self) -> TrialResult:
         """Returns the figures of the trial."""
-        rate = self._opts.load * UPSTREAMS * CAPACITY_PER_UPSTREAM
-        self._arrive(rate)
+        self._arrive()
         self._clock.at(FAULT_AT, self._inject)
         self._clock.at(WARM_UP, self._reset_counts)
         self._clock.run(DURATION + DEADLINE)
@@ -49,13 +49,20 @@
         self._result.cache_hits = hits / max(started, 1)
         return self._result
 
-    def _arrive(self, rate: float) -> None:
-        when = self._clock.now + self._rng.expovariate(rate)
+    def _arrive(self) -> None:
+        when = self._clock.now + self._rng.expovariate(self._rate())
         if when < DURATION:
             self._clock.at(
-                when, lambda: (self._rng.choice(self._entries).receive(), self._arrive(rate))
+                when, lambda: (self._rng.choice(self._entries).receive(), self._arrive())
             )
 
+    def _rate(self) -> float:
+        opts = self._opts
+        if not opts.tiers:
+            return opts.load * UPSTREAMS * CAPACITY_PER_UPSTREAM
+        load = opts.burst if BURST[0] <= self._clock.now < BURST[1] else opts.load
+        return load * UPSTREAMS * CAPACITY
+
     def _inject(self) -> None:
         engine = self._engines["up-0"]
         match self._opts.fault:
--- a/packages/bilberryplank-testing/bilberryplank_testing/routing_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/routing_bench.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from statistics import mean
 
 import defopt
@@ -21,6 +21,8 @@
 POLICIES = ("round_robin", "informed")
 LAGS_SECONDS = (0.0, 1.0, 3.0)
 LOADS = (0.3, 0.7, 0.9)
+TIER_ENTRIES = (3, 12)
+TIER_LAG_SECONDS = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,6 +56,7 @@
         seeds: Trials for each scenario, with seeds from 1.
     """
     _print_choice(seeds)
+    _print_tiers(seeds)
     print("\nlinks | links a sidecar | links an entry | changed, entry leaves | upstream leaves")
     print("--- | --- | --- | --- | ---")
     for row in link_rows():
@@ -77,6 +80,31 @@
         print(_row(scenario.name, results))
 
 
+def tier_scenarios() -> Iterator[Scenario]:
+    """Yields what is measured within a burst of twice the capacity."""
+    for fault in FaultKind:
+        for entries in TIER_ENTRIES:
+            base = TrialOptions("informed", TIER_LAG_SECONDS, fault, tiers=True, entries=entries)
+            word = f"{fault.value}, {entries} entries"
+            yield Scenario(f"{word}, round robin", replace(base, policy="round_robin"))
+            yield Scenario(f"{word}, tiers not told apart", replace(base, told_apart=False))
+            yield Scenario(f"{word}, informed", base)
+
+
+def _print_tiers(seeds: int) -> None:
+    print("\nburst of 2 | urgent in target (least to most) | chat | bulk | attempts | spread")
+    print("--- | --- | --- | --- | --- | ---")
+    for scenario in tier_scenarios():
+        results = [Trial(scenario.opts, seed).run() for seed in range(1, seeds + 1)]
+        top = [item.in_target(0) for item in results]
+        cells = [scenario.name, f"{mean(top):.1%} ({min(top):.1%} to {max(top):.1%})"]
+        for rank in (1, 2):
+            cells.append(f"{mean(item.in_target(rank) for item in results):.1%}")
+        cells.append(f"{mean(item.attempts / max(item.offered, 1) for item in results):.2f}")
+        cells.append(f"{mean(item.spread for item in results):.2f}")
+        print(" | ".join(cells))
+
+
 def _row(name: str, results: list[TrialResult]) -> str:
     tails = [item.quantile(0.95) for item in results]
     cells = [
--- a/packages/bilberryplank-testing/bilberryplank_testing/tests/test_routing_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/tests/test_routing_bench.py
@@ -25,3 +25,16 @@
     def test_affinity_finds_cached_prefixes(self):
         hits = [run("informed", affinity=affinity).cache_hits for affinity in (False, True)]
         self.assertGreater(hits[1], hits[0] + 0.2)
+
+    def test_tiers_in_a_burst(self):
+        blind, told = (run("informed", tiers=True, told_apart=apart) for apart in (False, True))
+        self.assertGreater(told.in_target(0), 0.95)
+        for rank in (0, 1):
+            self.assertGreater(told.in_target(rank), blind.in_target(rank) + 0.02)
+
+    def test_a_straggler_in_a_burst_costs_the_top_tier_less_than_its_share(self):
+        told, baseline = (
+            run(policy, FaultKind.STRAGGLER, tiers=True) for policy in ("informed", "round_robin")
+        )
+        self.assertGreater(told.in_target(0), 5 / 6 + 0.05)
+        self.assertGreater(told.in_target(0), baseline.in_target(0) + 0.02)
--- a/packages/bilberryplank/bilberryplank/_answer_stream.py
+++ b/packages/bilberryplank/bilberryplank/_answer_stream.py
@@ -78,9 +78,9 @@
         stream.attach(link)
         return stream
 
-    def head(self, status: int, headers: Headers, load: Load) -> None:
-        """Sends status and headers."""
-        self._head = Head(self.attempt, status, headers, load)
+    def head(self, status: int, headers: Headers, load: Load, waited: float = 0.0) -> None:
+        """Sends status and headers, and how long the attempt waited before it was run."""
+        self._head = Head(self.attempt, status, headers, load, waited)
         if self._link is not None:
             self._link.send(self._head)
 
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -23,8 +23,10 @@
 from bilberryplank_core.routing import (
     OrganisationLimits,
     RequestAttempts,
+    RequestKind,
     RequestTraits,
     affinity_key,
+    cost_of,
 )
 from bilberryplank_core.scheduling import OutputEstimator
 from bilberryplank_core.settings import RoutingSettings
@@ -91,7 +93,7 @@
         limit = call.model_call.output_limit if call.model_call else 0
         output = self._lengths.estimate(class_name, organisation, limit) if prompt else 0
         admission = self._limits.admit(key, class_name, prompt + output, _now())
-        run = self._prepare(request, call)
+        run = self._prepare(request, call, cost_of(prompt, output))
         try:
             return await self._run(call, run)
         finally:
@@ -101,10 +103,10 @@
             actual = used.prompt_tokens + used.completion_tokens if used is not None else 0
             self._limits.settle(admission, actual)
 
-    def _prepare(self, request: web.BaseRequest, call: Call) -> RequestRun:
+    def _prepare(self, request: web.BaseRequest, call: Call, cost: float) -> RequestRun:
         answer = CallerAnswer(request, call.request_id, self.draining, not call.idempotent)
         intent = CallIntent(self._parts.intents, _identity_of(call))
-        return RequestRun(self._parts, call, self._attempts(call), answer, intent)
+        return RequestRun(self._parts, call, self._attempts(call), answer, intent, cost)
 
     async def _run(self, call: Call, run: RequestRun) -> web.StreamResponse:
         try:
@@ -147,6 +149,7 @@
             asks_all=call.classified.rank < lowest,
             affinity=affinity,
             tries_ejected=call.classified.rank > 0,
+            kind=RequestKind(call.classified.rank, call.classified.request_class.name),
         )
         return RequestAttempts(
             traits,
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -33,6 +33,7 @@
     Dispatch,
     End,
     Failed,
+    Head,
     Heartbeat,
     NotRun,
     Settle,
@@ -48,11 +49,13 @@
     Deliver,
     GiveUp,
     RequestAttempts,
+    RequestKind,
     RetryBudget,
     SendTo,
     SettleWith,
     Step,
     UpstreamChooser,
+    blames_upstream,
     parse_reason,
 )
 from bilberryplank_core.world import Upstream
@@ -114,8 +117,10 @@
         attempts: RequestAttempts,
         answer: CallerAnswer,
         intent: CallIntent,
+        cost: float,
     ) -> None:
         self._parts = parts
+        self._cost = cost
         self._call = call
         self._attempts = attempts
         self.answer = answer
@@ -128,6 +133,9 @@
         self._not_run = False
         self._judged = False
         self._sidecar_epoch = ""
+        self._waited = 0.0
+        request_class = call.classified.request_class
+        self._kind = RequestKind(call.classified.rank, request_class.name)
         self.usage: Usage | None = None
 
     async def run(self) -> web.StreamResponse:
@@ -168,8 +176,9 @@
         self._assembler.begin(attempt)
         self._not_run = False
         self._judged = False
+        self._waited = 0.0
         channel = self._parts.links.open_channel(attempt, link)
-        self._parts.chooser.record_sent(upstream.name, self._cost(), _now())
+        self._parts.chooser.record_sent(upstream.name, self._cost, _now(), self._kind)
         try:
             answer = await self._claim(step)
             if answer is not None:
@@ -183,7 +192,7 @@
             self._parts.links.close_channel(channel)
             chooser = self._parts.chooser
             release = chooser.record_refused if self._not_run else chooser.record_end
-            release(upstream.name, _now())
+            release(upstream.name, _now(), self._kind)
 
     def _probe(self) -> None:
         """Asks an upstream for its load where too few hints are fresh."""
@@ -275,8 +284,13 @@
         """Tells the chooser, once an attempt, how the upstream did."""
         if not self._judged:
             self._judged = True
-            ok = first_token_seconds is not None
-            self._parts.chooser.record_answer(upstream.name, first_token_seconds, ok, _now())
+            self._parts.chooser.record_answer(
+                upstream.name,
+                first_token_seconds,
+                first_token_seconds is not None,
+                _now(),
+                self._kind,
+            )
 
     def _refused_by(self, event: NotRun | Failed, upstream: Upstream) -> Step:
         reason = parse_reason(event.reason)
@@ -287,12 +301,15 @@
             retry_after = event.retry_after
             return self._attempts.not_run(event.attempt, reason, retry_after, _now(), progress)
         self._record(DecisionStep.FAILED, f"{upstream.name}: {event.reason}")
-        self._judge(upstream, None)
+        if blames_upstream(reason):
+            self._judge(upstream, None)
         return self._attempts.failed(event.attempt, reason, _now(), progress)
 
     async def _take(
         self, channel: AttemptChannel, frame: Frame, upstream: Upstream, sent_at: float
     ) -> Step | None:
+        if isinstance(frame, Head):
+            self._waited = frame.waited
         for output in self._assembler.accept(frame):
             if isinstance(output, AnswerBroken):
                 self._judge(upstream, None)
@@ -301,7 +318,7 @@
                 progress = self._assembler.progress
                 return self._attempts.failed(channel.attempt, reason, _now(), progress)
             if isinstance(output, AnswerPart):
-                self._judge(upstream, _now() - sent_at)
+                self._judge(upstream, max(0.0, _now() - sent_at - self._waited))
             await self._emit(output)
         if isinstance(frame, End) and self.usage is not None:
             self._answered_by = channel
@@ -401,10 +418,6 @@
     def _prompt_tokens(self) -> int:
         return self._call.model_call.prompt_tokens if self._call.model_call else 0
 
-    def _cost(self) -> float:
-        model_call = self._call.model_call
-        return float(model_call.prompt_tokens + model_call.output_limit) if model_call else 1.0
-
     def _note_sending(self, step: SendTo) -> None:
         detail = f"{step.upstream.name} attempt={step.attempt.number}"
         if step.retry is None:
--- a/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
@@ -28,6 +28,7 @@
         stream: The way of its answer to the entry.
         task: The call to the upstream once it runs.
         stopped_for: Why its call was stopped; None while it was not.
+        waited: Seconds that it waited before it went to the upstream.
     """
 
     dispatch: Dispatch
@@ -37,6 +38,7 @@
     stream: AnswerStream
     task: asyncio.Task[None] | None = None
     stopped_for: RefusalReason | None = None
+    waited: float = 0.0
 
     def stop(self, reason: RefusalReason) -> None:
         """Stops the running call."""
@@ -81,7 +83,7 @@
         self,
         held: HeldAttempt,
         kept: KeptAnswers,
-        load: Load,
+        load: Callable[[], Load],
         metrics: ProcessMetrics,
         first_byte_seen: Callable[[HeldAttempt, float], None] = lambda held, waited: None,
     ) -> None:
@@ -95,9 +97,9 @@
 
     async def head(self, status: int, headers: Headers) -> None:
         """Takes status and headers."""
-        attempt = self._held.dispatch.attempt
-        self._kept.keep_head(attempt, Head(attempt, status, headers, self._load))
-        self._held.stream.head(status, headers, self._load)
+        attempt, waited, load = self._held.dispatch.attempt, self._held.waited, self._load()
+        self._kept.keep_head(attempt, Head(attempt, status, headers, load, waited))
+        self._held.stream.head(status, headers, load, waited)
 
     async def part(self, data: bytes) -> None:
         """Takes the next bytes of the body."""
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -272,18 +272,16 @@
         if not self._kept.dispatch(req.attempt):
             raise AssertionError("a queued attempt is known as queued")
         self._queue.started(req.attempt, _now())
-        waited = _now() - held.arrived
-        self._parts.metrics.queue_waited(held.dispatch.class_name, waited)
-        self._record(held, DecisionStep.STARTED, f"waited={waited:.3f}")
+        held.waited = _now() - held.arrived
+        self._parts.metrics.queue_waited(held.dispatch.class_name, held.waited)
+        self._record(held, DecisionStep.STARTED, f"waited={held.waited:.3f}")
         held.task = asyncio.get_running_loop().create_task(self._run(held))
 
     async def _run(self, held: HeldAttempt) -> None:
         attempt = held.dispatch.attempt
         budget = max(0.0, held.deadline - _now())
         dispatch = replace(held.dispatch, budget=budget)
-        sink = KeepingSink(
-            held, self._kept, self.load(), self._parts.metrics, self._first_byte_seen
-        )
+        sink = KeepingSink(held, self._kept, self.load, self._parts.metrics, self._first_byte_seen)
         try:
             usage = await self._parts.caller.run(dispatch, held.rank, sink)
         except UpstreamNotReached as exc:
