--- a/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
@@ -61,6 +61,8 @@
         sidecar_settings: Further settings of each sidecar.
         fleet: Fleet settings of every process.
         links: Link settings of every process.
+        platform_options: Command line of the fake platform.
+        unstarted: Upstreams whose hosts the first host list does not show.
     """
 
     upstreams: list[UpstreamSpec]
@@ -71,6 +73,8 @@
     sidecar_settings: dict[str, Any] = field(default_factory=dict)
     fleet: dict[str, Any] = field(default_factory=dict)
     links: dict[str, Any] = field(default_factory=dict)
+    platform_options: list[str] = field(default_factory=list)
+    unstarted: list[str] = field(default_factory=list)
 
 
 class Deployment:
@@ -170,11 +174,12 @@
             resp.raise_for_status()
 
     async def publish_hosts(self, leaving: tuple[str, ...] = ()) -> None:
-        """Sets the platform's host list: every entry and sidecar, those named as leaving."""
+        """Sets the platform's host list: those named as leaving, without unstarted upstreams."""
         zones = {spec.name: spec.zone for spec in self.spec.upstreams}
         hosts = [
             _host(f"sidecar-{name}", zones[name], "sidecar", self._sidecar_addresses[name])
             for name in self.sidecars
+            if name not in self.spec.unstarted
         ]
         hosts += [
             _host(name, "zone-a", "entry", url.removeprefix("http://"))
@@ -202,7 +207,7 @@
 
     async def _start_fakes(self) -> None:
         specs = self.spec.upstreams
-        await self._start_fake("platform", "platform", [])
+        await self._start_fake("platform", "platform", self.spec.platform_options)
         for upstream in specs:
             await self._start_fake(upstream.name, upstream.kind, upstream.options)
             self._sidecar_addresses[upstream.name] = _new_address()
--- a/packages/bilberryplank/bilberryplank/_target_meter.py
+++ b/packages/bilberryplank/bilberryplank/_target_meter.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from math import exp
+from dataclasses import dataclass
 
 from bilberryplank_core.errors import RefusalReason
 
-MEMORY_SECONDS = 15.0
-LEAST_WEIGHT = 0.05
-"""Below this weight of recent requests there is nothing to tell of."""
+WINDOW_SECONDS = 15.0
 
 MISSES = frozenset(
     {
@@ -21,27 +19,39 @@
 """Refusals for want of capacity."""
 
 
+@dataclass(slots=True)
+class _Counts:
+    arrivals: int = 0
+    hits: int = 0
+    misses: int = 0
+
+
 class TargetMeter:
-    """Counts hits, misses and arrivals, each forgotten exponentially over `MEMORY_SECONDS`."""
+    """Counts hits, misses and arrivals over the last `WINDOW_SECONDS`, by two windows.
 
-    __slots__ = ("_arrivals", "_hits", "_misses", "_seen")
+    The part of the last whole window that is still within reach is taken as if it had been even,
+    so that what is older than two windows is forgotten whatever it was.
+    """
+
+    __slots__ = ("_began", "_current", "_last")
 
     def __init__(self) -> None:
-        self._arrivals = self._hits = self._misses = 0.0
-        self._seen = float("-inf")
+        self._began = float("-inf")
+        self._current = _Counts()
+        self._last = _Counts()
 
     def arrived(self, now: float) -> None:
         """Notes a request, whatever becomes of it; times in seconds, monotonic."""
-        self._forget(now)
-        self._arrivals += 1.0
+        self._turn(now)
+        self._current.arrivals += 1
 
     def answered(self, in_time: bool, now: float) -> None:
         """Notes the first token of an answer."""
-        self._forget(now)
+        self._turn(now)
         if in_time:
-            self._hits += 1.0
+            self._current.hits += 1
         else:
-            self._misses += 1.0
+            self._current.misses += 1
 
     def refused(self, reason: RefusalReason, now: float) -> None:
         """Notes a refusal; one for want of capacity is a miss."""
@@ -49,21 +59,22 @@
             self.answered(False, now)
 
     def attainment(self, now: float) -> float:
-        """Returns the share of requests that met their target; 1 where there were next to none."""
-        self._forget(now)
-        weight = self._hits + self._misses
-        return self._hits / weight if weight > LEAST_WEIGHT else 1.0
+        """Returns the share of requests that met their target; 1 where there were none."""
+        left = self._turn(now)
+        hits = self._current.hits + left * self._last.hits
+        misses = self._current.misses + left * self._last.misses
+        return hits / (hits + misses) if misses else 1.0
 
     def arrivals(self, now: float) -> float:
         """Returns requests a second."""
-        self._forget(now)
-        return self._arrivals / MEMORY_SECONDS
-
-    def _forget(self, now: float) -> None:
-        if now <= self._seen:
-            return
-        factor = exp((self._seen - now) / MEMORY_SECONDS)
-        self._arrivals *= factor
-        self._hits *= factor
-        self._misses *= factor
-        self._seen = now
+        left = self._turn(now)
+        return (self._current.arrivals + left * self._last.arrivals) / WINDOW_SECONDS
+
+    def _turn(self, now: float) -> float:
+        """Begins a new window where one is over; returns what is left of the last one, 0 to 1."""
+        if now - self._began >= WINDOW_SECONDS:
+            fresh = now - self._began < 2 * WINDOW_SECONDS
+            self._last = self._current if fresh else _Counts()
+            self._current = _Counts()
+            self._began = self._began + WINDOW_SECONDS if fresh else now
+        return 1.0 - (now - self._began) / WINDOW_SECONDS
--- a/packages/bilberryplank/bilberryplank/tests/test_target_meter.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_target_meter.py
@@ -1,6 +1,6 @@
 import unittest
 
-from bilberryplank._target_meter import MEMORY_SECONDS, TargetMeter
+from bilberryplank._target_meter import WINDOW_SECONDS, TargetMeter
 from bilberryplank_core.errors import RefusalReason
 
 
@@ -26,11 +26,13 @@
     def test_old_misses_are_forgotten(self):
         meter = TargetMeter()
         meter.answered(False, 0.0)
-        self.assertEqual(meter.attainment(1.0), 0.0)
-        self.assertEqual(meter.attainment(4 * MEMORY_SECONDS), 1.0)
+        for _ in range(1000):
+            meter.answered(False, 1.0)
+        self.assertEqual(meter.attainment(WINDOW_SECONDS), 0.0)
+        self.assertEqual(meter.attainment(2 * WINDOW_SECONDS), 1.0)
 
     def test_arrivals_a_second(self):
         meter = TargetMeter()
         for step in range(2000):
             meter.arrived(step / 20)
-        self.assertAlmostEqual(meter.arrivals(100.0), 20.0, delta=0.5)
+        self.assertAlmostEqual(meter.arrivals(100.0), 20.0, delta=0.2)
