--- a/packages/bilberryplank-testing/bilberryplank_testing/_slope_links.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_slope_links.py
@@ -23,6 +23,7 @@
 HEARTBEAT_LINKS = {"heartbeat_interval": 0.5, "silence_limit": 30.0}
 QUIET_LINKS = {"heartbeat_interval": 25.0, "silence_limit": 60.0}
 SETTLE_SECONDS = 1.0
+TIERS = 6
 MICROSECONDS = 1e6
 KILOBYTES = 1 / 1024
 
@@ -56,7 +57,8 @@
 
 def heartbeat_bytes() -> int:
     """Returns the bytes of a heartbeat and its answer, frames included, TCP and IP not."""
-    load = Load(12, 8, 8, 12345.5, 234.5, False, 870, 0.53)
+    by_rank = [12345.5] * TIERS
+    load = Load(12, 8, 8, 12345.5, 234.5, False, 870, 0.53, 0.95, 5.4, by_rank)
     return len(encode(Heartbeat(870, 0.53))) + len(encode(LoadReport(load)))
 
 
