Ask suspected upstreams before a refusal, and be ready only with links

A fresh entry said ready before it had links, and four calls 35 ms later were refused no_upstream. A new test of attempts.

--- a/packages/bilberryplank-core/bilberryplank_core/_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempts.py
@@ -47,6 +47,7 @@
         chooser: Chooses among them.
         retry_budget: Shared by the requests of the entry.
         max_attempts: Bound on attempts that may have run, and on all of a lowest-tier request.
+        spare: Eligible upstreams that are asked only once none of the candidates is left.
     """
 
     __slots__ = (
@@ -69,9 +70,10 @@
         chooser: UpstreamChooser,
         retry_budget: RetryBudget,
         max_attempts: int,
+        spare: Sequence[Upstream] = (),
     ) -> None:
         self._traits = traits
-        self._candidates = Candidates(candidates, chooser, traits)
+        self._candidates = Candidates(candidates, chooser, traits, spare)
         self._retry_budget = retry_budget
         self._max_attempts = max_attempts
         self._history = AttemptHistory()
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
@@ -76,6 +76,19 @@
                 self.assertEqual(step.refused.reason, SHED)
                 self.assertEqual(step.refused.retry_after, 5.0 - expected)
 
+    def test_spare_upstreams_are_asked_once_no_other_is_left(self):
+        budget = RetryBudget(0.2, 5.0)
+        traits = RequestTraits("r", "e", True, 10.0)
+        chooser = RoundRobinChooser()
+        live, spare = UPSTREAMS[:2], UPSTREAMS[2:]
+        subject = RequestAttempts(traits, live, chooser, budget, 3, spare)
+        step, asked = subject.start(0.0), []
+        while isinstance(step, SendTo):
+            asked.append(step.upstream)
+            step = subject.not_run(step.attempt, SHED, 1.0, 0.0)
+        self.assertEqual(set(map(str, asked[:2])), set(map(str, live)))
+        self.assertEqual(set(map(str, asked[2:])), set(map(str, spare)))
+
     def test_overload_outweighs_other_reasons(self):
         subject = attempts(max_attempts=2, asks_all=False)
         step = subject.not_run(subject.start(0.0).attempt, SHED, 1.0, 0.0)
--- a/packages/bilberryplank/bilberryplank/_configuration_feed.py
+++ b/packages/bilberryplank/bilberryplank/_configuration_feed.py
@@ -137,7 +137,7 @@
 
     async def _poll_once(self) -> None:
         age = self.holder.confirmed_age(boot_time())
-        self._metrics.set_configuration(self.holder.version, age)
+        self._metrics.set_configuration(self.holder.version, age, self.configuration.ignored)
         if self._is_due(age):
             await self._read_table()
 
@@ -158,4 +158,10 @@
 
     def _log_change(self, source: str) -> None:
         self._metrics.declare_classes(self.configuration.classes)
-        log_event(logger, "configuration_changed", version=self.holder.version, source=source)
+        log_event(
+            logger,
+            "configuration_changed",
+            version=self.holder.version,
+            source=source,
+            ignored=self.configuration.ignored,
+        )
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -151,12 +151,14 @@
             tries_ejected=call.classified.rank > 0,
             kind=RequestKind(call.classified.rank, call.classified.request_class.name),
         )
+        live, suspected = self._view.candidates(call.classified.upstreams)
         return RequestAttempts(
             traits,
-            self._view.candidates(call.classified.upstreams),
+            live,
             self._parts.chooser,
             self._parts.retry_budget,
             self._routing.max_attempts,
+            suspected,
         )
 
     def _refuse(self, request_id: str, refused: Refused, class_name: str) -> web.Response:
--- a/packages/bilberryplank/bilberryplank/_process.py
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -29,7 +29,7 @@
 
 EPOCH_BYTES = 8
 START_RETRY_SECONDS = 0.5
-DRAIN_POLL_SECONDS = 0.05
+POLL_SECONDS = 0.05
 
 
 class Process(Service):
@@ -51,6 +51,7 @@
         self.metrics = ProcessMetrics()
         self.journal = DecisionJournal(process=settings.name)
         self._settings = settings
+        self._warming_up = False
         self._session: aiohttp.ClientSession | None = None
         self._operations: OperationsServer | None = None
 
@@ -110,7 +111,16 @@
         if self._session is not None:
             await self._session.close()
 
+    async def warm_up(self) -> None:
+        """Prepares for work once a configuration is in force."""
+
     def _configured(self, _: Configuration) -> None:
+        if not self._warming_up:
+            self._warming_up = True
+            self.add_future(self._become_ready())
+
+    async def _become_ready(self) -> None:
+        await self.warm_up()
         operations = self._operations
         if operations is not None and operations.readiness is Readiness.STARTING:
             operations.readiness = Readiness.READY
@@ -125,13 +135,13 @@
         self.add_dependency(part)
         await part.maybe_start()
 
-    async def _wait_idle(self, is_idle: Callable[[], bool], timeout: float) -> bool:
-        """Waits until nothing is left to do; returns False where the time is up first."""
-        for _ in range(int(timeout / DRAIN_POLL_SECONDS)):
-            if is_idle():
+    async def _wait_until(self, holds: Callable[[], bool], timeout: float) -> bool:
+        """Waits until a condition holds; returns False where the time is up first."""
+        for _ in range(int(timeout / POLL_SECONDS)):
+            if holds():
                 return True
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        return is_idle()
+            await asyncio.sleep(POLL_SECONDS)
+        return holds()
 
 
 async def run_process(process: Process) -> int:
--- a/packages/bilberryplank/bilberryplank/_sidecar.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from bilberryplank._link import Identity
+from bilberryplank._link import Identity, LinkCounters
 from bilberryplank._link_pool import LinkListener
 from bilberryplank._logs import log_event
 from bilberryplank._operations_server import ProcessStatus
@@ -71,7 +71,12 @@
         self._requests = SidecarRequests(parts)
         identity = Identity(Role.SIDECAR, settings.name, self.epoch, settings.upstream)
         listener = LinkListener(
-            settings.listen, identity, settings.fleet_key, settings.links, self._requests
+            settings.listen,
+            identity,
+            settings.fleet_key,
+            settings.links,
+            self._requests,
+            LinkCounters.from_metrics(self.metrics),
         )
         await self._start_part(listener)
         self.add_future(self._tick())
@@ -82,7 +87,7 @@
         if not hasattr(self, "_requests"):
             return
         self._requests.leave()
-        await self._wait_idle(lambda: self._requests.idle, self._settings.drain_timeout)
+        await self._wait_until(lambda: self._requests.idle, self._settings.drain_timeout)
         await asyncio.sleep(LINGER_SECONDS)
         self._requests.close()
         await self._caller.close()
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -294,6 +294,9 @@
             if held.stopped_for is None:
                 raise
             self._broke(held, sink.events, held.stopped_for, exc)
+        except Exception as exc:
+            log_event(logger, "attempt_crashed", level="ERROR", trace=exc)
+            self._broke(held, sink.events, RefusalReason.INTERNAL, exc)
         else:
             self._finish(held, usage)
         finally:
@@ -335,6 +338,8 @@
         prompt_tokens = held.dispatch.prompt_tokens
         self._queue.finished(attempt, _now(), prompt_tokens, generated, whole=False)
         self._kept.fail(attempt)
+        class_name = held.dispatch.class_name
+        self._parts.metrics.tokens_generated(class_name, TokenUse.WASTED, generated)
         self._log_failure(held, reason, exc)
         held.stream.fail(reason.value, self.load())
 
--- a/packages/bilberryplank/bilberryplank/_upstream_view.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_view.py
@@ -44,20 +44,26 @@
             self.entries = entries
             self._subsets.clear()
 
-    def candidates(self, names: tuple[str, ...]) -> Sequence[Upstream]:
-        """Returns the upstreams of a route that may get a request, suspects only where none lives.
+    def candidates(self, names: tuple[str, ...]) -> tuple[Sequence[Upstream], Sequence[Upstream]]:
+        """Returns the upstreams of a route that live, and those that are only suspected.
 
         Args:
             names: Names of the route's eligible upstreams.
         """
         now = asyncio.get_running_loop().time()
-        linked = self._subset(names)
-        states = [self.membership.state(upstream.name, now) for upstream in linked]
-        for wanted in (MemberState.LIVE, MemberState.SUSPECT):
-            found = [item for item, state in zip(linked, states, strict=True) if state is wanted]
-            if found:
-                return found
-        return []
+        by_state: dict[MemberState, list[Upstream]] = {state: [] for state in MemberState}
+        for upstream in self._subset(names):
+            by_state[self.membership.state(upstream.name, now)].append(upstream)
+        return by_state[MemberState.LIVE], by_state[MemberState.SUSPECT]
+
+    def is_linked(self) -> bool:
+        """Returns True where each upstream of the subsets in use was heard."""
+        if self._upstreams and not self._subsets:
+            return False
+        now = asyncio.get_running_loop().time()
+        used = {item.name for subset_ in self._subsets.values() for item in subset_}
+        states = {self.membership.state(name, now) for name in used}
+        return MemberState.SUSPECT not in states
 
     def linked(self, routes: Sequence[tuple[str, ...]]) -> dict[str, Upstream]:
         """Returns the upstreams to keep links to, by name."""
