Send operators' orders to engines through their sidecars, with fencing

An engine that ignores fencing numbers could get an old holder's order. An operator's row is picked up by the holder of the lease engine-orders, which writes its number there on condition of the fence row, sends it to the sidecar and removes the row once the outcome is final. The sidecar refuses older numbers. Unless the engine checks itself it reads the fence row before each order, so a restart forgets nothing and an old number is stale before the next holder's first order. An order id is carried out once per run of the sidecar.

Ruled out: trusting the numbers seen alone, which a restart loses; a learnt number alone, which is old from a takeover to the next order.

--- a/packages/bilberryplank-core/bilberryplank_core/_messages.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_messages.py
@@ -319,6 +319,31 @@
     reason: str
 
 
+@dataclass(slots=True)
+class OrderEngine:
+    """The holder of the lease of orders to engines has a sidecar give its engine an order.
+
+    Attributes:
+        order_id: Unique id; a sidecar's run carries it out once.
+        fence: Fencing number of the lease.
+        action: As in `EngineOrder`.
+        argument: As in `EngineOrder`.
+    """
+
+    order_id: str
+    fence: int
+    action: str
+    argument: str
+
+
+@dataclass(slots=True)
+class EngineOrdered:
+    """Answer to `OrderEngine`: `done`, `rejected`, `stale` or `unknown`."""
+
+    order_id: str
+    outcome: str
+
+
 Message = (
     Hello
     | Proof
@@ -338,6 +363,8 @@
     | UsageStored
     | Goodbye
     | Credit
+    | OrderEngine
+    | EngineOrdered
 )
 
 MESSAGE_TYPES: tuple[type, ...] = (
@@ -359,5 +386,7 @@
     UsageStored,
     Goodbye,
     Credit,
+    OrderEngine,
+    EngineOrdered,
 )
 """Message types; the place in this tuple is the tag on the wire, so new ones go to the end."""
--- a/packages/bilberryplank/bilberryplank/_sidecar.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+from bilberryplank._engine_http import HttpEngineControl
+from bilberryplank._engine_orders import SidecarOrders
 from bilberryplank._link import Identity, LinkCounters
 from bilberryplank._link_pool import LinkListener
 from bilberryplank._logs import log_event
@@ -16,7 +18,7 @@
 from bilberryplank._upstream_call import UpstreamCaller
 from bilberryplank_core.scheduling import FifoQueue, KeptAnswers, RequestQueue, TieredQueue
 from bilberryplank_core.settings import SidecarSettings
-from bilberryplank_core.world import Role
+from bilberryplank_core.world import Role, UpstreamKind
 
 TICK_SECONDS = 1.0
 LINGER_SECONDS = 0.5
@@ -67,6 +69,7 @@
             metrics=self.metrics,
             journal=self.journal,
             answer_bytes=settings.answer_bytes // 4,
+            orders=self._make_orders(platform),
         )
         self._requests = SidecarRequests(parts)
         identity = Identity(Role.SIDECAR, settings.name, self.epoch, settings.upstream)
@@ -93,6 +96,14 @@
         await self._caller.close()
         log_event(logger, "sidecar_drained")
 
+    def _make_orders(self, platform: Platform) -> SidecarOrders:
+        settings = self._settings
+        control = None
+        if settings.upstream_kind is UpstreamKind.ENGINE and self._session is not None:
+            timeout = settings.platform.timeout
+            control = HttpEngineControl(self._session, settings.upstream_url, timeout)
+        return SidecarOrders(settings.upstream, control, platform.table, settings.checks_fencing)
+
     def _make_queue(self) -> RequestQueue:
         queue = self._settings.queue
         if queue.policy == "fifo":
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -10,6 +10,7 @@
 from bilberryplank._answer_stream import AnswerStream
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._decisions import DecisionJournal, DecisionStep
+from bilberryplank._engine_orders import SidecarOrders
 from bilberryplank._link import Link
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import FrameDropCause, ProcessMetrics, RequestOutcome, TokenUse
@@ -34,6 +35,7 @@
     LoadReport,
     Message,
     NotRun,
+    OrderEngine,
     Settle,
     Usage,
     UsageStored,
@@ -69,6 +71,7 @@
         metrics: Counters.
         journal: Recent decisions.
         answer_bytes: Bytes of one answer that are kept to be sent again.
+        orders: Orders to the engine.
     """
 
     epoch: str
@@ -80,6 +83,7 @@
     metrics: ProcessMetrics
     journal: DecisionJournal
     answer_bytes: int
+    orders: SidecarOrders
 
 
 class SidecarRequests:
@@ -183,6 +187,8 @@
                 self._parts.feed.peer_fetched(link, message)
             case ConfigurationDocument():
                 self._parts.feed.peer_sent(link, message)
+            case OrderEngine():
+                self._parts.orders.receive(link, message)
             case UsageStored(record_ids):
                 self._parts.usage.peer_stored(record_ids)
             case Goodbye():
--- /dev/null
+++ b/packages/bilberryplankctl/bilberryplankctl/_engine_commands.py
@@ -0,0 +1,39 @@
+"""Commands on engines."""
+
+from __future__ import annotations
+
+import uuid
+from enum import Enum
+
+from bilberryplank_core.contracts import Condition, Put, Table
+from bilberryplank_core.fleet import ConfigurationStore
+from bilberryplankctl._failures import NotFound
+from bilberryplankctl._results import EngineOrderAsked
+
+TABLE = "engine_orders"
+
+
+class EngineAction(Enum):
+    """What an engine can be told."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    SET_VERSION = "set_version"
+    SET_ROLE = "set_role"
+
+
+async def order(
+    store: ConfigurationStore, table: Table, upstream: str, action: EngineAction, argument: str
+) -> EngineOrderAsked:
+    """Asks for an order; the holder of the lease sends it to the engine's sidecar.
+
+    Raises:
+        NotFound: There is no such upstream.
+    """
+    if upstream not in (await store.read()).upstreams:
+        raise NotFound(f"no upstream {upstream!r}")
+    order_id = uuid.uuid4().hex
+    key = f"asked/{order_id}"
+    value = {"upstream": upstream, "action": action.value, "argument": argument}
+    await table.commit([Condition(TABLE, key, 0)], [Put(TABLE, key, value)])
+    return EngineOrderAsked(order_id, upstream, action.value, argument)
--- a/packages/bilberryplankctl/bilberryplankctl/_rendering.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_rendering.py
@@ -20,6 +20,7 @@
     Checked,
     Differences,
     Document,
+    EngineOrderAsked,
     Explanation,
     FleetStatus,
     KeyCreated,
@@ -66,6 +67,8 @@
         case UpstreamDrained(version, upstream, draining):
             state = "takes no new work" if draining else "takes work again"
             return f"version {version} is in force; {upstream} {state}"
+        case EngineOrderAsked(order_id, upstream, action, argument):
+            return f"order {order_id} is asked for: {upstream} {action} {argument}"
         case FleetStatus(processes):
             return _status(processes)
         case Explanation():
--- a/packages/bilberryplankctl/bilberryplankctl/_results.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_results.py
@@ -55,6 +55,16 @@
     secret: str = field(repr=False)
 
 
+@dataclass(slots=True, frozen=True)
+class EngineOrderAsked:
+    """An order to an engine that was written down and not yet sent."""
+
+    order_id: str
+    upstream: str
+    action: str
+    argument: str
+
+
 @dataclass(slots=True, frozen=True)
 class KeyWithdrawn:
     """A withdrawn key."""
@@ -136,6 +146,7 @@
     | KeyWithdrawn
     | KeyList
     | UpstreamDrained
+    | EngineOrderAsked
     | FleetStatus
     | Explanation
 )
--- a/packages/bilberryplankctl/bilberryplankctl/_session.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_session.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from bilberryplank.platform import Platform
+from bilberryplank_core.contracts import Table
 from bilberryplank_core.errors import BilberryplankError
 from bilberryplank_core.fleet import ConfigurationStore
 from bilberryplank_core.settings import OperatorSettings, read_settings
@@ -26,6 +27,7 @@
 
     settings: OperatorSettings
     store: ConfigurationStore
+    table: Table
     processes: ProcessClient
 
 
@@ -53,7 +55,8 @@
     async with aiohttp.ClientSession() as session:
         platform = Platform.from_settings(settings.platform, session)
         processes = ProcessClient(session, settings.operations, settings.platform.timeout)
-        return await command(Session(settings, ConfigurationStore(platform.table), processes))
+        store = ConfigurationStore(platform.table)
+        return await command(Session(settings, store, platform.table, processes))
 
 
 def _exit_code(result: Result) -> ExitCode:
--- a/packages/bilberryplankctl/bilberryplankctl/main.py
+++ b/packages/bilberryplankctl/bilberryplankctl/main.py
@@ -12,9 +12,11 @@
 import defopt
 
 from bilberryplankctl import _configuration_commands as configuration
+from bilberryplankctl import _engine_commands as engines
 from bilberryplankctl import _key_commands as keys
 from bilberryplankctl import _process_commands as processes
 from bilberryplankctl._configuration_commands import Kind
+from bilberryplankctl._engine_commands import EngineAction
 from bilberryplankctl._failures import ExitCode
 from bilberryplankctl._session import run_connected, run_local
 from bilberryplankctl._upstream_commands import set_draining
@@ -152,6 +154,30 @@
     return run_connected(settings, json, lambda session: set_draining(session.store, name, False))
 
 
+def order(
+    upstream: str,
+    action: EngineAction,
+    argument: str,
+    *,
+    settings: Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> ExitCode:
+    """Asks for an order to an engine; an entry sends it through the engine's sidecar.
+
+    Args:
+        upstream: Name of the upstream.
+        action: What the engine is told.
+        argument: Name of the model, adapter, version or role.
+        settings: Settings file of the operators' command.
+        json: Print JSON.
+    """
+    return run_connected(
+        settings,
+        json,
+        lambda session: engines.order(session.store, session.table, upstream, action, argument),
+    )
+
+
 def status(*, settings: Path = DEFAULT_SETTINGS, json: bool = False) -> ExitCode:
     """Prints the state of each process that the settings name.
 
@@ -182,6 +208,7 @@
     "apply": apply,
     "key": {"create": create, "withdraw": withdraw, "list": list_keys},
     "upstream": {"drain": drain, "undrain": undrain},
+    "engine": {"order": order},
     "status": status,
     "explain": explain,
 }
