Let an attempt that ends without a token settle a request of its own tier

Cause: an end without a first token, as after preemption, took the entry's oldest request at that upstream off what is owed, of whatever tier; a hung request of the top tier could so be forgotten. Change: counted by tier.

--- a/packages/bilberryplank-core/bilberryplank_core/_track.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_track.py
@@ -136,8 +136,9 @@
         """Takes a request off, and what it still owed where it ended without a token."""
         self.in_flight = max(self.in_flight - 1, 0)
         self._in_flight[rank] = max(self._in_flight[rank] - 1, 0)
-        while len(self._owed) > self.in_flight:
-            self._owed.pop(0)
+        owed = [item for item in self._owed if item.kind.rank == rank]
+        for item in owed[: max(len(owed) - self._in_flight[rank], 0)]:
+            self._owed.remove(item)
 
     def in_flight_ahead(self, rank: int) -> int:
         """Returns the entry's own requests there of the tier and higher ones."""
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_choice.py
@@ -150,6 +150,15 @@
                 subject.record_load("a0", queue, 3.0)
                 self.assertEqual(subject.is_suspect("a0", 3.0), confirmed)
 
+    def test_an_end_without_a_token_settles_its_own_tier(self):
+        subject = answered_chooser()
+        subject.record_sent("a0", 1, 2.0, TOP)
+        subject.record_sent("a0", 1, 3.5, LOW)
+        subject.record_end("a0", 3.6, LOW)
+        self.assertTrue(subject.is_suspect("a0", 3.7))
+        subject.record_end("a0", 3.7, TOP)
+        self.assertFalse(subject.is_suspect("a0", 3.7))
+
     def test_a_low_request_at_an_idle_upstream_owes_from_sending(self):
         subject = answered_chooser()
         subject.record_load("a0", load(running=1, queued_by_rank=[0.0]), 1.5)
