--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -12,7 +12,7 @@
 from bilberryplank._entry_requests import EntryRequests
 from bilberryplank._intake import Intake
 from bilberryplank._lease_job import LeaseJob
-from bilberryplank._link import Identity
+from bilberryplank._link import Identity, LinkCounters
 from bilberryplank._link_keeper import LinkKeeper
 from bilberryplank._link_pool import LinkPool
 from bilberryplank._logs import log_event
@@ -34,6 +34,9 @@
 from bilberryplank_core.settings import EntrySettings
 from bilberryplank_core.world import Role
 
+WARM_UP_SECONDS = 3.0
+"""Longest wait for the first links before the entry calls itself ready."""
+
 
 class Entry(Process):
     """One entry process."""
@@ -70,10 +73,12 @@
         """Begins to take requests."""
         settings = self._settings
         chooser = self._make_chooser()
-        view = UpstreamView(settings.name, settings.zone, settings.routing)
+        view = self._view = UpstreamView(settings.name, settings.zone, settings.routing)
         links = EntryLinks(chooser, view.membership, self._feed, self.metrics)
         identity = Identity(Role.ENTRY, settings.name, self.epoch)
-        self._pool = LinkPool(identity, settings.fleet_key, settings.links, links)
+        counters = LinkCounters.from_metrics(self.metrics)
+        rng = process_rng(settings.name)
+        self._pool = LinkPool(identity, settings.fleet_key, settings.links, links, counters, rng)
         parts = EntryParts(
             epoch=self.epoch,
             pool=self._pool,
@@ -89,8 +94,9 @@
         )
         intake = Intake(settings.callers, settings.key_hash_secret, self._feed)
         self._requests = EntryRequests(intake, parts, view, settings.routing)
-        self._server = CallerServer(settings.listen, settings.callers, self._requests.handle)
-        rng = process_rng(settings.name)
+        self._server = CallerServer(
+            settings.listen, settings.callers, self._requests.handle, self.metrics.refused
+        )
         keeper = LinkKeeper(self._pool, view, self._feed, self._hosts, rng)
         self._hosts.subscribe(view.list_hosts)
         self._hosts.subscribe(self._requests.list_hosts)
@@ -99,6 +105,10 @@
         await self._start_entry_jobs(platform)
         log_event(logger, "entry_started", listen=settings.listen, epoch=self.epoch)
 
+    async def warm_up(self) -> None:
+        """Waits for the first links, as far as there is anything to link to."""
+        await self._wait_until(self._view.is_linked, WARM_UP_SECONDS)
+
     async def drain(self) -> None:
         """Lets the balancer look elsewhere, then finishes what runs."""
         if not hasattr(self, "_server"):
@@ -106,7 +116,7 @@
         self._requests.draining = True
         await asyncio.sleep(self._settings.lame_duck)
         self._server.stop_listening()
-        await self._wait_idle(lambda: self._requests.in_flight == 0, self._settings.drain_timeout)
+        await self._wait_until(lambda: self._requests.in_flight == 0, self._settings.drain_timeout)
         self._pool.close()
         log_event(logger, "entry_drained", left=self._requests.in_flight)
 
