Send accepted changes to entries beside the table

Cause: a table that went down right after it took a withdrawal left the key working for the whole outage, since no process had read the change. Change: bilberryplankctl sends each accepted change, signed with the secret of the keys' hashes, to the entries in its settings; they take what is newer and pass it on. Ruled out: taking it as unconfirmed, which would have made the whole fleet refuse requests as stale during the very outage; taking a repeat of the version in force, which would refresh its confirmation.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -53,9 +53,12 @@
     Then after is refused with key_withdrawn
 
   Scenario: The store goes down right after it took the withdrawal
-    When the key of acme is withdrawn
-    And 1.5 seconds pass
-    And the table is down
-    And 1.5 seconds pass
+    When no process reads the table
+    And an operator withdraws the key of acme and the table goes down at once
+    And every process reads the table again
+    And 1 seconds pass
     And acme traces kit through entry-2 as after
+    And acme traces kit through entry-1 as later
     Then after is refused with key_withdrawn
+    And later is refused with key_withdrawn
+    And every process has version 2 within 5 seconds
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -144,6 +144,14 @@
     world.run(world.deployment.store().withdraw_key(f"key-{organisation}"))
 
 
+@when("an operator withdraws the key of {organisation:Name} and the table goes down at once")
+def step_withdraw_then_down(context, organisation):
+    world = context.world
+    fault = {"service": "table", "kind": "fail", "seconds": 0, "count": 0}
+    assert world.operate("key", "withdraw", f"key-{organisation}") == 0
+    world.run(world.deployment.tell("platform", "/_faults", fault))
+
+
 @when("the upstream {name:Name} is drained")
 def step_drain(context, name):
     world = context.world
@@ -181,6 +189,28 @@
     set_platform_wire(context.world, name, WireState.CUT)
 
 
+@when("no process reads the table")
+def step_none_reads(context):
+    for name in context.world.deployment.operations:
+        set_platform_wire(context.world, name, WireState.CUT)
+
+
+@when("every process reads the table again")
+def step_all_read(context):
+    for name in context.world.deployment.operations:
+        set_platform_wire(context.world, name, WireState.OPEN)
+
+
+@then("every process has version {version:d} within {seconds:g} seconds")
+def step_version(context, version, seconds):
+    world = context.world
+
+    def everywhere():
+        return all(found >= version for found in versions(world).values())
+
+    world.wait_until(everywhere, f"version {version}: {versions(world)}", seconds)
+
+
 @when("{name:Name} reaches the platform again")
 def step_reaches(context, name):
     set_platform_wire(context.world, name, WireState.OPEN)
--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_updates.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_updates.py
@@ -52,6 +52,15 @@
     return b"\n".join(json.dumps(line, separators=(",", ":")).encode() for line in lines)
 
 
+def update_version(update: bytes) -> int:
+    """Returns the version to which an update leads.
+
+    Raises:
+        ConfigurationInvalid: The bytes are no update.
+    """
+    return _header(next(_values(update)))[0]
+
+
 def read_update(update: bytes, version: int) -> Update:
     """Returns what an update holds; a whole no newer than `version` is not read.
 
--- a/packages/bilberryplank-core/bilberryplank_core/fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/fleet.py
@@ -5,7 +5,7 @@
 from bilberryplank_core._configuration_holder import ConfigurationHolder
 from bilberryplank_core._configuration_rows import ConfigurationHead
 from bilberryplank_core._configuration_store import ConfigurationStore
-from bilberryplank_core._configuration_updates import encode_update
+from bilberryplank_core._configuration_updates import encode_update, update_version
 from bilberryplank_core._lease_guard import LeaseGuard
 from bilberryplank_core._lease_rows import LeaseRow
 from bilberryplank_core._leases import LeaseHolder
@@ -79,5 +79,6 @@
     "polls",
     "ranked",
     "recover_spilled",
+    "update_version",
     "weight",
 ]
--- a/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
@@ -191,6 +191,21 @@
         async with self.session.put(url, json={"hosts": hosts}) as resp:
             resp.raise_for_status()
 
+    async def operate(self, *arguments: str) -> int:
+        """Runs the operators' command in a process of its own; returns its exit code."""
+        path = self.directory / "operator.jsonc"
+        entries = [self.operations[name] for name in self.entries]
+        settings = {
+            "key_hash_secret": KEY_HASH_SECRET,
+            "platform": _platform_settings(self.fake_urls["platform"]),
+            "operations": entries,
+        }
+        path.write_text(json.dumps(settings))
+        command = ["bilberryplankctl.main", *arguments, "--settings", str(path)]
+        child = Child("operator", command, self.directory)
+        await child.start()
+        return await child.wait()
+
     async def wait_ready(self, name: str) -> None:
         """Waits until a process says that it is ready."""
         await self._wait_for(f"http://{self.operations[name]}/readyz")
--- a/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
@@ -159,6 +159,11 @@
 
         self._outcomes[name] = self.begin(persist())
 
+    def operate(self, *arguments: str) -> int:
+        """Runs the operators' command and returns its exit code."""
+        assert self.deployment is not None
+        return self.run(self.deployment.operate(*arguments))
+
     def outcome(self, name: str) -> Outcome:
         """Waits for the outcome of a request."""
         return self._outcomes[name].result(STEP_TIMEOUT_SECONDS)
--- a/packages/bilberryplank/bilberryplank/_configuration_feed.py
+++ b/packages/bilberryplank/bilberryplank/_configuration_feed.py
@@ -22,6 +22,7 @@
     PollSchedule,
     poll_configuration,
     polls,
+    update_version,
 )
 from bilberryplank_core.messages import ConfigurationDocument, FetchConfiguration
 from bilberryplank_core.settings import FleetSettings
@@ -117,10 +118,14 @@
     def push(self, update: bytes) -> bool:
         """Takes an update that an operator's command sent; returns True where it is newer.
 
+        The command saw the table take the change, which confirms it as a read does.
+
         Raises:
             ConfigurationInvalid: The bytes are no update.
         """
-        changed = self.holder.accept_update(update, NEVER_CONFIRMED_SECONDS)
+        if update_version(update) <= self.holder.version:
+            return False
+        changed = self.holder.accept_update(update, confirmed_age=0.0)
         if changed:
             self._log_change("operator")
         return changed
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -16,9 +16,10 @@
 from bilberryplank._link_keeper import LinkKeeper
 from bilberryplank._link_pool import LinkPool
 from bilberryplank._logs import log_event
-from bilberryplank._operations_server import ProcessStatus, UpstreamStatus
+from bilberryplank._operations_server import ProcessStatus, PushHandler, UpstreamStatus
 from bilberryplank._platform import Platform
 from bilberryplank._process import Process
+from bilberryplank._push import PushReceiver
 from bilberryplank._repeats import RepeatSettler
 from bilberryplank._request_run import EntryParts
 from bilberryplank._scaling_job import ScalingJob
@@ -105,6 +106,10 @@
         await self._start_entry_jobs(platform)
         log_event(logger, "entry_started", listen=settings.listen, epoch=self.epoch)
 
+    def push_handler(self) -> PushHandler | None:
+        """Returns the way in for updates that operators send."""
+        return PushReceiver(self._feed, self._settings.key_hash_secret).handle
+
     async def warm_up(self) -> None:
         """Waits for the first links, as far as there is anything to link to."""
         await self._wait_until(self._view.is_linked, WARM_UP_SECONDS)
--- a/packages/bilberryplank/bilberryplank/_operations_server.py
+++ b/packages/bilberryplank/bilberryplank/_operations_server.py
@@ -1,9 +1,12 @@
-"""HTTP port for operators: health, readiness, metrics, status and decisions. It only reads."""
+"""HTTP port for operators: health, readiness, metrics, status and decisions.
+
+It only reads, but for signed updates of the configuration, which an entry takes.
+"""
 
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -17,6 +20,7 @@
 from bilberryplank._metrics import ProcessMetrics
 
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
+PUSH_PATH = "/configuration"
 
 
 class Readiness(Enum):
@@ -82,6 +86,7 @@
 
 
 StatusProvider = Callable[[], ProcessStatus]
+PushHandler = Callable[[web.Request], Awaitable[web.Response]]
 
 
 class OperationsServer(Service):
@@ -99,6 +104,7 @@
         metrics: ProcessMetrics,
         journal: DecisionJournal,
         status: StatusProvider,
+        push: PushHandler | None = None,
         **kwargs: Any,
     ) -> None:
         self.readiness = Readiness.STARTING
@@ -106,6 +112,7 @@
         self._metrics = metrics
         self._journal = journal
         self._status = status
+        self._push = push
         self._runner: web.AppRunner | None = None
         super().__init__(**kwargs)
 
@@ -140,6 +147,8 @@
         application.router.add_get("/metrics", self._get_metrics)
         application.router.add_get("/status", self._get_status)
         application.router.add_get("/decisions/{request_id}", self._get_decisions)
+        if self._push is not None:
+            application.router.add_post(PUSH_PATH, self._push)
         return application
 
     async def _get_health(self, _: web.Request) -> web.Response:
--- a/packages/bilberryplank/bilberryplank/_process.py
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -16,7 +16,12 @@
 from bilberryplank._host_feed import HostFeed
 from bilberryplank._lease_job import LeaseJob
 from bilberryplank._metrics import ProcessMetrics
-from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
+from bilberryplank._operations_server import (
+    OperationsServer,
+    ProcessStatus,
+    PushHandler,
+    Readiness,
+)
 from bilberryplank._platform import Platform
 from bilberryplank._platform_metrics import meter_platform
 from bilberryplank._seeds import process_rng
@@ -65,9 +70,6 @@
         self._session = aiohttp.ClientSession()
         client = Platform.from_settings(settings.platform, self._session)
         platform = meter_platform(client, self.metrics)
-        self._operations = OperationsServer(
-            settings.operations_listen, self.metrics, self.journal, self.status
-        )
         rng = process_rng(settings.name)
         self._hosts = HostFeed(platform.hosts, rng)
         self._feed = ConfigurationFeed(
@@ -78,6 +80,13 @@
             self.metrics,
             lambda: self._hosts.hosts,
         )
+        self._operations = OperationsServer(
+            settings.operations_listen,
+            self.metrics,
+            self.journal,
+            self.status,
+            self.push_handler(),
+        )
         self._usage = UsageFeed(self.role, self.epoch, settings.fleet, platform, self.metrics, rng)
         await self._hosts.refresh()
         for part in (self._operations, self._hosts, self._feed, self._usage):
@@ -111,6 +120,10 @@
         if self._session is not None:
             await self._session.close()
 
+    def push_handler(self) -> PushHandler | None:
+        """Returns what takes updates that operators send; None where this process takes none."""
+        return None
+
     async def warm_up(self) -> None:
         """Prepares for work once a configuration is in force."""
 
--- a/packages/bilberryplankctl/bilberryplankctl/_session.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_session.py
@@ -17,6 +17,7 @@
 from bilberryplank_core.settings import OperatorSettings, read_settings
 from bilberryplankctl._failures import ExitCode, exit_code_of
 from bilberryplankctl._process_commands import ProcessClient
+from bilberryplankctl._push import push_change
 from bilberryplankctl._rendering import render_failure, render_json, render_text
 from bilberryplankctl._results import Differences, FleetStatus, Result
 
@@ -56,7 +57,10 @@
         platform = Platform.from_settings(settings.platform, session)
         processes = ProcessClient(session, settings.operations, settings.platform.timeout)
         store = ConfigurationStore(platform.table)
-        return await command(Session(settings, store, platform.table, processes))
+        result = await command(Session(settings, store, platform.table, processes))
+        if store.last_change is not None:
+            await push_change(session, settings, store.last_change)
+        return result
 
 
 def _exit_code(result: Result) -> ExitCode:
