Let a preempted request go on without spending a retry

Cause (review): a preempted attempt counted as a failure of its upstream, so that a burst could use up the retry budget and end requests that had only made way. Change: it spends nothing; the sidecar's budget of wasted work bounds preemption. Test seen to fail before the change.

--- a/packages/bilberryplank-core/bilberryplank_core/_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempts.py
@@ -3,7 +3,8 @@
 A non-idempotent request is sent again only once its last attempt is known not to have run. An
 attempt whose link was lost is settled with its sidecar first. The entry is the only layer that
 retries. A refused attempt cost its upstream no work, so it spends nothing of the retry budget and
-is bounded by asking each upstream once; a failed one spends a token.
+is bounded by asking each upstream once; a failed one spends a token. A preempted one spends none:
+the wasted-work budget bounds preemption already, and a request must not end for having made way.
 """
 
 from __future__ import annotations
@@ -218,7 +219,8 @@
             return self._deliver()
         if not self._may_repeat(progress):
             return self._give_up(reason)
-        if not self._retry_budget.try_spend():
+        bounded_elsewhere = retry is RetryReason.PREEMPTED
+        if not bounded_elsewhere and not self._retry_budget.try_spend():
             return self._give_up(reason)
         return self._send(RetryReason.RESUMED if progress.started else retry, progress, now)
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
@@ -62,6 +62,13 @@
             with self.subTest(reason=reason):
                 self.assertEqual(blames_upstream(reason), blamed)
 
+    def test_a_preempted_attempt_spends_no_retry(self):
+        for reason, expected in ((RefusalReason.PREEMPTED, SendTo), (FAILED, GiveUp)):
+            with self.subTest(reason=reason):
+                subject = attempts(budget=RetryBudget(0.2, 0.0))
+                step = subject.failed(subject.start(0.0).attempt, reason, 0.0)
+                self.assertIsInstance(step, expected)
+
     def test_a_higher_tier_asks_every_upstream(self):
         for asks_all, expected in ((True, 5), (False, 3)):
             with self.subTest(asks_all=asks_all):
