Share organisations' limits by demand between running entries

With all requests at one of two entries half of a limit was admitted. Each entry with demand writes it each 5 s, the holder of the lease limits adds up, and entries compute their shares from the totals and from that report of theirs which is in them, so the shares of a limit add up to 1. Ruled out: a row with the shares of each entry, which grows with entries times limits. Where the row is older than three intervals, by the age since this process saw it change, limits are shared equally again.

Jobs of entries get one base. The order command takes its actions as written, where it took LOAD_MODEL before. An order for an upstream that is newer than this process's configuration is looked up in the table.

--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -11,7 +11,7 @@
 from bilberryplank_core.messages import OrderEngine
 from bilberryplank_core.settings import EntrySettings, PlatformSettings
 from bilberryplank_testing._deployment import FLEET_KEY, KEY_HASH_SECRET
-from bilberryplankctl._engine_commands import EngineAction, order
+from bilberryplankctl._engine_commands import order
 
 JOB = "engine-orders"
 
@@ -32,7 +32,7 @@
     deployment = world.deployment
     settings = PlatformSettings(*[deployment.fake_urls["platform"]] * 5)
     table = Platform.from_settings(settings, deployment.session).table
-    asked = order(deployment.store(), table, upstream, EngineAction(action), argument)
+    asked = order(deployment.store(), table, upstream, action, argument)
     world.run(asked)
 
 
--- a/packages/bilberryplank-core/bilberryplank_core/_shares.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_shares.py
@@ -39,10 +39,10 @@
             self._seen = now
 
 
-def divide_shares(
+def add_demands(
     demands: Mapping[str, Mapping[tuple[str, str], float]],
-) -> dict[str, dict[tuple[str, str], float]]:
-    """Returns each entry's share of each limit; the shares of a limit add up to 1.
+) -> dict[tuple[str, str], float]:
+    """Returns the requests a second over all entries, by limit.
 
     Args:
         demands: For each entry, requests a second by limit.
@@ -51,12 +51,38 @@
     for reported in demands.values():
         for limit_id, rate in reported.items():
             totals[limit_id] = totals.get(limit_id, 0.0) + rate
-    equal = EQUAL_PART / max(len(demands), 1)
+    return totals
+
+
+def own_shares(
+    reported: Mapping[tuple[str, str], float],
+    totals: Mapping[tuple[str, str], float],
+    entries: int,
+) -> dict[tuple[str, str], float]:
+    """Returns one entry's share of each limit.
+
+    Args:
+        reported: What the entry reported; it is part of the totals.
+        totals: What all entries reported.
+        entries: How many entries reported.
+    """
+    equal = EQUAL_PART / max(entries, 1)
+    return {
+        limit_id: equal + (1 - EQUAL_PART) * reported.get(limit_id, 0.0) / total
+        for limit_id, total in totals.items()
+        if total > 0
+    }
+
+
+def divide_shares(
+    demands: Mapping[str, Mapping[tuple[str, str], float]],
+) -> dict[str, dict[tuple[str, str], float]]:
+    """Returns each entry's share of each limit; the shares of a limit add up to 1.
+
+    Args:
+        demands: For each entry, requests a second by limit.
+    """
+    totals = add_demands(demands)
     return {
-        entry: {
-            limit_id: equal + (1 - EQUAL_PART) * reported.get(limit_id, 0.0) / total
-            for limit_id, total in totals.items()
-            if total > 0
-        }
-        for entry, reported in demands.items()
+        entry: own_shares(reported, totals, len(demands)) for entry, reported in demands.items()
     }
--- a/packages/bilberryplank/bilberryplank/_engine_order_job.py
+++ b/packages/bilberryplank/bilberryplank/_engine_order_job.py
@@ -12,8 +12,8 @@
 
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._engine_orders import FINAL, JOB, EngineOutcome
+from bilberryplank._entry_job import EntryJob
 from bilberryplank._host_feed import HostFeed
-from bilberryplank._lease_job import LeaseJob
 from bilberryplank._link import Identity, Link
 from bilberryplank._link_pool import LinkPool
 from bilberryplank._logs import log_event
@@ -27,10 +27,10 @@
     LeaseLost,
     LinkClosed,
 )
-from bilberryplank_core.fleet import is_ranked
+from bilberryplank_core.fleet import ConfigurationStore
 from bilberryplank_core.messages import EngineOrdered, Message, OrderEngine
 from bilberryplank_core.settings import EntrySettings
-from bilberryplank_core.world import HostState, Role
+from bilberryplank_core.world import Role
 
 TABLE = "engine_orders"
 ASKED = "asked/"
@@ -97,7 +97,7 @@
         """Nothing to do: the wait for an answer is bounded."""
 
 
-class EngineOrderJob(LeaseJob):
+class EngineOrderJob(EntryJob):
     """Sends operators' orders to engines; on entries only.
 
     The row of an order is the journal, too: before the order is sent, its number is written there
@@ -117,15 +117,10 @@
     ) -> None:
         super().__init__(JOB, settings.name, settings.fleet, platform.table, hosts, metrics, rng)
         self._table = platform.table
+        self._store = ConfigurationStore(platform.table)
         self._feed = feed
         self._links = OrderLinks(settings)
 
-    def contends(self) -> bool:
-        """Returns True where this entry is among the few that try to get the lease."""
-        entries = [host for host in self._hosts.hosts if host.role is Role.ENTRY]
-        names = [host.name for host in entries if host.state is HostState.LIVE]
-        return is_ranked(f"lease/{JOB}", self._name, names, self._settings.lease_candidates)
-
     async def on_stop(self) -> None:
         """Gives the lease up and closes the links."""
         await super().on_stop()
@@ -151,6 +146,9 @@
 
     async def _send(self, order_id: str, asked: AskedOrder) -> EngineOutcome:
         upstream = self._feed.configuration.upstreams.get(asked.upstream)
+        if upstream is None:
+            # It may be newer than what this process has.
+            upstream = (await self._store.read()).upstreams.get(asked.upstream)
         if upstream is None:
             return EngineOutcome.NO_UPSTREAM
         message = OrderEngine(order_id, asked.fence, asked.action, asked.argument)
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -12,6 +12,7 @@
 from bilberryplank._entry_requests import EntryRequests
 from bilberryplank._intake import Intake
 from bilberryplank._lease_job import LeaseJob
+from bilberryplank._limits_job import LimitsJob, ShareFeed
 from bilberryplank._link import Identity, LinkCounters
 from bilberryplank._link_keeper import LinkKeeper
 from bilberryplank._link_pool import LinkPool
@@ -128,12 +129,24 @@
     async def _start_entry_jobs(self, platform: Platform) -> None:
         settings = self._settings
         shared = (settings, platform, self._hosts, self._feed, self.metrics)
-        jobs: list[LeaseJob] = [EngineOrderJob(*shared, process_rng(settings.name))]
+        jobs: list[LeaseJob] = [
+            EngineOrderJob(*shared, process_rng(settings.name)),
+            LimitsJob(
+                settings.name,
+                settings.fleet,
+                platform.table,
+                self._hosts,
+                self.metrics,
+                process_rng(settings.name),
+            ),
+        ]
         if settings.scaling.enabled:
             jobs.append(ScalingJob(*shared, process_rng(settings.name)))
         self._jobs = [*self._jobs, *jobs]
         for job in jobs:
             await self._start_part(job)
+        limits, rng = self._requests.limits, process_rng(settings.name)
+        await self._start_part(ShareFeed(settings.name, self.epoch, limits, platform.table, rng))
 
     def _make_chooser(self) -> UpstreamChooser:
         settings = self._settings
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -39,6 +39,7 @@
     Attributes:
         in_flight: Requests whose final answer is not out yet.
         draining: True once the entry is about to stop.
+        limits: Limits of organisations, as far as this entry shares in them.
     """
 
     def __init__(
@@ -53,12 +54,12 @@
         self._routing = routing
         self._upstreams: set[str] = set()
         self._lengths = OutputEstimator()
-        self._limits = OrganisationLimits(parts.feed.configuration)
+        self.limits = OrganisationLimits(parts.feed.configuration)
         parts.feed.holder.subscribe(self._configuration_changed)
 
     def list_hosts(self, _: list[Host]) -> None:
         """Takes in how many entries share the limits of organisations."""
-        self._limits.set_entries(len(self._view.entries), _now())
+        self.limits.set_entries(len(self._view.entries), _now())
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Returns the final answer to a request."""
@@ -92,7 +93,7 @@
         prompt = call.model_call.prompt_tokens if call.model_call else 0
         limit = call.model_call.output_limit if call.model_call else 0
         output = self._lengths.estimate(class_name, organisation, limit) if prompt else 0
-        admission = self._limits.admit(key, class_name, prompt + output, _now())
+        admission = self.limits.admit(key, class_name, prompt + output, _now())
         run = self._prepare(request, call, cost_of(prompt, output))
         try:
             return await self._run(call, run)
@@ -101,7 +102,7 @@
             if used is not None and prompt:
                 self._lengths.observe(class_name, organisation, used.completion_tokens)
             actual = used.prompt_tokens + used.completion_tokens if used is not None else 0
-            self._limits.settle(admission, actual)
+            self.limits.settle(admission, actual)
 
     def _prepare(self, request: web.BaseRequest, call: Call, cost: float) -> RequestRun:
         answer = CallerAnswer(request, call.request_id, self.draining, not call.idempotent)
@@ -195,7 +196,7 @@
         for name in self._upstreams - configuration.upstreams.keys():
             self._parts.chooser.forget(name)
         self._upstreams = set(configuration.upstreams)
-        self._limits.set_configuration(configuration, _now())
+        self.limits.set_configuration(configuration, _now())
 
     def _record(self, call: Call, step: DecisionStep, detail: str = "") -> None:
         self._parts.journal.record(call.request_id, step, detail)
--- a/packages/bilberryplank/bilberryplank/_scaling_job.py
+++ b/packages/bilberryplank/bilberryplank/_scaling_job.py
@@ -17,8 +17,8 @@
 from loguru import logger
 
 from bilberryplank._configuration_feed import ConfigurationFeed
+from bilberryplank._entry_job import EntryJob
 from bilberryplank._host_feed import HostFeed
-from bilberryplank._lease_job import LeaseJob
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._platform import Platform
@@ -26,7 +26,7 @@
 from bilberryplank._pool_view import PoolView
 from bilberryplank_core.configuration import Configuration
 from bilberryplank_core.contracts import StartUpstream, StopUpstream, UpstreamOrder
-from bilberryplank_core.errors import PlatformUnavailable
+from bilberryplank_core.errors import ConfigurationInvalid, PlatformUnavailable
 from bilberryplank_core.fleet import (
     ConfigurationStore,
     Drain,
@@ -41,11 +41,10 @@
     ScalingPolicy,
     StartIntent,
     StopIntent,
-    is_ranked,
 )
 from bilberryplank_core.messages import Load
 from bilberryplank_core.settings import EntrySettings
-from bilberryplank_core.world import HostState, Role, Upstream
+from bilberryplank_core.world import Upstream
 
 JOB = "scaling"
 ORDERS_TABLE = "orders"
@@ -85,7 +84,7 @@
     stopping: dict[str, float] = field(default_factory=dict)
 
 
-class ScalingJob(LeaseJob):
+class ScalingJob(EntryJob):
     """Runs the scaling policy over the pools of the settings; on entries only."""
 
     abstract = False
@@ -109,12 +108,6 @@
         self._probe = LoadProbe(settings.name, settings.fleet_key, settings.links)
         self._tenure = _Tenure(0, ScalingPolicy(self._scaling))
 
-    def contends(self) -> bool:
-        """Returns True where this entry is among the few that try to get the lease."""
-        entries = [host for host in self._hosts.hosts if host.role is Role.ENTRY]
-        names = [host.name for host in entries if host.state is HostState.LIVE]
-        return is_ranked(f"lease/{JOB}", self._name, names, self._settings.lease_candidates)
-
     def pause(self) -> float:
         """Returns the seconds until sidecars are asked again."""
         return self._scaling.sample_interval
@@ -125,7 +118,16 @@
         self._probe.retain(())
 
     async def work(self) -> None:
-        """Settles what an earlier holder left open, asks for loads and carries out what is due."""
+        """Settles what an earlier holder left open, asks for loads and carries out what is due.
+
+        An upstream that operators remove meanwhile ends this piece of work, not the process.
+        """
+        try:
+            await self._work()
+        except ConfigurationInvalid as exc:
+            log_event(logger, "scaling_edit_refused", level="WARNING", cause=exc)
+
+    async def _work(self) -> None:
         if self.lease.fence != self._tenure.fence:
             await self._begin_tenure()
         configuration = self._feed.configuration
--- a/packages/bilberryplankctl/bilberryplankctl/_engine_commands.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_engine_commands.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import uuid
-from enum import Enum
+from typing import Literal
 
 from bilberryplank_core.contracts import Condition, Put, Table
 from bilberryplank_core.fleet import ConfigurationStore
@@ -13,13 +13,8 @@
 TABLE = "engine_orders"
 
 
-class EngineAction(Enum):
-    """What an engine can be told."""
-
-    LOAD_MODEL = "load_model"
-    LOAD_ADAPTER = "load_adapter"
-    SET_VERSION = "set_version"
-    SET_ROLE = "set_role"
+EngineAction = Literal["load_model", "load_adapter", "set_version", "set_role"]
+"""What an engine can be told."""
 
 
 async def order(
@@ -34,6 +29,6 @@
         raise NotFound(f"no upstream {upstream!r}")
     order_id = uuid.uuid4().hex
     key = f"asked/{order_id}"
-    value = {"upstream": upstream, "action": action.value, "argument": argument}
+    value = {"upstream": upstream, "action": action, "argument": argument}
     await table.commit([Condition(TABLE, key, 0)], [Put(TABLE, key, value)])
-    return EngineOrderAsked(order_id, upstream, action.value, argument)
+    return EngineOrderAsked(order_id, upstream, action, argument)
