--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -100,6 +100,11 @@
     context.world.run(context.world.deployment.restart(child_of(context.world, name)))
 
 
+@then("{name:Name} is still running")
+def step_still_running(context, name):
+    assert child_of(context.world, name).running
+
+
 @then("{name:Name} exits with {code:d}")
 def step_exits(context, name, code):
     assert context.world.run(child_of(context.world, name).wait()) == code
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -73,3 +73,11 @@
     refused = [item for item in context.world.outcomes("") if item.status in (429, 503)]
     silent = [item for item in refused if item.retry_after is None]
     assert not silent, silent
+
+
+@then("{upstream:Name} finished whatever it began")
+def step_finished(context, upstream):
+    runs = context.world.runs(upstream)
+    assert runs
+    cut = [entry for entry in runs if entry["end"] != "whole"]
+    assert not cut, cut
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -40,6 +40,12 @@
     And acme asks entry-1 for 4 times 60 tokens of reply as one
     Then all of one have their own whole text of 60 tokens
 
+  Scenario: An engine turns so slow that a stream outlasts its deadline
+    When the engine e1 is told {"speed": 0.05}
+    And the wire to e2 is cut
+    And acme asks entry-1 for 120 tokens of reply as one
+    Then one has the whole text of 120 tokens
+
   Scenario: Whole answers that are not streamed
     When acme asks entry-1 for 60 whole tokens of reply as one
     And 0.3 seconds pass
--- a/packages/bilberryplank-core/bilberryplank_core/_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempts.py
@@ -55,6 +55,7 @@
         "_cancelled",
         "_candidates",
         "_current",
+        "_deadline",
         "_history",
         "_max_attempts",
         "_retry_budget",
@@ -74,6 +75,7 @@
         spare: Sequence[Upstream] = (),
     ) -> None:
         self._traits = traits
+        self._deadline = traits.deadline
         self._candidates = Candidates(candidates, chooser, traits, spare)
         self._retry_budget = retry_budget
         self._max_attempts = max_attempts
@@ -123,6 +125,10 @@
         self._cancelled = self._candidates.is_suspect(self._upstream, now)
         return self._cancelled
 
+    def extend(self, deadline: float) -> None:
+        """Moves the deadline of a request whose answer has begun, so that it can be resumed."""
+        self._deadline = deadline
+
     def not_run(
         self,
         attempt: AttemptId,
@@ -230,7 +236,7 @@
         return progress.resumable or not progress.started
 
     def _send(self, retry: RetryReason | None, progress: Progress, now: float) -> Step:
-        budget = self._traits.deadline - now - REPLY_MARGIN_SECONDS
+        budget = self._deadline - now - REPLY_MARGIN_SECONDS
         if budget <= 0:
             return self._give_up(RefusalReason.DEADLINE_PASSED)
         upstream = self._choose(retry, now)
@@ -254,7 +260,7 @@
 
     def _settle(self, now: float) -> Step:
         delay = SETTLE_DELAYS_SECONDS[min(self._settles, len(SETTLE_DELAYS_SECONDS) - 1)]
-        budget = self._traits.deadline - now - delay
+        budget = self._deadline - now - delay
         if budget <= 0:
             return self._give_up(RefusalReason.OUTCOME_UNKNOWN)
         self._settles += 1
--- a/packages/bilberryplank-core/bilberryplank_core/_chooser.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_chooser.py
@@ -93,7 +93,7 @@
 
     def forget(self, upstream: str) -> None:
         """Drops what is known of an upstream that is no longer configured."""
-        return None
+        return
 
 
 class RoundRobinChooser(UpstreamChooser):
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
@@ -69,6 +69,16 @@
                 step = subject.failed(subject.start(0.0).attempt, reason, 0.0)
                 self.assertIsInstance(step, expected)
 
+    def test_an_answer_that_has_begun_can_be_resumed_after_the_first_deadline(self):
+        for extended, expected in ((False, GiveUp), (True, SendTo)):
+            with self.subTest(extended=extended):
+                subject = attempts(deadline=10.0)
+                sent = subject.start(0.0)
+                if extended:
+                    subject.extend(22.0)
+                step = subject.failed(sent.attempt, FAILED, 12.0, CUT)
+                self.assertIsInstance(step, expected)
+
     def test_a_higher_tier_asks_every_upstream(self):
         for asks_all, expected in ((True, 5), (False, 3)):
             with self.subTest(asks_all=asks_all):
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -60,6 +60,12 @@
 )
 from bilberryplank_core.world import Upstream
 
+PROGRESS_SECONDS = 12.0
+"""An answer that has begun is waited for while it moves at least this often.
+
+Longer than the sidecar's own bound, so that its word comes first.
+"""
+
 PATIENCE_SECONDS = 0.25
 """Time between looks at whether an attempt has taken too long to begin."""
 
@@ -280,6 +286,11 @@
         channel.link.send(Cancel(channel.attempt))
         return None
 
+    def _extend_deadline(self) -> None:
+        """Lets an answer that has begun go on while it moves."""
+        self._deadline = max(self._deadline, _now() + PROGRESS_SECONDS)
+        self._attempts.extend(self._deadline)
+
     def _judge(self, upstream: Upstream, first_token_seconds: float | None) -> None:
         """Tells the chooser, once an attempt, how the upstream did."""
         if not self._judged:
@@ -318,6 +329,7 @@
                 progress = self._assembler.progress
                 return self._attempts.failed(channel.attempt, reason, _now(), progress)
             if isinstance(output, AnswerPart):
+                self._extend_deadline()
                 self._judge(upstream, max(0.0, _now() - sent_at - self._waited))
             await self._emit(output)
         if isinstance(frame, End) and self.usage is not None:
--- a/packages/bilberryplank/bilberryplank/_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_call.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT_SECONDS = 2.0
 OVERLOAD_STATUSES = (429, 503)
 FIRST_SERVER_ERROR = 500
+PROGRESS_SECONDS = 10.0
+"""An answer that has begun goes on, whatever the deadline, while it moves at least this often."""
 EVENT_STREAM = "text/event-stream"
 
 
@@ -88,11 +90,12 @@
         Raises:
             UpstreamNotReached: The call never ran.
             UpstreamBroke: The call may have run.
-            TimeoutError: The request's budget ran out.
+            TimeoutError: The request's budget ran out before its answer began, or the answer
+                stood still for `PROGRESS_SECONDS`.
         """
         try:
-            async with asyncio.timeout(dispatch.budget):
-                return await self._exchange(dispatch, rank, sink)
+            async with asyncio.timeout(dispatch.budget) as limit:
+                return await self._exchange(dispatch, rank, sink, limit)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise UpstreamNotReached(str(exc)) from exc
         except aiohttp.ClientError as exc:
@@ -102,7 +105,9 @@
                 raise
             raise UpstreamBroke(str(exc)) from exc
 
-    async def _exchange(self, dispatch: Dispatch, rank: int, sink: AnswerSink) -> Usage:
+    async def _exchange(
+        self, dispatch: Dispatch, rank: int, sink: AnswerSink, limit: asyncio.Timeout
+    ) -> Usage:
         session = self.kept if dispatch.idempotent else self.single
         async with session.request(
             dispatch.method,
@@ -123,7 +128,9 @@
             async for data in resp.content.iter_any():
                 if self.kind is UpstreamKind.ENGINE:
                     meter.feed(data)
+                limit.reschedule(None)
                 await sink.part(data)
+                limit.reschedule(asyncio.get_running_loop().time() + PROGRESS_SECONDS)
             if streamed and self.kind is UpstreamKind.ENGINE and not meter.done:
                 raise UpstreamBroke("stream ended without its end marker")
         if self.kind is UpstreamKind.SERVICE:
