Split the entry's and the sidecar's largest modules by what they do

Cause (read-through): _request_run and _sidecar_requests had grown to about 480 lines, with running, settling, counting and billing in one class each. Change: running of an attempt, settlements, and what is counted and billed of a request are modules of their own; what entry and sidecar share with their requests stands in _entry_parts and _sidecar_parts. An answer that is cut off after it began is counted as a refusal that may have run and logged with its reason; before, it counted as a caller that left. Scenarios end their floods.

--- a/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/scenario.py
@@ -63,8 +63,9 @@
 
     def close(self) -> None:
         """Stops everything."""
-        for future in self._outcomes.values():
+        for future in (*self._floods, *self._outcomes.values()):
             future.cancel()
+        self.run(asyncio.sleep(0))
         if self.deployment is not None:
             self.run(self.deployment.stop())
         self._loop.call_soon_threadsafe(self._loop.stop)
--- a/packages/bilberryplank/bilberryplank/_caller_answer.py
+++ b/packages/bilberryplank/bilberryplank/_caller_answer.py
@@ -25,6 +25,18 @@
     """The caller closed its connection before the answer was whole."""
 
 
+class AnswerCutOff(CallerGone):
+    """The answer had begun and could not be made whole; the connection was ended.
+
+    Attributes:
+        refused: Why.
+    """
+
+    def __init__(self, refused: Refused) -> None:
+        super().__init__(f"cut off: {refused.reason.value}")
+        self.refused = refused
+
+
 class CallerAnswer:
     """Writes an answer to a caller.
 
@@ -136,7 +148,7 @@
             await self.write(refusal_event(refused))
         if self._request.transport is not None:
             self._request.transport.close()
-        raise CallerGone(f"cut off: {refused.reason.value}")
+        raise AnswerCutOff(refused)
 
     async def _write(self, resp: web.StreamResponse, data: bytes) -> None:
         transport = self._request.transport
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -9,6 +9,7 @@
 from bilberryplank._caller_server import CallerServer
 from bilberryplank._engine_order_job import EngineOrderJob
 from bilberryplank._entry_links import EntryLinks
+from bilberryplank._entry_parts import EntryParts
 from bilberryplank._entry_requests import EntryRequests
 from bilberryplank._intake import Intake
 from bilberryplank._lease_job import LeaseJob
@@ -22,7 +23,6 @@
 from bilberryplank._process import Process
 from bilberryplank._push import PushReceiver
 from bilberryplank._repeats import RepeatSettler
-from bilberryplank._request_run import EntryParts
 from bilberryplank._scaling_job import ScalingJob
 from bilberryplank._seeds import process_rng
 from bilberryplank._upstream_view import UpstreamView
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -8,13 +8,14 @@
 from loguru import logger
 
 from bilberryplank._call_intent import CallIntent
-from bilberryplank._caller_answer import CallerAnswer, CallerGone
+from bilberryplank._caller_answer import AnswerCutOff, CallerAnswer, CallerGone
 from bilberryplank._decisions import DecisionStep
+from bilberryplank._entry_parts import EntryParts
 from bilberryplank._intake import Call, Intake, is_models_list
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import NO_CLASS, RequestOutcome
 from bilberryplank._refusals import refusal_response
-from bilberryplank._request_run import EntryParts, RequestRun
+from bilberryplank._request_run import RequestRun
 from bilberryplank._upstream_view import UpstreamView
 from bilberryplank_core.configuration import Configuration
 from bilberryplank_core.errors import RefusalReason, Refused
@@ -112,6 +113,9 @@
     async def _run(self, call: Call, run: RequestRun) -> web.StreamResponse:
         try:
             resp = await (run.run() if call.idempotent else self._run_to_end(run))
+        except AnswerCutOff as exc:
+            self._note_cut_off(call, exc.refused)
+            raise
         except (CallerGone, asyncio.CancelledError):
             run.note_caller_gone()
             self._log(call, "request_left")
@@ -119,6 +123,13 @@
         self._log(call, "request_answered")
         return resp
 
+    def _note_cut_off(self, call: Call, refused: Refused) -> None:
+        class_name = call.classified.request_class.name
+        self._parts.metrics.refused(refused.reason, class_name)
+        self._parts.metrics.request_ended(class_name, RequestOutcome.MAY_HAVE_RUN)
+        self._record(call, DecisionStep.REFUSED, f"cut off: {refused.reason.value}")
+        self._log(call, "request_cut_off", reason=refused.reason.value)
+
     async def _run_to_end(self, run: RequestRun) -> web.StreamResponse:
         """Runs a call that may run once; its end is followed even where the caller leaves."""
         task = asyncio.create_task(run.run())
@@ -180,7 +191,7 @@
             resp.force_close()
         return resp
 
-    def _log(self, call: Call, event: str) -> None:
+    def _log(self, call: Call, event: str, **fields: str) -> None:
         seconds = _now() - call.arrived
         log_event(
             logger,
@@ -190,6 +201,7 @@
             class_name=call.classified.request_class.name,
             route=call.classified.route.name,
             seconds=seconds,
+            **fields,
         )
 
     def _configuration_changed(self, configuration: Configuration) -> None:
--- a/packages/bilberryplank/bilberryplank/_intake.py
+++ b/packages/bilberryplank/bilberryplank/_intake.py
@@ -9,14 +9,16 @@
 
 from bilberryplank._caller_request import MODELS_PATH, ModelCall, read_model_call, receive
 from bilberryplank._configuration_feed import ConfigurationFeed
+from bilberryplank._link_pool import VersionShown
 from bilberryplank_core.configuration import Configuration
 from bilberryplank_core.errors import RefusalReason, Refused
-from bilberryplank_core.messages import Headers
+from bilberryplank_core.messages import Dispatch, Headers
 from bilberryplank_core.routing import (
     CallerRequest,
     Classified,
     Credentials,
     RequestClassifier,
+    SendTo,
     extract_credentials,
     is_model_path,
 )
@@ -61,6 +63,34 @@
         """True where the answer is a model's stream of events."""
         return self.model_call is not None and self.model_call.stream
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated tokens of the prompt; 0 for a plain service."""
+        return self.model_call.prompt_tokens if self.model_call is not None else 0
+
+    def dispatch(self, step: SendTo, shown: VersionShown) -> Dispatch:
+        """Returns the message by which a sidecar is asked to make an attempt."""
+        model_call = self.model_call
+        return Dispatch(
+            attempt=step.attempt,
+            organisation=self.classified.organisation,
+            key_id=self.classified.key_id,
+            class_name=self.classified.request_class.name,
+            route=self.classified.route.name,
+            method=self.method,
+            path=self.path,
+            headers=self.headers,
+            body=self.body,
+            budget=step.budget,
+            idempotent=self.idempotent,
+            prompt_tokens=self.prompt_tokens,
+            output_limit=model_call.output_limit if model_call else 0,
+            resume_tokens=step.resume_tokens,
+            resume_text=step.resume_text,
+            version=shown.version,
+            confirmed_age=shown.confirmed_age,
+        )
+
 
 class Intake:
     """Authenticates, reads and classifies callers' requests."""
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -10,27 +10,22 @@
 from bilberryplank._attempt_channel import AttemptChannel, Event, Frame, LinkLost
 from bilberryplank._call_intent import CallIntent
 from bilberryplank._caller_answer import CallerAnswer, CallerGone
-from bilberryplank._configuration_feed import ConfigurationFeed
-from bilberryplank._decisions import DecisionJournal, DecisionStep
-from bilberryplank._entry_links import EntryLinks
+from bilberryplank._decisions import DecisionStep
+from bilberryplank._entry_parts import EntryParts
 from bilberryplank._intake import Call
 from bilberryplank._link import Link
-from bilberryplank._link_pool import LinkPool
-from bilberryplank._metrics import FrameDropCause, ProcessMetrics, RequestOutcome, TokenUse
-from bilberryplank._repeats import AnswerCollector, RepeatSettler
-from bilberryplank._usage_feed import UsageFeed
+from bilberryplank._repeats import AnswerCollector
+from bilberryplank._request_figures import RequestFigures
 from bilberryplank_core.errors import (
     HandshakeFailed,
     LinkClosed,
     RefusalReason,
     Refused,
-    RetryReason,
 )
-from bilberryplank_core.idempotency import IntentJournal, IntentState, StoredAnswer
+from bilberryplank_core.idempotency import IntentState, StoredAnswer
 from bilberryplank_core.messages import (
     Acknowledge,
     Cancel,
-    Dispatch,
     End,
     Failed,
     Head,
@@ -40,6 +35,7 @@
     Usage,
 )
 from bilberryplank_core.routing import (
+    NOTHING_DELIVERED,
     AnswerAssembler,
     AnswerBroken,
     AnswerEnd,
@@ -50,11 +46,9 @@
     GiveUp,
     RequestAttempts,
     RequestKind,
-    RetryBudget,
     SendTo,
     SettleWith,
     Step,
-    UpstreamChooser,
     blames_upstream,
     parse_reason,
 )
@@ -70,37 +64,6 @@
 """Time between looks at whether an attempt has taken too long to begin."""
 
 
-@dataclass(slots=True)
-class EntryParts:
-    """What the requests of an entry share.
-
-    Attributes:
-        epoch: Random id of this run of the process.
-        pool: Links to sidecars.
-        links: Where their frames go.
-        chooser: Choice of upstream.
-        retry_budget: Retries left.
-        intents: Intents of calls that may run once.
-        repeats: What became of earlier calls.
-        feed: Configuration.
-        usage: Usage records.
-        metrics: Counters.
-        journal: Recent decisions.
-    """
-
-    epoch: str
-    pool: LinkPool
-    links: EntryLinks
-    chooser: UpstreamChooser
-    retry_budget: RetryBudget
-    intents: IntentJournal
-    repeats: RepeatSettler
-    feed: ConfigurationFeed
-    usage: UsageFeed
-    metrics: ProcessMetrics
-    journal: DecisionJournal
-
-
 @dataclass(slots=True, frozen=True)
 class Replay:
     """The caller's request ran before; it gets the first answer."""
@@ -126,6 +89,7 @@
         cost: float,
     ) -> None:
         self._parts = parts
+        self._figures = RequestFigures(parts, call)
         self._cost = cost
         self._call = call
         self._attempts = attempts
@@ -169,13 +133,13 @@
 
     async def _send(self, step: SendTo) -> Step | Replay:
         upstream, attempt = step.upstream, step.attempt
-        self._note_sending(step)
+        self._figures.note_sending(step)
         self._probe()
         try:
             link = await self._link_to(upstream, step.budget)
         except (LinkClosed, HandshakeFailed) as exc:
             self._parts.chooser.record_lost(upstream.name, _now())
-            self._record(DecisionStep.NOT_RUN, f"{upstream.name}: {exc}")
+            self._figures.record(DecisionStep.NOT_RUN, f"{upstream.name}: {exc}")
             return self._attempts.not_sent(attempt, _now())
         assert link.peer is not None
         self._sidecar_epoch = link.peer.epoch
@@ -189,7 +153,7 @@
             answer = await self._claim(step)
             if answer is not None:
                 return Replay(answer)
-            link.send(self._dispatch(step))
+            link.send(self._call.dispatch(step, self._parts.feed.shown()))
             return await self._follow(channel, upstream)
         except (asyncio.CancelledError, CallerGone):
             link.send(Cancel(attempt))
@@ -224,7 +188,7 @@
         return answer
 
     async def _replay(self, answer: StoredAnswer) -> web.StreamResponse:
-        self._record(DecisionStep.REPLAYED)
+        self._figures.record(DecisionStep.REPLAYED)
         assert answer.body is not None
         await self.answer.start(answer.status, answer.headers)
         await self.answer.write(answer.body)
@@ -238,7 +202,7 @@
         except (LinkClosed, HandshakeFailed):
             return self._attempts.link_lost(attempt, _now(), self._assembler.progress)
         channel = self._parts.links.open_channel(attempt, link)
-        self._record(DecisionStep.SETTLED, step.upstream.name)
+        self._figures.record(DecisionStep.SETTLED, step.upstream.name)
         try:
             link.send(Settle(attempt, self._sidecar_epoch, True))
             return await self._follow(channel, step.upstream)
@@ -307,11 +271,11 @@
         reason = parse_reason(event.reason)
         progress = self._assembler.progress
         if isinstance(event, NotRun):
-            self._record(DecisionStep.NOT_RUN, f"{upstream.name}: {event.reason}")
+            self._figures.record(DecisionStep.NOT_RUN, f"{upstream.name}: {event.reason}")
             self._not_run = True
             retry_after = event.retry_after
             return self._attempts.not_run(event.attempt, reason, retry_after, _now(), progress)
-        self._record(DecisionStep.FAILED, f"{upstream.name}: {event.reason}")
+        self._figures.record(DecisionStep.FAILED, f"{upstream.name}: {event.reason}")
         if blames_upstream(reason):
             self._judge(upstream, None)
         return self._attempts.failed(event.attempt, reason, _now(), progress)
@@ -350,15 +314,17 @@
 
     async def _deliver(self) -> web.StreamResponse:
         if self.usage is None:
-            for output in self._assembler.complete(self._prompt_tokens()):
+            for output in self._assembler.complete(self._call.prompt_tokens):
                 await self._emit(output)
         assert self.usage is not None
-        self._record_usage(self.usage)
+        link = self._answered_by.link if self._answered_by is not None else None
+        self._figures.bill(self.usage, link)
         try:
             resp = await self.answer.finish()
         finally:
             await self._settle_up()
-        self._note_end()
+        self._figures.count_dropped(self._assembler.counts)
+        self._figures.note_answered(self.answer, self.usage)
         return resp
 
     async def _settle_up(self) -> None:
@@ -371,108 +337,19 @@
             channel.link.send(Acknowledge(channel.attempt))
 
     async def _give_up(self, refused: Refused) -> None:
-        self._count_dropped()
+        self._figures.count_dropped(self._assembler.counts)
         if refused.not_run:
             await self._intent.give_up()
         if not self._assembler.progress.started:
             raise refused
-        tokens = self._assembler.progress.tokens
-        self._record_partial_usage()
-        class_name = self._call.classified.request_class.name
-        self._parts.metrics.tokens_generated(class_name, TokenUse.WASTED, tokens)
+        self._figures.note_cut_off(self._assembler.progress)
         await self.answer.cut_off(refused)
 
     def note_caller_gone(self) -> None:
         """Counts a request whose caller left, and bills what it got."""
-        self._count_dropped()
-        self._record_partial_usage()
-        class_name = self._call.classified.request_class.name
-        self._parts.metrics.request_ended(class_name, RequestOutcome.CALLER_GONE)
-
-    def _record_partial_usage(self) -> None:
-        tokens = self._assembler.progress.tokens
-        if tokens and self.usage is None:
-            usage = Usage(self._prompt_tokens(), tokens, 1)
-            self._record_usage(usage)
-
-    def _record_usage(self, usage: Usage) -> None:
-        classified = self._call.classified
-        class_name = classified.request_class.name
-        link = self._answered_by.link if self._answered_by is not None else None
-        self._parts.usage.record(
-            self._call.request_id, classified.organisation, class_name, usage, link
-        )
-
-    def _dispatch(self, step: SendTo) -> Dispatch:
-        call = self._call
-        shown = self._parts.feed.shown()
-        model_call = call.model_call
-        return Dispatch(
-            attempt=step.attempt,
-            organisation=call.classified.organisation,
-            key_id=call.classified.key_id,
-            class_name=call.classified.request_class.name,
-            route=call.classified.route.name,
-            method=call.method,
-            path=call.path,
-            headers=call.headers,
-            body=call.body,
-            budget=step.budget,
-            idempotent=call.idempotent,
-            prompt_tokens=self._prompt_tokens(),
-            output_limit=model_call.output_limit if model_call else 0,
-            resume_tokens=step.resume_tokens,
-            resume_text=step.resume_text,
-            version=shown.version,
-            confirmed_age=shown.confirmed_age,
-        )
-
-    def _prompt_tokens(self) -> int:
-        return self._call.model_call.prompt_tokens if self._call.model_call else 0
-
-    def _note_sending(self, step: SendTo) -> None:
-        detail = f"{step.upstream.name} attempt={step.attempt.number}"
-        if step.retry is None:
-            self._record(DecisionStep.CHOSEN, detail)
-            return
-        self._parts.metrics.retried(step.retry)
-        resumed = step.retry is RetryReason.RESUMED
-        name = DecisionStep.RESUMED if resumed else DecisionStep.RETRIED
-        self._record(name, f"{detail} why={step.retry.value}")
-
-    def _note_end(self) -> None:
-        self._count_dropped()
-        metrics = self._parts.metrics
-        request_class = self._call.classified.request_class
-        metrics.request_ended(request_class.name, RequestOutcome.ANSWERED)
-        self._record(DecisionStep.ANSWERED)
-        first, last = self.answer.first_byte, self.answer.last_byte
-        if first is None or last is None or self.usage is None:
-            return
-        waited = first - self._call.arrived
-        met = waited <= request_class.first_token_target
-        metrics.first_token(request_class.name, waited)
-        tokens = self.usage.completion_tokens
-        metrics.tokens_generated(request_class.name, TokenUse.DELIVERED, tokens)
-        if self._call.streamed and tokens > 1:
-            gap = (last - first) / (tokens - 1)
-            metrics.token_gap(request_class.name, gap)
-            met = met and gap <= request_class.token_gap_target
-        metrics.target_judged(request_class.name, met)
-
-    def _count_dropped(self) -> None:
-        counts = self._assembler.counts
-        metrics = self._parts.metrics
-        for cause, count in (
-            (FrameDropCause.LATE, counts.late),
-            (FrameDropCause.DOUBLED, counts.doubled),
-            (FrameDropCause.FOREIGN, counts.foreign),
-        ):
-            for _ in range(count):
-                metrics.frame_dropped(cause)
-
-    def _record(self, step: DecisionStep, detail: str = "") -> None:
-        self._parts.journal.record(self._call.request_id, step, detail)
+        self._figures.count_dropped(self._assembler.counts)
+        billed = self.usage is not None
+        self._figures.note_caller_gone(NOTHING_DELIVERED if billed else self._assembler.progress)
 
 
 def _now() -> float:
--- a/packages/bilberryplank/bilberryplank/_sidecar.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar.py
@@ -14,7 +14,8 @@
 from bilberryplank._operations_server import ProcessStatus
 from bilberryplank._platform import Platform
 from bilberryplank._process import Process
-from bilberryplank._sidecar_requests import SidecarParts, SidecarRequests
+from bilberryplank._sidecar_parts import SidecarParts
+from bilberryplank._sidecar_requests import SidecarRequests
 from bilberryplank._upstream_call import UpstreamCaller
 from bilberryplank_core.scheduling import FifoQueue, KeptAnswers, RequestQueue, TieredQueue
 from bilberryplank_core.settings import SidecarSettings
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -3,21 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
-
-from loguru import logger
+from dataclasses import replace
 
 from bilberryplank._answer_stream import AnswerStream
-from bilberryplank._configuration_feed import ConfigurationFeed
-from bilberryplank._decisions import DecisionJournal, DecisionStep
-from bilberryplank._engine_orders import SidecarOrders
+from bilberryplank._attempt_runner import RETRY_ELSEWHERE_SECONDS, AttemptRunner
+from bilberryplank._decisions import DecisionStep
 from bilberryplank._link import Link
-from bilberryplank._logs import log_event
-from bilberryplank._metrics import FrameDropCause, ProcessMetrics, RequestOutcome, TokenUse
-from bilberryplank._sidecar_attempts import HeldAttempt, KeepingSink
+from bilberryplank._metrics import FrameDropCause
+from bilberryplank._settlements import Settlements
+from bilberryplank._sidecar_attempts import HeldAttempt
+from bilberryplank._sidecar_parts import SidecarParts
 from bilberryplank._target_meter import TargetMeter
-from bilberryplank._upstream_call import UpstreamBroke, UpstreamCaller, UpstreamNotReached
-from bilberryplank._usage_feed import UsageFeed
 from bilberryplank_core.configuration import Configuration
 from bilberryplank_core.errors import BilberryplankError, FrameInvalid, RefusalReason
 from bilberryplank_core.messages import (
@@ -27,7 +23,6 @@
     ConfigurationDocument,
     Credit,
     Dispatch,
-    Failed,
     FetchConfiguration,
     Goodbye,
     Heartbeat,
@@ -37,69 +32,38 @@
     NotRun,
     OrderEngine,
     Settle,
-    Usage,
     UsageStored,
 )
-from bilberryplank_core.routing import merge_usage
 from bilberryplank_core.scheduling import (
-    KeptAnswer,
-    KeptAnswers,
-    NeverRan,
     QueuedRequest,
     Reception,
     Rejection,
-    RequestQueue,
-    Running,
 )
 
 LINK_LOSS_GRACE_SECONDS = 5.0
 CONFIGURATION_WAIT_SECONDS = 1.0
-RETRY_ELSEWHERE_SECONDS = 0.1
 
 
-@dataclass(slots=True)
-class SidecarParts:
-    """What the work of a sidecar is made of.
+class SidecarRequests:
+    """Queues, runs and answers what entries dispatch over their links.
 
     Attributes:
-        epoch: Random id of this run of the process.
-        queue: Order of dispatch.
-        kept: Memory of attempts and answers.
-        caller: The way to the upstream.
-        feed: Configuration.
-        usage: Usage records.
-        metrics: Counters.
-        journal: Recent decisions.
-        answer_bytes: Bytes of one answer that are kept to be sent again.
-        orders: Orders to the engine.
+        leaving: True once the upstream takes no new work.
+        targets: Met and missed targets.
     """
 
-    epoch: str
-    queue: RequestQueue
-    kept: KeptAnswers
-    caller: UpstreamCaller
-    feed: ConfigurationFeed
-    usage: UsageFeed
-    metrics: ProcessMetrics
-    journal: DecisionJournal
-    answer_bytes: int
-    orders: SidecarOrders
-
-
-class SidecarRequests:
-    """Queues, runs and answers what entries dispatch over their links."""
-
     def __init__(self, parts: SidecarParts) -> None:
         self.leaving = False
         self._parts = parts
         self._queue = parts.queue
         self._kept = parts.kept
         self._held: dict[AttemptId, HeldAttempt] = {}
-        self._replays: dict[AttemptId, AnswerStream] = {}
+        self._runner = AttemptRunner(parts, self)
+        self._settlements = Settlements(parts, self.load)
         self._links: set[Link] = set()
         self._unclassified: list[HeldAttempt] = []
         self._expiry: asyncio.TimerHandle | None = None
-        self._targets = TargetMeter()
+        self.targets = TargetMeter()
         parts.feed.holder.subscribe(self._configuration_changed)
 
     @property
@@ -117,8 +81,8 @@
             leaving=self.leaving,
             version=shown.version,
             confirmed_age=shown.confirmed_age,
-            attainment=self._targets.attainment(_now()),
-            arrivals=self._targets.arrivals(_now()),
+            attainment=self.targets.attainment(_now()),
+            arrivals=self.targets.arrivals(_now()),
         )
 
     def leave(self) -> None:
@@ -156,8 +120,7 @@
         self._parts.metrics.set_links(len(self._links))
         for held in [held for held in self._held.values() if held.stream.link is link]:
             self._entry_lost(held)
-        for attempt in [key for key, stream in self._replays.items() if stream.link is link]:
-            del self._replays[attempt]
+        self._settlements.link_closed(link)
         self._pump()
 
     def link_message(self, link: Link, message: Message) -> None:
@@ -174,10 +137,9 @@
             case Cancel(attempt):
                 self._cancel(attempt)
             case Settle():
-                self._settle(link, message)
+                self._settlements.settle(link, message, self._held.get(message.attempt))
             case Acknowledge(attempt):
-                self._kept.acknowledge(attempt)
-                self._replays.pop(attempt, None)
+                self._settlements.acknowledge(attempt)
             case _:
                 self._shared_message(link, message)
 
@@ -232,9 +194,9 @@
             self._refuse(held, reason, RETRY_ELSEWHERE_SECONDS)
             return
         held.rank = self._configuration.rank(held.dispatch.class_name)
-        self._targets.arrived(_now())
+        self.targets.arrived(_now())
         rejections = self._queue.offer(held.queued(self._configuration), _now())
-        self._record(held, DecisionStep.QUEUED)
+        self._parts.record(held, DecisionStep.QUEUED)
         self._reject(rejections)
         self._pump()
 
@@ -265,7 +227,7 @@
 
     def _preempt(self, held: HeldAttempt) -> None:
         self._parts.metrics.preempted(held.dispatch.class_name)
-        self._record(held, DecisionStep.PREEMPTED)
+        self._parts.record(held, DecisionStep.PREEMPTED)
         held.stop(RefusalReason.PREEMPTED)
 
     def _start(self, req: QueuedRequest) -> None:
@@ -280,88 +242,8 @@
         self._queue.started(req.attempt, _now())
         held.waited = _now() - held.arrived
         self._parts.metrics.queue_waited(held.dispatch.class_name, held.waited)
-        self._record(held, DecisionStep.STARTED, f"waited={held.waited:.3f}")
-        held.task = asyncio.get_running_loop().create_task(self._run(held))
-
-    async def _run(self, held: HeldAttempt) -> None:
-        attempt = held.dispatch.attempt
-        budget = max(0.0, held.deadline - _now())
-        dispatch = replace(held.dispatch, budget=budget)
-        sink = KeepingSink(held, self._kept, self.load, self._parts.metrics, self._first_byte_seen)
-        try:
-            usage = await self._parts.caller.run(dispatch, held.rank, sink)
-        except UpstreamNotReached as exc:
-            self._never_reached(held, exc)
-        except UpstreamBroke as exc:
-            self._broke(held, sink.events, RefusalReason.UPSTREAM_FAILED, exc)
-        except TimeoutError as exc:
-            self._broke(held, sink.events, RefusalReason.DEADLINE_PASSED, exc)
-        except asyncio.CancelledError as exc:
-            if held.stopped_for is None:
-                raise
-            self._broke(held, sink.events, held.stopped_for, exc)
-        except Exception as exc:
-            log_event(logger, "attempt_crashed", level="ERROR", trace=exc)
-            self._broke(held, sink.events, RefusalReason.INTERNAL, exc)
-        else:
-            self._finish(held, usage)
-        finally:
-            self._held.pop(attempt, None)
-            self._pump()
-
-    def _first_byte_seen(self, held: HeldAttempt, waited: float) -> None:
-        self._queue.first_token(held.dispatch.attempt, _now())
-        request_class = self._configuration.classes.get(held.dispatch.class_name)
-        if request_class is not None:
-            self._targets.answered(waited <= request_class.first_token_target, _now())
-
-    def _finish(self, held: HeldAttempt, usage: Usage) -> None:
-        attempt = held.dispatch.attempt
-        now = _now()
-        self._queue.finished(attempt, now, usage.prompt_tokens, usage.completion_tokens)
-        if held.dispatch.resume_tokens:
-            usage = merge_usage(held.dispatch.resume_tokens, 0, usage)
-        self._kept.end(attempt, usage, now)
-        dispatch = held.dispatch
-        self._parts.usage.record(attempt.request, dispatch.organisation, dispatch.class_name, usage)
-        self._parts.metrics.request_ended(held.dispatch.class_name, RequestOutcome.ANSWERED)
-        tokens = usage.completion_tokens
-        self._parts.metrics.tokens_generated(held.dispatch.class_name, TokenUse.DELIVERED, tokens)
-        self._record(held, DecisionStep.ANSWERED)
-        held.stream.finish(usage, self.load())
-
-    def _never_reached(self, held: HeldAttempt, exc: UpstreamNotReached) -> None:
-        attempt = held.dispatch.attempt
-        self._queue.finished(attempt, _now(), 0, 0, False)
-        self._kept.fail(attempt)
-        self._log_failure(held, RefusalReason.UPSTREAM_FAILED, exc)
-        self._send_not_run(held, RefusalReason.UPSTREAM_FAILED, RETRY_ELSEWHERE_SECONDS)
-
-    def _broke(
-        self, held: HeldAttempt, generated: int, reason: RefusalReason, exc: BaseException
-    ) -> None:
-        attempt = held.dispatch.attempt
-        prompt_tokens = held.dispatch.prompt_tokens
-        self._queue.finished(attempt, _now(), prompt_tokens, generated, whole=False)
-        self._kept.fail(attempt)
-        class_name = held.dispatch.class_name
-        self._parts.metrics.tokens_generated(class_name, TokenUse.WASTED, generated)
-        self._log_failure(held, reason, exc)
-        held.stream.fail(reason.value, self.load())
-
-    def _log_failure(self, held: HeldAttempt, reason: RefusalReason, exc: BaseException) -> None:
-        class_name = held.dispatch.class_name
-        self._parts.metrics.request_ended(class_name, RequestOutcome.MAY_HAVE_RUN)
-        self._record(held, DecisionStep.FAILED, f"{reason.value}: {exc}")
-        log_event(
-            logger,
-            "attempt_failed",
-            level="WARNING",
-            request=held.dispatch.attempt.request,
-            attempt=held.dispatch.attempt.number,
-            reason=reason.value,
-            cause=f"{type(exc).__name__}: {exc}",
-        )
+        self._parts.record(held, DecisionStep.STARTED, f"waited={held.waited:.3f}")
+        held.task = asyncio.get_running_loop().create_task(self._runner.run(held))
 
     def _refuse(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
         attempt = held.dispatch.attempt
@@ -369,15 +251,21 @@
             raise AssertionError("only an attempt that never ran can be refused")
         self._held.pop(attempt, None)
         self._parts.metrics.refused(reason, held.dispatch.class_name)
-        self._targets.refused(reason, _now())
-        self._send_not_run(held, reason, retry_after)
+        self.targets.refused(reason, _now())
+        self.send_not_run(held, reason, retry_after)
 
-    def _send_not_run(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
-        self._record(held, DecisionStep.NOT_RUN, reason.value)
+    def send_not_run(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
+        """Says that an attempt never ran and never will."""
+        self._parts.record(held, DecisionStep.NOT_RUN, reason.value)
         link = held.stream.link
         if link is not None:
             link.send(NotRun(held.dispatch.attempt, reason.value, retry_after, self.load()))
 
+    def attempt_ended(self, held: HeldAttempt) -> None:
+        """Takes in that an attempt no longer holds a slot."""
+        self._held.pop(held.dispatch.attempt, None)
+        self._pump()
+
     def _reject(self, rejections: list[Rejection]) -> None:
         for rejection in rejections:
             held = self._held[rejection.attempt]
@@ -426,37 +314,10 @@
 
     def _credit(self, link: Link, attempt: AttemptId, size: int) -> None:
         held = self._held.get(attempt)
-        stream = held.stream if held is not None else self._replays.get(attempt)
-        if stream is not None and stream.link is link:
-            stream.credit(size)
-
-    def _settle(self, link: Link, message: Settle) -> None:
-        attempt = message.attempt
-        settlement = self._kept.settle(
-            attempt, message.sidecar_epoch, self._parts.epoch, _now(), id(link)
-        )
-        match settlement:
-            case KeptAnswer(head, parts, usage):
-                stream = AnswerStream.from_kept(attempt, link, head, parts, usage)
-                self._replays[attempt] = stream
-            case Running() if attempt in self._held:
-                self._settle_running(link, message, self._held[attempt])
-            case NeverRan():
-                reason = RefusalReason.UPSTREAM_FAILED.value
-                link.send(NotRun(attempt, reason, RETRY_ELSEWHERE_SECONDS, self.load()))
-            case _:
-                link.send(Failed(attempt, RefusalReason.OUTCOME_UNKNOWN.value, self.load()))
-
-    def _settle_running(self, link: Link, message: Settle, held: HeldAttempt) -> None:
-        stream = held.stream
-        if not message.takes_answer and stream.link is not None:
-            reason = RefusalReason.DUPLICATE_IN_PROGRESS
-        elif not stream.replayable:
-            reason = RefusalReason.OUTCOME_UNKNOWN
-        else:
-            stream.attach(link)
-            return
-        link.send(Failed(message.attempt, reason.value, self.load()))
+        if held is None:
+            self._settlements.credit(link, attempt, size)
+        elif held.stream.link is link:
+            held.stream.credit(size)
 
     def _configuration_changed(self, configuration: Configuration) -> None:
         for link in self._links:
@@ -475,10 +336,6 @@
     def _configuration(self) -> Configuration:
         return self._parts.feed.configuration
 
-    def _record(self, held: HeldAttempt, step: DecisionStep, detail: str = "") -> None:
-        attempt = held.dispatch.attempt
-        self._parts.journal.record(attempt.request, step, f"attempt={attempt.number} {detail}")
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
