Load the parser of the command line only where it is needed

Cause: an entry needs 62.1 of its 64 MB at the target (docs/CAPACITY.md), and keeps the command line's library for good. Change: `COMMAND FILE` is run without it; everything else goes through defopt as before. Ruled out: taking the library out of the process after parsing, which does not give its memory back.

--- a/packages/bilberryplank/bilberryplank/_main.py
+++ b/packages/bilberryplank/bilberryplank/_main.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import Literal
 
-import defopt
 from loguru import logger
 
 from bilberryplank._entry import Entry
@@ -57,7 +56,7 @@
 def main() -> None:
     """Runs the command that the arguments name."""
     try:
-        code = defopt.run({"entry": entry, "sidecar": sidecar, "check": check})
+        code = _run_command(sys.argv[1:])
     except SettingsInvalid as exc:
         for fault in exc.faults:
             print(fault, file=sys.stderr)
@@ -65,6 +64,19 @@
     sys.exit(code)
 
 
+def _run_command(arguments: list[str]) -> int:
+    match arguments:
+        case [("entry" | "sidecar" | "check") as name, path] if not path.startswith("-"):
+            return _COMMANDS[name](Path(path))
+    # Loaded late: a process that serves would keep its 3 MB for good.
+    import defopt
+
+    return defopt.run(_COMMANDS, argv=arguments)
+
+
+_COMMANDS = {"entry": entry, "sidecar": sidecar, "check": check}
+
+
 def _run(make: type[Process], cfg: EntrySettings | SidecarSettings) -> int:
     async def run() -> int:
         return await run_process(make(cfg))
