Rank jobs' candidates in one place

Cause (read-through): entry-only jobs ranked the host list again every two seconds, beside the ranking that every lease job keeps from the last list.

--- a/packages/bilberryplank/bilberryplank/_entry_job.py
+++ b/packages/bilberryplank/bilberryplank/_entry_job.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from bilberryplank._lease_job import LeaseJob
-from bilberryplank_core.fleet import is_ranked
-from bilberryplank_core.world import HostState, Role
+from bilberryplank_core.world import Host, Role
 
 
 class EntryJob(LeaseJob):
@@ -12,9 +11,6 @@
 
     abstract = True
 
-    def contends(self) -> bool:
-        """Returns True where this entry is among the few that try to get the lease."""
-        entries = [host for host in self._hosts.hosts if host.role is Role.ENTRY]
-        names = [host.name for host in entries if host.state is HostState.LIVE]
-        job = f"lease/{self.lease.name}"
-        return is_ranked(job, self._name, names, self._settings.lease_candidates)
+    def may_run_on(self, host: Host) -> bool:
+        """Returns True for entries."""
+        return host.role is Role.ENTRY
--- a/packages/bilberryplank/bilberryplank/_lease_job.py
+++ b/packages/bilberryplank/bilberryplank/_lease_job.py
@@ -101,6 +101,10 @@
         """Returns True where this process is among the few that try to get the lease."""
         return self._candidate
 
+    def may_run_on(self, host: Host) -> bool:
+        """Returns True for the hosts whose processes may do the job."""
+        return True
+
     def pause(self) -> float:
         """Returns the seconds until the next piece of work."""
         return IDLE_SECONDS
@@ -112,6 +116,7 @@
             log_event(logger, "lease_work_ended", job=self.lease.name, code=exc.code, cause=exc)
 
     def _rank(self, hosts: list[Host]) -> None:
-        names = [host.name for host in hosts if host.state is HostState.LIVE]
+        live = [host for host in hosts if host.state is HostState.LIVE]
+        names = [host.name for host in live if self.may_run_on(host)]
         job = f"lease/{self.lease.name}"
         self._candidate = is_ranked(job, self._name, names, self._settings.lease_candidates)
