Give a process that does not work yet a status, and let it be stopped

Cause (read-through): /status of a process still starting ended in an AttributeError, as the operators' port is up before the rest; two hasattr checks stood in for a flag when such a process was stopped. Change: one flag, set once the process works; until then the status is that of a starting process.

--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -61,7 +61,8 @@
         slots: Requests that the upstream runs at once.
         max_queued: Requests that may wait.
         long_prefill_tokens: A prompt of at least this many tokens is long.
-        long_prefill_share: Most of the slots that long prompts may hold, 0 to 1.
+        long_prefill_share: Most of the slots that long prompts may hold, each until its first
+            token, 0 to 1.
         wasted_work_budget: Most of the generated tokens that preemption may throw away, 0 to 1.
     """
 
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -117,8 +117,6 @@
 
     async def drain(self) -> None:
         """Lets the balancer look elsewhere, then finishes what runs."""
-        if not hasattr(self, "_server"):
-            return
         self._requests.draining = True
         await asyncio.sleep(self._settings.lame_duck)
         self._server.stop_listening()
--- a/packages/bilberryplank/bilberryplank/_process.py
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -33,7 +33,6 @@
 from bilberryplank_core.world import Role
 
 EPOCH_BYTES = 8
-START_RETRY_SECONDS = 0.5
 POLL_SECONDS = 0.05
 
 
@@ -57,11 +56,12 @@
         self.journal = DecisionJournal(process=settings.name)
         self._settings = settings
         self._warming_up = False
+        self._working = False
         self._session: aiohttp.ClientSession | None = None
         self._operations: OperationsServer | None = None
 
     def status(self) -> ProcessStatus:
-        """Returns the state that operators see."""
+        """Returns the state that operators see, once the process works."""
         raise NotImplementedError
 
     async def on_start(self) -> None:
@@ -84,7 +84,7 @@
             settings.operations_listen,
             self.metrics,
             self.journal,
-            self.status,
+            self._status_now,
             self.push_handler(),
         )
         self._usage = UsageFeed(self.role, self.epoch, settings.fleet, platform, self.metrics, rng)
@@ -95,6 +95,7 @@
         for job in self._jobs:
             await self._start_part(job)
         await self.start_work(platform)
+        self._working = True
         self._feed.holder.subscribe(self._configured)
 
     def held_leases(self) -> tuple[str, ...]:
@@ -113,7 +114,8 @@
         """Drains; what is started is stopped afterwards."""
         if self._operations is not None:
             self._operations.readiness = Readiness.DRAINING
-        await self.drain()
+        if self._working:
+            await self.drain()
 
     async def on_shutdown(self) -> None:
         """Closes the sessions."""
@@ -127,6 +129,12 @@
     async def warm_up(self) -> None:
         """Prepares for work once a configuration is in force."""
 
+    def _status_now(self) -> ProcessStatus:
+        if self._working:
+            return self.status()
+        settings = self._settings
+        return ProcessStatus(settings.name, self.role.value, settings.zone, self.epoch)
+
     def _configured(self, _: Configuration) -> None:
         if not self._warming_up:
             self._warming_up = True
--- a/packages/bilberryplank/bilberryplank/_sidecar.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar.py
@@ -88,8 +88,6 @@
 
     async def drain(self) -> None:
         """Takes no new work, and finishes what waits and runs."""
-        if not hasattr(self, "_requests"):
-            return
         self._requests.leave()
         await self._wait_until(lambda: self._requests.idle, self._settings.drain_timeout)
         await asyncio.sleep(LINGER_SECONDS)
