Count the upstreams that an entry ejects as stragglers

Cause (review): the counter and its row for who is on call were there, and nothing counted. Change: whoever tells the chooser how an attempt went looks whether the upstream was ejected by it.

--- a/packages/bilberryplank-core/bilberryplank_core/_chooser.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_chooser.py
@@ -91,6 +91,10 @@
     def wants_probe(self, now: float) -> str | None:
         """Returns an upstream of the last choice to ask for its load, where hints are stale."""
 
+    def is_ejected(self, upstream: str) -> bool:
+        """Returns True while the upstream is left out as a straggler."""
+        return False
+
     def forget(self, upstream: str) -> None:
         """Drops what is known of an upstream that is no longer configured."""
         return
--- a/packages/bilberryplank/bilberryplank/_decisions.py
+++ b/packages/bilberryplank/bilberryplank/_decisions.py
@@ -16,7 +16,6 @@
 class DecisionStep(Enum):
     """A step in the life of a request."""
 
-    RECEIVED = "received"
     CLASSIFIED = "classified"
     CHOSEN = "chosen"
     DISPATCHED = "dispatched"
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -259,13 +259,7 @@
         """Tells the chooser, once an attempt, how the upstream did."""
         if not self._judged:
             self._judged = True
-            self._parts.chooser.record_answer(
-                upstream.name,
-                first_token_seconds,
-                first_token_seconds is not None,
-                _now(),
-                self._kind,
-            )
+            self._parts.judge(upstream.name, first_token_seconds, _now(), self._kind)
 
     def _refused_by(self, event: NotRun | Failed, upstream: Upstream) -> Step:
         reason = parse_reason(event.reason)
