--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := bilberryplank-core bilberryplank bilberryplankctl bilberryplank-testing
 RESULTS := build/results
 
-.PHONY: install demo test format lint unit scenarios verdict soak measure clean
+.PHONY: install demo test format lint scenarios soak clean
 
 install: $(STAMP)
 
@@ -29,5 +29,13 @@
 demo: $(STAMP)
 	$(BIN)/python -m bilberryplank_testing.demo
 
+scenarios: $(STAMP)
+	$(BIN)/python -m behave --format progress3 features
+
+# Bounded: about ten minutes; prints its seeds and figures.
+soak: $(STAMP)
+	$(BIN)/python -m bilberryplank_testing.load --workload rarangi --policy tiered \
+		--rate-factor 0.7,2 --seeds 5 --seconds 20 --fault none,straggler,kill
+
 clean:
 	rm -rf build
