--- a/packages/bilberryplank-core/bilberryplank_core/_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_contracts.py
@@ -140,7 +140,7 @@
 
     @abstractmethod
     def check(self) -> None:
-        """Raises `LeaseLost` where the sender is no longer in charge."""
+        """Raises `LeaseLost` where the sender no longer holds the lease."""
 
     @abstractmethod
     def remaining(self) -> float:
--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -1,4 +1,4 @@
-"""Leases: one process in charge of a job, with fencing numbers.
+"""Leases: one process at a time does a job, with fencing numbers.
 
 Rows hold no wall-clock times. A holder counts its lease from before its renewal was sent and stops
 a margin earlier; a contender waits until it has seen the row unchanged for the duration plus a
@@ -102,7 +102,7 @@
         return self._grant.row.fence if self._grant else 0
 
     def held(self, now: float) -> bool:
-        """Returns True where this process is in charge at `now` on its clock."""
+        """Returns True where this process holds the lease at `now` on its clock."""
         return self._grant is not None and now < self._expires_at
 
     def remaining(self, now: float) -> float:
--- a/packages/bilberryplank-core/bilberryplank_core/_world.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_world.py
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Organisation:
-    """A tenant: it owns keys and is billed."""
+    """Who owns keys and is billed."""
 
     name: str
     labels: Labels = field(default_factory=dict)
@@ -187,7 +187,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Upstream:
-    """A back end behind its sidecar.
+    """A model engine or plain service behind its sidecar.
 
     Attributes:
         name: Unique name.
