Let one piece serve where three stood twice

Cause (reading the whole change): the loop's clock had a function of its own in seven modules, the check that a link leads to the right upstream stood in the request's run and in the settling of repeats, and a sidecar worked out its load anew for each link when it announced a version or that it leaves. Change: loop_time stands in _clocks, the check is LinkPool.get_sidecar, and one report goes over all links. Behaviour as before. Left: _scaling_job has a clock function of its own still, and its jobs' long constructors stand alike.

--- a/packages/bilberryplank/bilberryplank/_attempt_runner.py
+++ b/packages/bilberryplank/bilberryplank/_attempt_runner.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from bilberryplank._clocks import loop_time
 from bilberryplank._decisions import DecisionStep
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import RequestOutcome, TokenUse
@@ -52,7 +53,7 @@
 
     async def run(self, held: HeldAttempt) -> None:
         """Makes the call and sends its answer, or what became of it."""
-        budget = max(0.0, held.deadline - _now())
+        budget = max(0.0, held.deadline - loop_time())
         dispatch = replace(held.dispatch, budget=budget)
         sink = KeepingSink(
             held, self._parts.kept, self._owner.load, self._parts.metrics, self._first_byte_seen
@@ -78,14 +79,14 @@
             self._owner.attempt_ended(held)
 
     def _first_byte_seen(self, held: HeldAttempt, waited: float) -> None:
-        self._parts.queue.first_token(held.dispatch.attempt, _now())
+        self._parts.queue.first_token(held.dispatch.attempt, loop_time())
         request_class = self._parts.feed.configuration.classes.get(held.dispatch.class_name)
         if request_class is not None:
-            self._owner.targets.answered(waited <= request_class.first_token_target, _now())
+            self._owner.targets.answered(waited <= request_class.first_token_target, loop_time())
 
     def _finish(self, held: HeldAttempt, usage: Usage) -> None:
         attempt = held.dispatch.attempt
-        now = _now()
+        now = loop_time()
         self._parts.queue.finished(attempt, now, usage.prompt_tokens, usage.completion_tokens)
         if held.dispatch.resume_tokens:
             usage = merge_usage(held.dispatch.resume_tokens, 0, usage)
@@ -100,7 +101,7 @@
 
     def _never_reached(self, held: HeldAttempt, exc: UpstreamNotReached) -> None:
         attempt = held.dispatch.attempt
-        self._parts.queue.finished(attempt, _now(), 0, 0, False)
+        self._parts.queue.finished(attempt, loop_time(), 0, 0, False)
         self._parts.kept.fail(attempt)
         self._log_failure(held, RequestOutcome.NOT_RUN, RefusalReason.UPSTREAM_FAILED, exc)
         self._owner.send_not_run(held, RefusalReason.UPSTREAM_FAILED, RETRY_ELSEWHERE_SECONDS)
@@ -110,7 +111,7 @@
     ) -> None:
         attempt = held.dispatch.attempt
         prompt_tokens = held.dispatch.prompt_tokens
-        self._parts.queue.finished(attempt, _now(), prompt_tokens, generated, whole=False)
+        self._parts.queue.finished(attempt, loop_time(), prompt_tokens, generated, whole=False)
         self._parts.kept.fail(attempt)
         class_name = held.dispatch.class_name
         self._parts.metrics.tokens_generated(class_name, TokenUse.WASTED, generated)
@@ -135,7 +136,3 @@
             reason=reason.value,
             cause=f"{type(exc).__name__}: {exc}",
         )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_entry_links.py
+++ b/packages/bilberryplank/bilberryplank/_entry_links.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from loguru import logger
 
 from bilberryplank._attempt_channel import AttemptChannel, Frame, LinkLost
+from bilberryplank._clocks import loop_time
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._link import Link
 from bilberryplank._logs import log_event
@@ -64,7 +63,7 @@
         """Counts the link and shows the configuration in force."""
         assert link.peer is not None
         self._count_links(1)
-        self._membership.hello(link.peer.upstream, link.peer.epoch, _now())
+        self._membership.hello(link.peer.upstream, link.peer.epoch, loop_time())
         shown = self._feed.shown()
         link.send(Heartbeat(shown.version, shown.confirmed_age))
 
@@ -72,7 +71,7 @@
         """Tells every request that waits on the link."""
         assert link.peer is not None
         self._count_links(-1)
-        self._chooser.record_lost(link.peer.upstream, _now())
+        self._chooser.record_lost(link.peer.upstream, loop_time())
         self._membership.link_lost(link.peer.upstream, link.peer.epoch)
         log_event(logger, "link_lost", upstream=link.peer.upstream, cause=exc)
         for channel in list(self._channels.values()):
@@ -111,14 +110,10 @@
     def _note_load(self, link: Link, load: Load) -> None:
         assert link.peer is not None
         upstream, epoch = link.peer.upstream, link.peer.epoch
-        self._chooser.record_load(upstream, load, _now())
-        self._membership.heard(upstream, epoch, load.leaving, _now())
+        self._chooser.record_load(upstream, load, loop_time())
+        self._membership.heard(upstream, epoch, load.leaving, loop_time())
         self._feed.peer_showed(link, load.version, load.confirmed_age)
 
     def _count_links(self, change: int) -> None:
         self._open += change
         self._metrics.set_links(self._open)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -9,6 +9,7 @@
 
 from bilberryplank._call_intent import CallIntent
 from bilberryplank._caller_answer import AnswerCutOff, CallerAnswer, CallerGone
+from bilberryplank._clocks import loop_time
 from bilberryplank._decisions import DecisionStep
 from bilberryplank._entry_parts import EntryParts
 from bilberryplank._intake import Call, Intake, is_models_list
@@ -60,7 +61,7 @@
 
     def list_hosts(self, _: list[Host]) -> None:
         """Takes in how many entries share the limits of organisations."""
-        self.limits.set_entries(len(self._view.entries), _now())
+        self.limits.set_entries(len(self._view.entries), loop_time())
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Returns the final answer to a request."""
@@ -74,7 +75,7 @@
             self.in_flight -= 1
 
     async def _handle(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
-        arrived = _now()
+        arrived = loop_time()
         credentials, key = self._intake.authenticate(request)
         if is_models_list(request, credentials.path):
             return self._intake.list_models(key)
@@ -94,7 +95,7 @@
         prompt = call.model_call.prompt_tokens if call.model_call else 0
         limit = call.model_call.output_limit if call.model_call else 0
         output = self._lengths.estimate(class_name, organisation, limit) if prompt else 0
-        admission = self.limits.admit(key, class_name, prompt + output, _now())
+        admission = self.limits.admit(key, class_name, prompt + output, loop_time())
         run = self._prepare(request, call, cost_of(prompt, output))
         try:
             return await self._run(call, run)
@@ -192,7 +193,7 @@
         return resp
 
     def _log(self, call: Call, event: str, **fields: str) -> None:
-        seconds = _now() - call.arrived
+        seconds = loop_time() - call.arrived
         log_event(
             logger,
             event,
@@ -208,7 +209,7 @@
         for name in self._upstreams - configuration.upstreams.keys():
             self._parts.chooser.forget(name)
         self._upstreams = set(configuration.upstreams)
-        self.limits.set_configuration(configuration, _now())
+        self.limits.set_configuration(configuration, loop_time())
 
     def _record(self, call: Call, step: DecisionStep, detail: str = "") -> None:
         self._parts.journal.record(call.request_id, step, detail)
@@ -223,7 +224,3 @@
 
 
 _CLOSING_REASONS = frozenset((RefusalReason.SLOW_SENDER, RefusalReason.BODY_TOO_LARGE))
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_link_pool.py
+++ b/packages/bilberryplank/bilberryplank/_link_pool.py
@@ -13,6 +13,7 @@
 from bilberryplank_core.errors import BilberryplankError, LinkClosed
 from bilberryplank_core.messages import Heartbeat, Message
 from bilberryplank_core.settings import LinkSettings
+from bilberryplank_core.world import Upstream
 
 MIN_BACKOFF_SECONDS = 0.2
 MAX_BACKOFF_SECONDS = 5.0
@@ -105,6 +106,18 @@
         except TimeoutError as exc:
             raise LinkClosed(f"no link to {address} in time") from exc
 
+    async def get_sidecar(self, upstream: Upstream, timeout: float) -> Link:
+        """Returns an open link to the sidecar of an upstream.
+
+        Raises:
+            LinkClosed: It cannot be reached, or another upstream's sidecar answers there.
+            HandshakeFailed: It did not prove itself.
+        """
+        link = await self.get(upstream.address, timeout)
+        if link.peer is None or link.peer.upstream != upstream.name:
+            raise LinkClosed(f"{upstream.address} is not the sidecar of {upstream.name}")
+        return link
+
     def find(self, address: str) -> Link | None:
         """Returns the open link to the sidecar at `address`, if there is one."""
         peer = self._peers.get(address)
--- a/packages/bilberryplank/bilberryplank/_repeats.py
+++ b/packages/bilberryplank/bilberryplank/_repeats.py
@@ -56,10 +56,7 @@
         upstream = self._feed.configuration.upstreams.get(name)
         if upstream is None:
             raise LinkClosed(f"{name} is no longer configured")
-        link = await self._pool.get(upstream.address, timeout)
-        if link.peer is None or link.peer.upstream != name:
-            raise LinkClosed(f"{upstream.address} is not the sidecar of {name}")
-        return link
+        return await self._pool.get_sidecar(upstream, timeout)
 
     async def _collect(self, channel: AttemptChannel, timeout: float) -> StoredAnswer | None:
         assembler = AnswerAssembler(model_answer=False)
--- a/packages/bilberryplank/bilberryplank/_request_run.py
+++ b/packages/bilberryplank/bilberryplank/_request_run.py
@@ -10,10 +10,10 @@
 from bilberryplank._attempt_channel import AttemptChannel, Event, Frame, LinkLost
 from bilberryplank._call_intent import CallIntent
 from bilberryplank._caller_answer import CallerAnswer, CallerGone
+from bilberryplank._clocks import loop_time
 from bilberryplank._decisions import DecisionStep
 from bilberryplank._entry_parts import EntryParts
 from bilberryplank._intake import Call
-from bilberryplank._link import Link
 from bilberryplank._repeats import AnswerCollector
 from bilberryplank._request_figures import RequestFigures
 from bilberryplank_core.errors import (
@@ -115,7 +115,7 @@
             Refused: The request was given up before anything reached the caller.
             CallerGone: The caller closed its connection, or its answer was cut off.
         """
-        step = self._attempts.start(_now())
+        step = self._attempts.start(loop_time())
         while True:
             match step:
                 case SendTo():
@@ -136,11 +136,11 @@
         self._figures.note_sending(step)
         self._probe()
         try:
-            link = await self._link_to(upstream, step.budget)
+            link = await self._parts.pool.get_sidecar(upstream, step.budget)
         except (LinkClosed, HandshakeFailed) as exc:
-            self._parts.chooser.record_lost(upstream.name, _now())
+            self._parts.chooser.record_lost(upstream.name, loop_time())
             self._figures.record(DecisionStep.NOT_RUN, f"{upstream.name}: {exc}")
-            return self._attempts.not_sent(attempt, _now())
+            return self._attempts.not_sent(attempt, loop_time())
         assert link.peer is not None
         self._sidecar_epoch = link.peer.epoch
         self._assembler.begin(attempt)
@@ -148,7 +148,7 @@
         self._judged = False
         self._waited = 0.0
         channel = self._parts.links.open_channel(attempt, link)
-        self._parts.chooser.record_sent(upstream.name, self._cost, _now(), self._kind)
+        self._parts.chooser.record_sent(upstream.name, self._cost, loop_time(), self._kind)
         try:
             answer = await self._claim(step)
             if answer is not None:
@@ -162,11 +162,11 @@
             self._parts.links.close_channel(channel)
             chooser = self._parts.chooser
             release = chooser.record_refused if self._not_run else chooser.record_end
-            release(upstream.name, _now(), self._kind)
+            release(upstream.name, loop_time(), self._kind)
 
     def _probe(self) -> None:
         """Asks an upstream for its load where too few hints are fresh."""
-        name = self._parts.chooser.wants_probe(_now())
+        name = self._parts.chooser.wants_probe(loop_time())
         upstream = self._parts.feed.configuration.upstreams.get(name) if name else None
         link = self._parts.pool.find(upstream.address) if upstream else None
         if link is not None:
@@ -198,9 +198,9 @@
         await asyncio.sleep(step.delay)
         attempt = step.attempt
         try:
-            link = await self._link_to(step.upstream, step.budget)
+            link = await self._parts.pool.get_sidecar(step.upstream, step.budget)
         except (LinkClosed, HandshakeFailed):
-            return self._attempts.link_lost(attempt, _now(), self._assembler.progress)
+            return self._attempts.link_lost(attempt, loop_time(), self._assembler.progress)
         channel = self._parts.links.open_channel(attempt, link)
         self._figures.record(DecisionStep.SETTLED, step.upstream.name)
         try:
@@ -209,23 +209,17 @@
         finally:
             self._parts.links.close_channel(channel)
 
-    async def _link_to(self, upstream: Upstream, budget: float) -> Link:
-        link = await self._parts.pool.get(upstream.address, budget)
-        if link.peer is None or link.peer.upstream != upstream.name:
-            raise LinkClosed(f"{upstream.address} is not the sidecar of {upstream.name}")
-        return link
-
     async def _follow(self, channel: AttemptChannel, upstream: Upstream) -> Step:
-        sent_at = _now()
+        sent_at = loop_time()
         while True:
             event = await self._next_event(channel)
             match event:
                 case None:
-                    return self._attempts.expired(_now())
+                    return self._attempts.expired(loop_time())
                 case LinkLost():
                     self._judge(upstream, None)
                     progress = self._assembler.progress
-                    return self._attempts.link_lost(channel.attempt, _now(), progress)
+                    return self._attempts.link_lost(channel.attempt, loop_time(), progress)
                 case NotRun() | Failed():
                     return self._refused_by(event, upstream)
                 case _:
@@ -240,11 +234,11 @@
         word on it is waited for all the same.
         """
         cancelled = False
-        while (remaining := self._deadline - _now()) > 0:
+        while (remaining := self._deadline - loop_time()) > 0:
             try:
                 return await channel.get(min(remaining, PATIENCE_SECONDS))
             except TimeoutError:
-                if not cancelled and self._attempts.should_cancel(_now()):
+                if not cancelled and self._attempts.should_cancel(loop_time()):
                     cancelled = True
                     channel.link.send(Cancel(channel.attempt))
         channel.link.send(Cancel(channel.attempt))
@@ -252,14 +246,14 @@
 
     def _extend_deadline(self) -> None:
         """Lets an answer that has begun go on while it moves."""
-        self._deadline = max(self._deadline, _now() + PROGRESS_SECONDS)
+        self._deadline = max(self._deadline, loop_time() + PROGRESS_SECONDS)
         self._attempts.extend(self._deadline)
 
     def _judge(self, upstream: Upstream, first_token_seconds: float | None) -> None:
         """Tells the chooser, once an attempt, how the upstream did."""
         if not self._judged:
             self._judged = True
-            self._parts.judge(upstream.name, first_token_seconds, _now(), self._kind)
+            self._parts.judge(upstream.name, first_token_seconds, loop_time(), self._kind)
 
     def _refused_by(self, event: NotRun | Failed, upstream: Upstream) -> Step:
         reason = parse_reason(event.reason)
@@ -268,11 +262,11 @@
             self._figures.record(DecisionStep.NOT_RUN, f"{upstream.name}: {event.reason}")
             self._not_run = True
             retry_after = event.retry_after
-            return self._attempts.not_run(event.attempt, reason, retry_after, _now(), progress)
+            return self._attempts.not_run(event.attempt, reason, retry_after, loop_time(), progress)
         self._figures.record(DecisionStep.FAILED, f"{upstream.name}: {event.reason}")
         if blames_upstream(reason):
             self._judge(upstream, None)
-        return self._attempts.failed(event.attempt, reason, _now(), progress)
+        return self._attempts.failed(event.attempt, reason, loop_time(), progress)
 
     async def _take(
         self, channel: AttemptChannel, frame: Frame, upstream: Upstream, sent_at: float
@@ -285,10 +279,10 @@
                 channel.link.send(Cancel(channel.attempt))
                 reason = RefusalReason.UPSTREAM_FAILED
                 progress = self._assembler.progress
-                return self._attempts.failed(channel.attempt, reason, _now(), progress)
+                return self._attempts.failed(channel.attempt, reason, loop_time(), progress)
             if isinstance(output, AnswerPart):
                 self._extend_deadline()
-                self._judge(upstream, max(0.0, _now() - sent_at - self._waited))
+                self._judge(upstream, max(0.0, loop_time() - sent_at - self._waited))
             await self._emit(output)
         if isinstance(frame, End) and self.usage is not None:
             self._answered_by = channel
@@ -344,7 +338,3 @@
         self._figures.count_dropped(self._assembler.counts)
         billed = self.usage is not None
         self._figures.note_caller_gone(NOTHING_DELIVERED if billed else self._assembler.progress)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_settlements.py
+++ b/packages/bilberryplank/bilberryplank/_settlements.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from bilberryplank._answer_stream import AnswerStream
 from bilberryplank._attempt_runner import RETRY_ELSEWHERE_SECONDS
+from bilberryplank._clocks import loop_time
 from bilberryplank._link import Link
 from bilberryplank._sidecar_attempts import HeldAttempt
 from bilberryplank._sidecar_parts import SidecarParts
@@ -29,7 +29,7 @@
         """Answers an entry that lost its link; `held` is the attempt where it still runs."""
         attempt = message.attempt
         settlement = self._parts.kept.settle(
-            attempt, message.sidecar_epoch, self._parts.epoch, _now(), id(link)
+            attempt, message.sidecar_epoch, self._parts.epoch, loop_time(), id(link)
         )
         match settlement:
             case KeptAnswer(head, parts, usage):
@@ -69,7 +69,3 @@
         """Ends what was being sent again over a link."""
         for attempt in [key for key, stream in self._replays.items() if stream.link is link]:
             del self._replays[attempt]
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -7,6 +7,7 @@
 
 from bilberryplank._answer_stream import AnswerStream
 from bilberryplank._attempt_runner import RETRY_ELSEWHERE_SECONDS, AttemptRunner
+from bilberryplank._clocks import loop_time
 from bilberryplank._decisions import DecisionStep
 from bilberryplank._link import Link
 from bilberryplank._metrics import FrameDropCause
@@ -74,22 +75,21 @@
     def load(self) -> Load:
         """Returns the load that answers carry."""
         shown = self._parts.feed.shown()
-        load = self._queue.load(_now())
+        load = self._queue.load(loop_time())
         self._parts.metrics.set_load(load.queued, load.running)
         return replace(
             load,
             leaving=self.leaving,
             version=shown.version,
             confirmed_age=shown.confirmed_age,
-            attainment=self.targets.attainment(_now()),
-            arrivals=self.targets.arrivals(_now()),
+            attainment=self.targets.attainment(loop_time()),
+            arrivals=self.targets.arrivals(loop_time()),
         )
 
     def leave(self) -> None:
         """Tells every entry that this upstream takes no new work."""
         self.leaving = True
-        for link in self._links:
-            link.send(LoadReport(self.load()))
+        self._announce()
 
     def close(self) -> None:
         """Ends the links and stops what runs."""
@@ -100,7 +100,7 @@
 
     def tick(self) -> None:
         """Forgets what is too old; called every second or so."""
-        self._kept.expire(_now())
+        self._kept.expire(loop_time())
         self._expire_queue()
 
     def link_ready(self, link: Link) -> None:
@@ -169,7 +169,7 @@
                 reason = RefusalReason.UPSTREAM_FAILED.value
                 link.send(NotRun(attempt, reason, RETRY_ELSEWHERE_SECONDS, self.load()))
                 return
-        now = _now()
+        now = loop_time()
         stream = AnswerStream(attempt, link, self._parts.answer_bytes)
         held = HeldAttempt(dispatch, 0, now, now + dispatch.budget, stream)
         self._held[attempt] = held
@@ -194,8 +194,8 @@
             self._refuse(held, reason, RETRY_ELSEWHERE_SECONDS)
             return
         held.rank = self._configuration.rank(held.dispatch.class_name)
-        self.targets.arrived(_now())
-        rejections = self._queue.offer(held.queued(self._configuration), _now())
+        self.targets.arrived(loop_time())
+        rejections = self._queue.offer(held.queued(self._configuration), loop_time())
         self._parts.record(held, DecisionStep.QUEUED)
         self._reject(rejections)
         self._pump()
@@ -219,9 +219,9 @@
         return None
 
     def _pump(self) -> None:
-        while (attempt := self._queue.preempt(_now())) is not None:
+        while (attempt := self._queue.preempt(loop_time())) is not None:
             self._preempt(self._held[attempt])
-        while (req := self._queue.take(_now())) is not None:
+        while (req := self._queue.take(loop_time())) is not None:
             self._start(req)
         self._plan_expiry()
 
@@ -234,24 +234,24 @@
         held = self._held[req.attempt]
         reason = self._key_refusal(held.dispatch)
         if reason is not None:
-            self._queue.finished(req.attempt, _now(), 0, 0, False)
+            self._queue.finished(req.attempt, loop_time(), 0, 0, False)
             self._refuse(held, reason, 0.0)
             return
         if not self._kept.dispatch(req.attempt):
             raise AssertionError("a queued attempt is known as queued")
-        self._queue.started(req.attempt, _now())
-        held.waited = _now() - held.arrived
+        self._queue.started(req.attempt, loop_time())
+        held.waited = loop_time() - held.arrived
         self._parts.metrics.queue_waited(held.dispatch.class_name, held.waited)
         self._parts.record(held, DecisionStep.STARTED, f"waited={held.waited:.3f}")
         held.task = asyncio.get_running_loop().create_task(self._runner.run(held))
 
     def _refuse(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
         attempt = held.dispatch.attempt
-        if not self._kept.refuse(attempt, _now()):
+        if not self._kept.refuse(attempt, loop_time()):
             raise AssertionError("only an attempt that never ran can be refused")
         self._held.pop(attempt, None)
         self._parts.metrics.refused(reason, held.dispatch.class_name)
-        self.targets.refused(reason, _now())
+        self.targets.refused(reason, loop_time())
         self.send_not_run(held, reason, retry_after)
 
     def send_not_run(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
@@ -272,7 +272,7 @@
             self._refuse(held, rejection.reason, rejection.retry_after)
 
     def _expire_queue(self) -> None:
-        self._reject(self._queue.expire(_now()))
+        self._reject(self._queue.expire(loop_time()))
         self._plan_expiry()
 
     def _plan_expiry(self) -> None:
@@ -312,6 +312,12 @@
         if held.stream.link is None and held.dispatch.idempotent:
             held.stop(RefusalReason.CANCELLED)
 
+    def _announce(self) -> None:
+        """Sends the load, with the version in force, over every link."""
+        report = LoadReport(self.load())
+        for link in self._links:
+            link.send(report)
+
     def _credit(self, link: Link, attempt: AttemptId, size: int) -> None:
         held = self._held.get(attempt)
         if held is None:
@@ -320,8 +326,7 @@
             held.stream.credit(size)
 
     def _configuration_changed(self, configuration: Configuration) -> None:
-        for link in self._links:
-            link.send(LoadReport(self.load()))
+        self._announce()
         withdrawn = [key.key_id for key in configuration.parts.keys if key.withdrawn]
         self._reject(self._queue.drop_keys(withdrawn))
         waiting = self._unclassified
@@ -335,7 +340,3 @@
     @property
     def _configuration(self) -> Configuration:
         return self._parts.feed.configuration
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
