--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -0,0 +1,162 @@
+"""What an entry that calls upstreams itself needs of the platform and of its wire format."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from bilberryplank_core._contracts import Guard, Row, Table
+from bilberryplank_core._direct_world import (
+    AnswerHead,
+    CallerCall,
+    DirectConfiguration,
+    DirectUpstream,
+)
+from bilberryplank_core._errors import PlatformError, Refused
+from bilberryplank_core._window_counts import TrueTime
+
+HeaderFields = Iterable[tuple[str, str]]
+
+
+class HistoryGone(PlatformError):
+    """The table no longer holds the changes that were asked for; read the rows again."""
+
+    code = "history_gone"
+
+
+@dataclass(slots=True, frozen=True)
+class Changes:
+    """Rows as of one moment, or what changed since another.
+
+    Attributes:
+        rows: Rows with their values; a value that could not be read is None.
+        removed: Keys of rows that are gone; only in changes.
+        revision: Revision from which to go on.
+    """
+
+    rows: tuple[Row, ...]
+    removed: tuple[str, ...]
+    revision: int
+
+
+class WatchedTable(Table):
+    """A table service that also tells its time and what changed."""
+
+    @abstractmethod
+    async def snapshot(self, table: str) -> Changes:
+        """Returns all rows of a table as of one moment."""
+
+    @abstractmethod
+    async def changes(self, table: str, after: int, wait: float) -> Changes:
+        """Returns what changed after a revision, waiting up to `wait` seconds for the first.
+
+        Raises:
+            HistoryGone: The revision is too old.
+            PlatformUnavailable: No answer.
+        """
+
+    @abstractmethod
+    async def forget(self, keys: Iterable[tuple[str, str]]) -> None:
+        """Removes rows, named by table and key, whatever their revision."""
+
+
+class UpstreamDialect(ABC):
+    """Headers of callers and upstreams in the project's types."""
+
+    @abstractmethod
+    def read_call(self, fields: Mapping[str, str]) -> CallerCall:
+        """Returns what the head of a caller's request says.
+
+        Raises:
+            Refused: A field can't be read.
+        """
+
+    @abstractmethod
+    def upstream_fields(
+        self,
+        fields: HeaderFields,
+        upstream: DirectUpstream,
+        organisation: str | None,
+        rank: int | None,
+        time_left: float,
+        resume_after: str | None,
+    ) -> list[tuple[str, str]]:
+        """Returns the header fields of a request to an upstream.
+
+        Args:
+            fields: Header fields of the caller.
+            upstream: Whom the request is for.
+            organisation: Name of the caller's organisation.
+            rank: Urgency for an engine; None for a plain service.
+            time_left: Seconds that the caller still waits.
+            resume_after: Id of the last event that the caller has.
+        """
+
+    @abstractmethod
+    def read_answer(self, status: int, fields: Mapping[str, str]) -> AnswerHead:
+        """Returns what the head of an upstream's answer says."""
+
+    @abstractmethod
+    def answer_fields(self, fields: HeaderFields) -> list[tuple[str, str]]:
+        """Returns the header fields of an upstream's answer that the caller gets."""
+
+    @abstractmethod
+    def refusal_fields(self, refused: Refused, request_id: str) -> list[tuple[str, str]]:
+        """Returns the header fields of a refusal."""
+
+
+class WindowReports(ABC):
+    """The platform's interface that takes the requests of each organisation in a window."""
+
+    @abstractmethod
+    async def send(
+        self, window: int, counts: dict[str, int], holder: str, fence: int, guard: Guard
+    ) -> None:
+        """Sends a report; the same counts for a window again are accepted without effect.
+
+        Raises:
+            LeaseLost: `guard` raised it; the platform saw no whole report.
+            PlatformUnavailable: The outcome is unknown.
+            ReportRejected: The platform refused it.
+        """
+
+
+class DirectRows(ABC):
+    """Rows of the platform in the project's types."""
+
+    configuration_table: str
+    configuration_key: str
+    upstream_table: str
+
+    @abstractmethod
+    def read_configuration(self, value: Any) -> DirectConfiguration:
+        """Returns the configuration in a row.
+
+        Raises:
+            ConfigurationInvalid: It can't be used.
+        """
+
+    @abstractmethod
+    def read_upstream(self, name: str, value: Any) -> DirectUpstream | None:
+        """Returns the upstream in a row; None where the row names none that can be used."""
+
+
+@dataclass(slots=True)
+class DirectPlatform:
+    """All that an adapter brings.
+
+    Attributes:
+        table: The table service.
+        rows: Decoder of its rows.
+        reports: Where usage is reported; None where nobody wants it.
+        dialect: Headers of callers and upstreams.
+        true_time: True time; the adapter tells it the store's clock.
+    """
+
+    table: WatchedTable
+    rows: DirectRows
+    reports: WindowReports | None
+    dialect: UpstreamDialect
+    true_time: TrueTime
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_world.py
@@ -0,0 +1,191 @@
+"""What an entry that calls upstreams itself knows: routes, services, upstreams and calls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class RepeatRule(Enum):
+    """What may be done again when the outcome of an attempt is unknown."""
+
+    SAFE = "safe"
+    ONCE = "once"
+    STREAM_ONCE = "stream_once"
+    STREAM_RESUMABLE = "stream_resumable"
+
+    @property
+    def repeatable(self) -> bool:
+        """True where a second run does no harm."""
+        return self in (RepeatRule.SAFE, RepeatRule.STREAM_RESUMABLE)
+
+    @property
+    def streamed(self) -> bool:
+        """True where the answer is a stream of events."""
+        return self in (RepeatRule.STREAM_ONCE, RepeatRule.STREAM_RESUMABLE)
+
+
+@dataclass(slots=True, frozen=True)
+class PromptPart:
+    """A part of a prompt that other requests may share; parts are kept in order."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(slots=True, frozen=True)
+class CallerCall:
+    """What the head of a caller's request says.
+
+    Attributes:
+        request_id: The caller's id of this attempt.
+        time_limit: Seconds that the caller waits; None where it did not say.
+        credential: The caller's key; None without one.
+        model: Name of the model; empty for a plain service.
+        prompt: Parts of the prompt, in order; the last belongs to this request or session.
+        prompt_tokens: Tokens of the whole prompt.
+        max_output_tokens: Most tokens that the answer may have.
+        likely_output_tokens: The caller's own estimate; None without one.
+        resume_after: Id of the last event that the caller has; None for a fresh request.
+    """
+
+    request_id: str
+    time_limit: float | None = None
+    credential: str | None = field(default=None, repr=False)
+    model: str = ""
+    prompt: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    likely_output_tokens: int | None = None
+    resume_after: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class DirectRoute:
+    """Where requests of one authority and path prefix go.
+
+    Attributes:
+        name: Unique name.
+        authority: Value of the HTTP `Host` header.
+        prefix: Path prefix, with a slash at both ends.
+        repeat: What may be repeated.
+        timeout: Longest time in seconds that a request is kept waiting.
+        objective: Seconds to the answer, or to the first event, that earn the full benefit.
+        gap_objective: Longest pause in seconds between events; 0 where none is set.
+        rank: Urgency; 0 is the highest.
+        targets: Names of services with their weights.
+        max_runs: Most upstreams on which one request may run.
+        public: True where no key is needed.
+    """
+
+    name: str
+    authority: str
+    prefix: str
+    repeat: RepeatRule
+    timeout: float
+    objective: float
+    gap_objective: float
+    rank: int
+    targets: tuple[tuple[str, int], ...]
+    max_runs: int
+    public: bool
+
+
+@dataclass(slots=True, frozen=True)
+class EngineShape:
+    """Size of the engines of a service.
+
+    Attributes:
+        slots: Requests in one batch.
+        memory_tokens: Tokens that fit into the memory of prompts and answers.
+    """
+
+    slots: int
+    memory_tokens: int
+
+
+@dataclass(slots=True, frozen=True)
+class DirectService:
+    """A service; `engine` is None for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineShape | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Organisation:
+    """An organisation; `rank` goes before the route's where it is set."""
+
+    name: str
+    rank: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class DirectConfiguration:
+    """One version of the configuration; organisations are looked up by key.
+
+    Attributes:
+        version: Grows with each change.
+        routes: All routes.
+        services: Services by name.
+        organisations: Organisations by key; None where no keys are used.
+        max_body_bytes: Most bytes of a request's body.
+    """
+
+    version: int
+    routes: tuple[DirectRoute, ...]
+    services: dict[str, DirectService]
+    organisations: dict[str, Organisation] | None = field(repr=False)
+    max_body_bytes: int = 4 * 1024 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class DirectUpstream:
+    """An upstream that entries call by address.
+
+    Attributes:
+        name: Unique id of this start of it.
+        service: Name of its service.
+        address: `ip:port`.
+        zone: Availability zone.
+        slots: Requests that it runs at once.
+        leaving: True where it takes no new work.
+        started_at: Start in milliseconds since 1970; None where it did not say.
+    """
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    started_at: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamLoad:
+    """Load that an upstream told with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerHead:
+    """What the head of an upstream's answer says.
+
+    Attributes:
+        status: HTTP status.
+        request_id: Id of the request that it answers; None where it does not say.
+        refused: True where the upstream states that the request never ran there.
+        signed: True where the answer carries the upstream's signature.
+        load: Load at the upstream; None where it does not say.
+    """
+
+    status: int
+    request_id: str | None
+    refused: bool
+    signed: bool
+    load: UpstreamLoad | None = None
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_roster.py
@@ -0,0 +1,102 @@
+"""Which upstreams may get new work, from rows of a store that may be away for a while.
+
+An upstream that says it leaves gets no new work at once. One whose row is gone is taken as gone,
+unless rows may have lapsed while the store was away: then it stays for a grace time after the
+store's return, in which a living upstream writes its row again.
+
+Load pattern: releases and crashes of upstreams, and outages of the store beside them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bilberryplank_core._direct_world import DirectUpstream
+
+OUTAGE_GRACE_SECONDS = 2.0
+"""A living upstream writes its row again within about this long after the store's return."""
+
+
+@dataclass(slots=True, frozen=True)
+class RosterChange:
+    """What an update changed."""
+
+    joined: tuple[DirectUpstream, ...] = ()
+    leaving: tuple[DirectUpstream, ...] = ()
+    gone: tuple[DirectUpstream, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.joined or self.leaving or self.gone)
+
+
+class Roster:
+    """Upstreams by name."""
+
+    __slots__ = ("_grace_until", "_lapsed", "_upstreams")
+
+    def __init__(self) -> None:
+        self._upstreams: dict[str, DirectUpstream] = {}
+        self._lapsed: set[str] = set()
+        self._grace_until = float("-inf")
+
+    @property
+    def upstreams(self) -> dict[str, DirectUpstream]:
+        """All upstreams that are known, also leaving ones."""
+        return self._upstreams
+
+    def usable(self, service: str) -> list[DirectUpstream]:
+        """Returns the upstreams of a service that may get new work."""
+        return [
+            each
+            for each in self._upstreams.values()
+            if each.service == service and not each.leaving
+        ]
+
+    def store_returned(self, now: float) -> None:
+        """Takes in that the store answers again after it was away."""
+        self._grace_until = now + OUTAGE_GRACE_SECONDS
+
+    def replace(self, rows: Iterable[DirectUpstream], now: float) -> RosterChange:
+        """Takes in all rows as of one moment."""
+        found = {each.name: each for each in rows}
+        missing = set(self._upstreams) - set(found)
+        return self._apply(found, missing, now)
+
+    def update(
+        self, rows: Iterable[DirectUpstream], removed: Iterable[str], now: float
+    ) -> RosterChange:
+        """Takes in changed rows and the names of removed ones."""
+        return self._apply({each.name: each for each in rows}, set(removed), now)
+
+    def expire(self, now: float) -> RosterChange:
+        """Drops upstreams whose rows did not come back in time."""
+        if now < self._grace_until or not self._lapsed:
+            return RosterChange()
+        gone = [self._upstreams.pop(name) for name in self._lapsed if name in self._upstreams]
+        self._lapsed.clear()
+        return RosterChange(gone=tuple(gone))
+
+    def _apply(
+        self, found: dict[str, DirectUpstream], missing: set[str], now: float
+    ) -> RosterChange:
+        joined, leaving, gone = [], [], []
+        for name, upstream in found.items():
+            before = self._upstreams.get(name)
+            self._lapsed.discard(name)
+            self._upstreams[name] = upstream
+            if before is None or before.started_at != upstream.started_at:
+                joined.append(upstream)
+            if upstream.leaving and not (before and before.leaving):
+                leaving.append(upstream)
+        for name in missing:
+            upstream = self._upstreams.get(name)
+            if upstream is None:
+                continue
+            if now < self._grace_until and not upstream.leaving:
+                self._lapsed.add(name)
+            else:
+                gone.append(self._upstreams.pop(name))
+                self._lapsed.discard(name)
+        late = self.expire(now)
+        return RosterChange(tuple(joined), tuple(leaving), (*gone, *late.gone))
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -205,6 +205,61 @@
     logs: LogSettings = LogSettings()
 
 
+@dataclass(slots=True, frozen=True)
+class RetryBudgetSettings:
+    """Further attempts that all entries together may make for a service.
+
+    Attributes:
+        retry_ratio: Further attempts for each request.
+        window: Length in seconds of the window in which they are counted.
+        allowance: Attempts in a window beside those.
+        entries: Entries among which the allowance is divided, at the most.
+    """
+
+    retry_ratio: float = 0.2
+    window: float = 10.0
+    allowance: float = 40.0
+    entries: int = 16
+
+
+@dataclass(slots=True, frozen=True)
+class DirectEntrySettings:
+    """Settings of an entry that calls its upstreams itself; durations in seconds.
+
+    Attributes:
+        name: Unique name of the process.
+        zone: Availability zone.
+        listen: `ip:port` for callers.
+        operations_listen: `ip:port` for health, readiness and decisions.
+        metrics_listen: `ip:port` for metrics, where they are read at another address too.
+        lame_duck: Seconds after SIGTERM in which new connections are still taken.
+        drain_timeout: Seconds that running requests get after that.
+        sure_limit: With a configuration confirmed within this long, refusals are for good.
+        stale_limit: Without a confirmed configuration for this long, requests are refused.
+        usage_window: Length of a usage window.
+        usage_deadline: A window is reported within this long after its end.
+        lease_duration: Length of the reporter's lease.
+        lease_margin: A holder stops this much earlier, a contender waits this much longer.
+    """
+
+    name: str
+    zone: str
+    listen: str
+    operations_listen: str
+    metrics_listen: str
+    lame_duck: float = 3.0
+    drain_timeout: float = 4.0
+    sure_limit: float = 2.5
+    stale_limit: float = 4.5
+    usage_window: float = 5.0
+    usage_deadline: float = 10.0
+    lease_duration: float = 6.0
+    lease_margin: float = 1.0
+    retries: RetryBudgetSettings = RetryBudgetSettings()
+    callers: CallerSettings = CallerSettings()
+    logs: LogSettings = LogSettings()
+
+
 @dataclass(slots=True, frozen=True)
 class SidecarSettings:
     """Settings of a sidecar.
@@ -258,7 +313,7 @@
     operations: tuple[str, ...] = ()
 
 
-S = TypeVar("S", EntrySettings, SidecarSettings, OperatorSettings)
+S = TypeVar("S", EntrySettings, SidecarSettings, OperatorSettings, DirectEntrySettings)
 
 
 def read_settings(kind: type[S], path: Path) -> S:
--- a/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
@@ -63,7 +63,7 @@
     policies = _POLICIES.get(kind)
     if policies is not None and settings.policy not in policies:
         faults.append(_not_one_of(settings.policy, policies, f"{place}.policy"))
-    if kind == "FleetSettings" and settings.lease_margin * 2 >= settings.lease_duration:
+    if kind in ("FleetSettings", "DirectEntrySettings") and settings.lease_margin * 2 >= settings.lease_duration:
         faults.append(Fault(f"{place}.lease_margin", "too long", "under half of lease_duration"))
     if kind == "LinkSettings" and settings.silence_limit <= settings.heartbeat_interval:
         faults.append(Fault(f"{place}.silence_limit", "too short", "more than heartbeat_interval"))
@@ -79,7 +79,7 @@
 
 
 def _check_text(name: str, value: str, place: str) -> list[Fault]:
-    if name in ("listen", "operations_listen"):
+    if name in ("listen", "operations_listen", "metrics_listen"):
         return check_address(value, place)
     if name in _URL_NAMES:
         return _check_url(value, place)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -0,0 +1,135 @@
+"""Requests that began to run, by organisation and window of true time.
+
+Load pattern: the time of day jumps on some hosts; processes end within a window.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from bilberryplank_core._errors import PlatformUnavailable
+
+
+class WindowCounts:
+    """Counts of one process that are not yet stored.
+
+    Args:
+        window: Length of a window in seconds.
+    """
+
+    __slots__ = ("_counts", "_dirty", "_window")
+
+    def __init__(self, window: float) -> None:
+        self._window = window
+        self._counts: dict[int, Counter[str]] = {}
+        self._dirty: set[int] = set()
+
+    def add(self, organisation: str, true_time: float) -> None:
+        """Counts a request that began at `true_time`, in seconds since 1970."""
+        number = int(true_time // self._window)
+        self._counts.setdefault(number, Counter())[organisation] += 1
+        self._dirty.add(number)
+
+    def unsaved(self, true_time: float, include_open: bool = False) -> list[int]:
+        """Returns the windows whose counts changed since they were stored.
+
+        Args:
+            true_time: Seconds since 1970; windows that it has not passed are left out.
+            include_open: True to take the current window too.
+        """
+        current = int(true_time // self._window)
+        return sorted(each for each in self._dirty if each < current or include_open)
+
+    def value(self, number: int) -> dict[str, int]:
+        """Returns the counts of a window so far."""
+        return dict(self._counts.get(number, ()))
+
+    def saved(self, number: int, value: dict[str, int]) -> None:
+        """Takes in that the store has a window's counts."""
+        if self.value(number) == value:
+            self._dirty.discard(number)
+
+    def forget_before(self, number: int) -> None:
+        """Drops what is older than a window."""
+        for each in [old for old in self._counts if old < number]:
+            del self._counts[each]
+            self._dirty.discard(each)
+
+
+def sum_counts(values: Iterable[Any]) -> dict[str, int]:
+    """Returns the sums of the counts that processes stored for one window."""
+    total: Counter[str] = Counter()
+    for value in values:
+        if isinstance(value, dict):
+            total.update({name: n for name, n in value.items() if isinstance(n, int)})
+    return {name: total[name] for name in sorted(total)}
+
+
+class TrueTime:
+    """True time from the store's steady clock, so that jumps of the host's clock change nothing.
+
+    The first process of a fleet writes down how far the store's clock is from the time of day;
+    all others use that figure.
+
+    Args:
+        clock: Seconds that go on while the host is suspended.
+    """
+
+    __slots__ = ("_clock", "_offset", "_round_trip", "_store_ahead")
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._store_ahead: float | None = None
+        self._round_trip = float("inf")
+        self._offset: float | None = None
+
+    def observe(self, store_time: float, sent_at: float, got_at: float) -> None:
+        """Takes in the store's clock from one answer; the quickest answer is the most exact."""
+        if got_at - sent_at < self._round_trip:
+            self._round_trip = got_at - sent_at
+            self._store_ahead = store_time - (sent_at + got_at) / 2
+
+    def store_time(self) -> float:
+        """Returns the store's clock in seconds.
+
+        Raises:
+            PlatformUnavailable: The store has not told its clock yet.
+        """
+        if self._store_ahead is None:
+            raise PlatformUnavailable("the store has not told its clock yet")
+        return self._clock() + self._store_ahead
+
+    def agree(self, offset: float) -> None:
+        """Takes in the fleet's figure of true time less the store's clock, in seconds."""
+        self._offset = offset
+
+    def now(self) -> float | None:
+        """Returns seconds since 1970; None before the figure is known."""
+        if self._store_ahead is None or self._offset is None:
+            return None
+        return self._clock() + self._store_ahead + self._offset
+
+
+@dataclass(slots=True, frozen=True)
+class WindowSeal:
+    """Figures of a window, fixed before the first report of them is sent.
+
+    Attributes:
+        counts: Requests by organisation.
+        reported: True once the platform took them.
+    """
+
+    counts: dict[str, int]
+    reported: bool = False
+
+    def to_value(self) -> dict[str, Any]:
+        """Returns the row's JSON value."""
+        return {"counts": self.counts, "reported": self.reported}
+
+
+def read_seal(value: Any) -> WindowSeal:
+    """Returns the seal in a row's JSON value."""
+    return WindowSeal(dict(value["counts"]), bool(value["reported"]))
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -0,0 +1,81 @@
+"""Decisions of an entry that calls its upstreams itself, without sidecars."""
+
+from bilberryplank_core._confirmation import Confirmation, Trust
+from bilberryplank_core._direct_attempts import AttemptLog, Outcome, Step, judge_head
+from bilberryplank_core._direct_contracts import (
+    Changes,
+    DirectPlatform,
+    DirectRows,
+    HistoryGone,
+    UpstreamDialect,
+    WatchedTable,
+    WindowReports,
+)
+from bilberryplank_core._direct_routes import Classified, RouteIndex, draw_service
+from bilberryplank_core._direct_world import (
+    AnswerHead,
+    CallerCall,
+    DirectConfiguration,
+    DirectRoute,
+    DirectService,
+    DirectUpstream,
+    EngineShape,
+    Organisation,
+    PromptPart,
+    RepeatRule,
+    UpstreamLoad,
+)
+from bilberryplank_core._engine_board import EngineBoard, EngineChoice
+from bilberryplank_core._roster import Roster, RosterChange
+from bilberryplank_core._service_board import ServiceBoard
+from bilberryplank_core._upstream_health import UpstreamHealth
+from bilberryplank_core._window_counts import (
+    TrueTime,
+    WindowCounts,
+    WindowSeal,
+    read_seal,
+    sum_counts,
+)
+from bilberryplank_core._window_retry_budget import WindowRetryBudget
+
+__all__ = [
+    "AnswerHead",
+    "AttemptLog",
+    "CallerCall",
+    "Changes",
+    "Classified",
+    "Confirmation",
+    "DirectConfiguration",
+    "DirectPlatform",
+    "DirectRows",
+    "DirectRoute",
+    "DirectService",
+    "DirectUpstream",
+    "EngineBoard",
+    "EngineChoice",
+    "EngineShape",
+    "HistoryGone",
+    "Organisation",
+    "Outcome",
+    "PromptPart",
+    "RepeatRule",
+    "Roster",
+    "RosterChange",
+    "RouteIndex",
+    "ServiceBoard",
+    "Step",
+    "TrueTime",
+    "Trust",
+    "UpstreamDialect",
+    "UpstreamHealth",
+    "UpstreamLoad",
+    "WatchedTable",
+    "WindowCounts",
+    "WindowReports",
+    "WindowRetryBudget",
+    "WindowSeal",
+    "draw_service",
+    "judge_head",
+    "read_seal",
+    "sum_counts",
+]
--- a/packages/bilberryplank-core/bilberryplank_core/settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/settings.py
@@ -2,6 +2,7 @@
 
 from bilberryplank_core._settings import (
     CallerSettings,
+    DirectEntrySettings,
     EntrySettings,
     FleetSettings,
     LinkSettings,
@@ -9,6 +10,7 @@
     OperatorSettings,
     PlatformSettings,
     QueueSettings,
+    RetryBudgetSettings,
     RoutingSettings,
     ScalingSettings,
     SidecarSettings,
@@ -18,6 +20,7 @@
 
 __all__ = [
     "CallerSettings",
+    "DirectEntrySettings",
     "EntrySettings",
     "FleetSettings",
     "LinkSettings",
@@ -25,6 +28,7 @@
     "OperatorSettings",
     "PlatformSettings",
     "QueueSettings",
+    "RetryBudgetSettings",
     "RoutingSettings",
     "ScalingSettings",
     "SidecarSettings",
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -0,0 +1,126 @@
+"""Calls from an entry to an upstream, each over a connection of its own.
+
+A connection that was kept open may be closed by the upstream just then, or hold an answer that
+belongs to nobody; a fresh one has neither. So what a failure means is always plain: before the
+connection stands nothing went out, after that the request may have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from collections.abc import AsyncIterator, Iterable
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict, CIMultiDictProxy
+from yarl import URL
+
+from bilberryplank._upstream_call import SendOnce, UpstreamBroke, UpstreamNotReached
+from bilberryplank._upstream_headers import AUTOMATIC_HEADERS
+
+CONNECT_TIMEOUT_SECONDS = 0.4
+"""A living upstream accepts within milliseconds; a dark one must not cost an objective."""
+
+
+class _StrictHandler(ResponseHandler):
+    """Takes an answer without a stated length that ends in a reset for broken, not for whole."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None and self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(aiohttp.ClientPayloadError(f"connection reset: {exc}"))
+        super().connection_lost(exc)
+
+
+class UpstreamAnswer:
+    """An answer whose head is here.
+
+    Attributes:
+        status: HTTP status.
+        fields: Header fields.
+    """
+
+    __slots__ = ("_resp", "fields", "status")
+
+    def __init__(self, resp: aiohttp.ClientResponse) -> None:
+        self._resp = resp
+        self.status = resp.status
+        self.fields: CIMultiDictProxy[str] = resp.headers
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yields the bytes of the body as they come.
+
+        Raises:
+            UpstreamBroke: The answer ended before it was whole.
+        """
+        try:
+            async for data in self._resp.content.iter_any():
+                yield data
+        except (aiohttp.ClientError, ConnectionError) as exc:
+            raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
+
+    async def body(self) -> bytes:
+        """Returns the whole body; raises as `pieces`."""
+        return b"".join([data async for data in self.pieces()])
+
+    def close(self) -> None:
+        """Ends the connection, whether or not the answer is whole."""
+        self._resp.close()
+
+
+class DirectClient:
+    """Calls upstreams."""
+
+    __slots__ = ("_session",)
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        loop = asyncio.get_running_loop()
+        connector._factory = functools.partial(_StrictHandler, loop=loop)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=AUTOMATIC_HEADERS,
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        fields: Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> UpstreamAnswer:
+        """Sends a request and returns the answer once its head is here.
+
+        Args:
+            address: `ip:port` of the upstream.
+            method: HTTP method.
+            target: Raw path and query.
+            fields: Header fields.
+            body: Whole body; empty for none.
+
+        Raises:
+            UpstreamNotReached: No byte of the request went out.
+            UpstreamBroke: It may have run.
+        """
+        try:
+            resp = await self._session.request(
+                method,
+                URL(f"http://{address}{target}", encoded=True),
+                headers=CIMultiDict(fields),
+                data=body or None,
+                allow_redirects=False,
+                middlewares=(SendOnce(),),
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise UpstreamNotReached(str(exc)) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
+        return UpstreamAnswer(resp)
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -0,0 +1,219 @@
+"""The process that takes callers' requests and calls upstreams itself."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from collections.abc import Callable
+
+from loguru import logger
+from mode import Service
+
+from bilberryplank._caller_server import CallerServer
+from bilberryplank._clocks import boot_time
+from bilberryplank._decisions import DecisionJournal
+from bilberryplank._direct_client import DirectClient
+from bilberryplank._direct_feeds import ConfigurationWatch, RosterWatch
+from bilberryplank._direct_requests import DirectRequests
+from bilberryplank._direct_state import DirectState
+from bilberryplank._direct_usage import TrueTimeKeeper, UsageReporter, UsageStore
+from bilberryplank._logs import log_event
+from bilberryplank._metrics import ProcessMetrics
+from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
+from bilberryplank._process import EPOCH_BYTES
+from bilberryplank._seeds import process_rng
+from bilberryplank_core.direct import (
+    DirectConfiguration,
+    DirectPlatform,
+    RosterChange,
+    TrueTime,
+    Trust,
+    WindowCounts,
+)
+from bilberryplank_core.errors import PlatformError, RefusalReason, SettingsInvalid
+from bilberryplank_core.settings import DirectEntrySettings
+
+POLL_SECONDS = 0.1
+SETTINGS_POLL_SECONDS = 2.0
+"""The settings file may change without a signal."""
+
+SettingsReader = Callable[[], DirectEntrySettings]
+
+
+class DirectEntry(Service):
+    """Wires the parts of a direct entry.
+
+    Args:
+        settings: Settings at the start.
+        platform: What the adapter brings.
+        reread: Reads the settings again.
+    """
+
+    abstract = False
+
+    def __init__(
+        self, settings: DirectEntrySettings, platform: DirectPlatform, reread: SettingsReader
+    ) -> None:
+        super().__init__()
+        self.epoch = secrets.token_hex(EPOCH_BYTES)
+        self.metrics = ProcessMetrics()
+        self._settings = settings
+        self._platform = platform
+        self._reread = reread
+        self._reload = asyncio.Event()
+        self._rng = process_rng(settings.name)
+        self._client: DirectClient | None = None
+
+    async def on_start(self) -> None:
+        """Starts the parts, the one that takes work last."""
+        cfg, platform = self._settings, self._platform
+        self._roster = RosterWatch(
+            platform.table, platform.rows, self._roster_changed, self._rng
+        )
+        self._state = DirectState(cfg, self._roster.roster, self._rng)
+        self._watch = ConfigurationWatch(
+            platform.table, platform.rows, self._state.confirmation, self._configured, self._rng
+        )
+        self._client = DirectClient()
+        counts, true_time = WindowCounts(cfg.usage_window), platform.true_time
+        self._usage = UsageStore(f"{cfg.name}-{self.epoch}", platform.table, counts, true_time)
+        self._requests = DirectRequests(
+            self._state,
+            self._client,
+            platform.dialect,
+            counts,
+            true_time,
+            self.metrics,
+            cfg.callers,
+        )
+        self._server = CallerServer(
+            cfg.listen, cfg.callers, self._requests.handle, self._refused_early
+        )
+        self._operations = OperationsServer(
+            cfg.operations_listen,
+            self.metrics,
+            DecisionJournal(process=cfg.name),
+            self.status,
+            further_addresses=(cfg.metrics_listen,),
+        )
+        keeper = TrueTimeKeeper(platform.table, true_time)
+        for part in (self._operations, self._watch, self._roster, keeper, self._usage):
+            await self._start_part(part)
+        if platform.reports is not None:
+            reporter = UsageReporter(
+                cfg, cfg.name, platform.table, platform.reports, true_time, self._rng
+            )
+            await self._start_part(reporter)
+        await self._start_part(self._server)
+        self.add_future(self._keep_readiness())
+        self.add_future(self._keep_settings())
+        log_event(logger, "started", zone=cfg.zone, epoch=self.epoch, listen=cfg.listen)
+
+    async def on_stop(self) -> None:
+        """Ends the work without cutting anything off."""
+        cfg = self._settings
+        began = boot_time()
+        log_event(logger, "stopping", in_flight=self._requests.in_flight)
+        self._operations.readiness = Readiness.DRAINING
+        self._requests.draining = True
+        await asyncio.sleep(cfg.lame_duck)
+        self._server.stop_listening()
+        self._requests.closed = True
+        await self._wait_idle(began + cfg.lame_duck + cfg.drain_timeout)
+        try:
+            async with asyncio.timeout(POLL_SECONDS * 5):
+                await self._usage.flush(include_open=True)
+        except (PlatformError, TimeoutError) as exc:
+            log_event(logger, "usage_not_stored", level="WARNING", cause=exc)
+        log_event(logger, "stopped", in_flight=self._requests.in_flight)
+
+    async def on_shutdown(self) -> None:
+        """Closes the connections to upstreams."""
+        if self._client is not None:
+            await self._client.close()
+
+    def reload(self) -> None:
+        """Asks for the settings to be read again."""
+        self._reload.set()
+
+    def status(self) -> ProcessStatus:
+        """Returns the state that operators see."""
+        cfg, watch = self._settings, self._watch
+        return ProcessStatus(
+            cfg.name,
+            "direct-entry",
+            cfg.zone,
+            self.epoch,
+            version=watch.configuration.version if watch.configuration else 0,
+            confirmed_age=self._state.confirmation.age(boot_time()),
+            running=self._requests.in_flight,
+        )
+
+    async def _wait_idle(self, until: float) -> None:
+        while self._requests.in_flight and boot_time() < until:
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _keep_readiness(self) -> None:
+        while not self.should_stop:
+            now = boot_time()
+            known = self._state.routes is not None and bool(self._roster.roster.upstreams)
+            usable = self._state.confirmation.trust(now) is not Trust.STALE
+            before = self._operations.readiness
+            after = Readiness.READY if known and usable else Readiness.STARTING
+            if before is not Readiness.DRAINING and before is not after:
+                self._operations.readiness = after
+                age = round(self._state.confirmation.age(now), 2)
+                log_event(logger, "readiness_changed", readiness=after.value, config_age=age)
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _keep_settings(self) -> None:
+        while not self.should_stop:
+            try:
+                async with asyncio.timeout(SETTINGS_POLL_SECONDS):
+                    await self._reload.wait()
+            except TimeoutError:
+                pass
+            self._reload.clear()
+            self._read_settings()
+
+    def _read_settings(self) -> None:
+        try:
+            settings = self._reread()
+        except SettingsInvalid as exc:
+            log_event(logger, "settings_rejected", level="ERROR", cause=exc)
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._state.apply_settings(settings)
+        log_event(logger, "settings_reloaded")
+
+    def _configured(self, cfg: DirectConfiguration) -> None:
+        self._state.apply_configuration(cfg)
+        self.metrics.declare_classes(route.name for route in cfg.routes)
+
+    def _roster_changed(self, change: RosterChange) -> None:
+        self._state.apply_roster(change)
+
+    def _refused_early(self, reason: RefusalReason) -> None:
+        self.metrics.refused(reason)
+
+    async def _start_part(self, part: Service) -> None:
+        self.add_dependency(part)
+        await part.maybe_start()
+
+
+async def run_direct_entry(entry: DirectEntry) -> int:
+    """Runs a direct entry until SIGTERM or SIGINT; returns the exit code."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, entry.reload)
+    try:
+        await entry.start()
+        await entry.wait_first(stopping, entry._crashed)
+    finally:
+        await entry.stop()
+    return 1 if entry.crashed else 0
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -0,0 +1,252 @@
+"""How an entry learns the configuration and the upstreams from a table that tells its changes."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import abstractmethod
+from collections.abc import Callable, Iterable
+from random import Random
+
+from loguru import logger
+from mode import Service
+
+from bilberryplank._clocks import boot_time
+from bilberryplank._logs import log_event
+from bilberryplank_core.contracts import Row
+from bilberryplank_core.direct import (
+    Changes,
+    Confirmation,
+    DirectConfiguration,
+    DirectRows,
+    DirectUpstream,
+    HistoryGone,
+    Roster,
+    RosterChange,
+    WatchedTable,
+)
+from bilberryplank_core.errors import ConfigurationInvalid, PlatformError
+
+CHANGE_WAIT_SECONDS = 1.0
+"""How long one read waits for a change; the age of what is known stays within twice this."""
+
+RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 0.5
+"""Pauses between failed reads, growing, so that a store that is down sees few calls."""
+
+
+class TableWatch(Service):
+    """Reads a table whole, then its changes; after any failure whole again.
+
+    Args:
+        table: The table service.
+        name: Name of the table.
+        rng: Spreads the pauses.
+    """
+
+    abstract = True
+
+    def __init__(self, table: WatchedTable, name: str, rng: Random) -> None:
+        super().__init__()
+        self._table = table
+        self._name = name
+        self._rng = rng
+        self._revision: int | None = None
+        self._failures = 0
+
+    @abstractmethod
+    def take_all(self, rows: tuple[Row, ...], sent_at: float) -> None:
+        """Takes in all rows, from a read that was sent at `sent_at`."""
+
+    @abstractmethod
+    def take_changes(self, changes: Changes, sent_at: float) -> None:
+        """Takes in what changed, from a read that was sent at `sent_at`."""
+
+    def returned(self) -> None:
+        """Takes in that the table answers again."""
+
+    async def on_started(self) -> None:
+        """Begins to read."""
+        self.add_future(self._watch())
+
+    async def _watch(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._read()
+            except HistoryGone:
+                log_event(logger, "table_history_gone", table=self._name, revision=self._revision)
+                self._revision = None
+            except PlatformError as exc:
+                await self._failed(exc)
+
+    async def _read(self) -> None:
+        sent_at = boot_time()
+        if self._revision is None:
+            changes = await self._table.snapshot(self._name)
+            self._answered()
+            self.take_all(changes.rows, sent_at)
+        else:
+            changes = await self._table.changes(self._name, self._revision, CHANGE_WAIT_SECONDS)
+            self._answered()
+            self.take_changes(changes, sent_at)
+        self._revision = max(changes.revision, self._revision or 0)
+
+    def _answered(self) -> None:
+        if self._failures:
+            log_event(logger, "table_regained", table=self._name, failures=self._failures)
+            self._failures = 0
+            self.returned()
+
+    async def _failed(self, exc: PlatformError) -> None:
+        if not self._failures:
+            log_event(logger, "table_lost", level="WARNING", table=self._name, cause=exc)
+        self._failures += 1
+        self._revision = None
+        pause = min(RETRY_SECONDS * 2 ** min(self._failures, 8), MAX_RETRY_SECONDS)
+        await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
+
+
+class ConfigurationWatch(TableWatch):
+    """Keeps the newest configuration; its version never goes down.
+
+    Attributes:
+        confirmation: Age of what is in force.
+        configuration: The configuration in force; None before the first.
+    """
+
+    abstract = False
+
+    def __init__(
+        self,
+        table: WatchedTable,
+        rows: DirectRows,
+        confirmation: Confirmation,
+        apply: Callable[[DirectConfiguration], None],
+        rng: Random,
+    ) -> None:
+        super().__init__(table, rows.configuration_table, rng)
+        self.confirmation = confirmation
+        self.configuration: DirectConfiguration | None = None
+        self._rows = rows
+        self._apply = apply
+
+    def take_all(self, rows: tuple[Row, ...], sent_at: float) -> None:
+        """Takes in all rows."""
+        self._take(rows, sent_at)
+
+    def take_changes(self, changes: Changes, sent_at: float) -> None:
+        """Takes in what changed."""
+        self._take(changes.rows, sent_at)
+
+    def _take(self, rows: Iterable[Row], sent_at: float) -> None:
+        for row in rows:
+            if row.key == self._rows.configuration_key and not self._take_row(row):
+                return
+        if self.configuration is not None:
+            self.confirmation.confirm(sent_at)
+
+    def _take_row(self, row: Row) -> bool:
+        try:
+            cfg = self._rows.read_configuration(row.value)
+        except ConfigurationInvalid as exc:
+            log_event(
+                logger,
+                "configuration_unreadable",
+                level="ERROR",
+                revision=row.revision,
+                in_force=self._version(),
+                cause=exc,
+            )
+            return False
+        if cfg.version <= self._version():
+            return True
+        log_event(
+            logger,
+            "configuration_in_force",
+            version=cfg.version,
+            before=self._version(),
+            routes=len(cfg.routes),
+            organisations=len(set((cfg.organisations or {}).values())),
+        )
+        self.configuration = cfg
+        self._apply(cfg)
+        return True
+
+    def _version(self) -> int:
+        return self.configuration.version if self.configuration else 0
+
+
+class RosterWatch(TableWatch):
+    """Keeps the roster of upstreams.
+
+    Attributes:
+        roster: The upstreams.
+    """
+
+    abstract = False
+
+    def __init__(
+        self,
+        table: WatchedTable,
+        rows: DirectRows,
+        changed: Callable[[RosterChange], None],
+        rng: Random,
+    ) -> None:
+        super().__init__(table, rows.upstream_table, rng)
+        self.roster = Roster()
+        self._rows = rows
+        self._changed = changed
+        self._unreadable: set[str] = set()
+        self._was_away = False
+
+    def returned(self) -> None:
+        """Gives rows that lapsed meanwhile the time to come back."""
+        self.roster.store_returned(boot_time())
+
+    def take_all(self, rows: tuple[Row, ...], sent_at: float) -> None:
+        """Takes in all rows."""
+        self._tell(self.roster.replace(self._read_rows(rows), boot_time()))
+
+    def take_changes(self, changes: Changes, sent_at: float) -> None:
+        """Takes in what changed."""
+        now = boot_time()
+        found = self._read_rows(changes.rows)
+        # A row that can no longer be read names no upstream to use.
+        spoilt = {row.key for row in changes.rows} - {each.name for each in found}
+        self._tell(self.roster.update(found, {*changes.removed, *spoilt}, now))
+
+    def _read_rows(self, rows: Iterable[Row]) -> list[DirectUpstream]:
+        found = []
+        for row in rows:
+            upstream = self._rows.read_upstream(row.key, row.value)
+            if upstream is not None:
+                self._unreadable.discard(row.key)
+                found.append(upstream)
+            elif row.key not in self._unreadable:
+                self._unreadable.add(row.key)
+                log_event(
+                    logger,
+                    "upstream_row_unreadable",
+                    level="WARNING",
+                    row=row.key,
+                    revision=row.revision,
+                )
+        return found
+
+    def _tell(self, change: RosterChange) -> None:
+        if not change:
+            return
+        for event, upstreams in (
+            ("upstream_joined", change.joined),
+            ("upstream_leaving", change.leaving),
+            ("upstream_gone", change.gone),
+        ):
+            for each in upstreams:
+                log_event(
+                    logger,
+                    event,
+                    upstream=each.name,
+                    service=each.service,
+                    zone=each.zone,
+                    address=each.address,
+                )
+        self._changed(change)
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -0,0 +1,151 @@
+"""What a direct entry does with each request of a caller."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import web
+from loguru import logger
+
+from bilberryplank._caller_answer import CallerGone
+from bilberryplank._caller_request import receive
+from bilberryplank._clocks import boot_time
+from bilberryplank._direct_client import DirectClient
+from bilberryplank._direct_run import DirectRun, RunParts
+from bilberryplank._direct_state import DirectState
+from bilberryplank._logs import log_event
+from bilberryplank._metrics import NO_CLASS, ProcessMetrics, RequestOutcome
+from bilberryplank._refusals import refusal_body
+from bilberryplank_core.direct import (
+    CallerCall,
+    Classified,
+    Trust,
+    UpstreamDialect,
+    WindowCounts,
+    TrueTime,
+)
+from bilberryplank_core.errors import REFUSAL_STATUS, RefusalReason, Refused
+from bilberryplank_core.settings import CallerSettings
+
+SOON_SECONDS = 0.4
+"""When to come back for what a fresh read of the store will settle."""
+
+FINAL_REASONS = frozenset(
+    {RefusalReason.ROUTE_UNKNOWN, RefusalReason.KEY_UNKNOWN, RefusalReason.KEY_MISSING}
+)
+"""Refusals that hold only while the configuration is known to be the newest."""
+
+
+@dataclass(slots=True)
+class Intake:
+    """A request as far as its head tells."""
+
+    call: CallerCall
+    arrived: float
+
+
+class DirectRequests:
+    """Handles callers' requests.
+
+    Attributes:
+        in_flight: Requests whose final answer is not out yet.
+        draining: True once the entry is about to stop; answers then end their connections.
+        closed: True once no new request is taken.
+    """
+
+    def __init__(
+        self,
+        state: DirectState,
+        client: DirectClient,
+        dialect: UpstreamDialect,
+        counts: WindowCounts,
+        true_time: TrueTime,
+        metrics: ProcessMetrics,
+        callers: CallerSettings,
+    ) -> None:
+        self.in_flight = 0
+        self.draining = False
+        self.closed = False
+        self._state = state
+        self._dialect = dialect
+        self._metrics = metrics
+        self._callers = callers
+        self._parts = RunParts(state, client, dialect, counts, true_time, metrics)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Returns the final answer to a request."""
+        arrived = boot_time()
+        self.in_flight += 1
+        call = CallerCall("")
+        class_name = NO_CLASS
+        try:
+            call = self._dialect.read_call(request.headers)
+            found = self._classify(request, call)
+            class_name = found.route.name
+            received = await receive(request, self._callers)
+            run = DirectRun(self._parts, request, received, call, found, arrived, self.draining)
+            resp = await run.run()
+            self._metrics.request_ended(class_name, RequestOutcome.ANSWERED)
+            return resp
+        except Refused as refused:
+            return self._refuse(call, refused, class_name, arrived)
+        except (CallerGone, asyncio.CancelledError):
+            self._metrics.request_ended(class_name, RequestOutcome.CALLER_GONE)
+            age = round(boot_time() - arrived, 3)
+            log_event(logger, "request_abandoned", request=call.request_id, seconds=age)
+            raise
+        finally:
+            self.in_flight -= 1
+
+    def _classify(self, request: web.BaseRequest, call: CallerCall) -> Classified:
+        routes = self._state.routes
+        if self.closed:
+            raise Refused(RefusalReason.DRAINING, "this entry stops", retry_after=SOON_SECONDS)
+        now = boot_time()
+        trust = self._state.confirmation.trust(now)
+        if routes is None or trust is Trust.STALE:
+            age = self._state.confirmation.age(now)
+            message = f"the configuration was last confirmed {age:.2f} s ago"
+            raise Refused(
+                RefusalReason.CONFIGURATION_STALE, message, retry_after=SOON_SECONDS
+            )
+        path = request.raw_path.partition("?")[0]
+        try:
+            return routes.classify(request.headers.get("Host", ""), path, call)
+        except Refused as refused:
+            if refused.reason in FINAL_REASONS and trust is not Trust.SURE:
+                message = f"{refused}, but the configuration may be behind"
+                raise Refused(
+                    RefusalReason.CONFIGURATION_STALE, message, retry_after=SOON_SECONDS
+                ) from refused
+            raise
+
+    def _refuse(
+        self, call: CallerCall, refused: Refused, class_name: str, arrived: float
+    ) -> web.Response:
+        outcome = RequestOutcome.NOT_RUN if refused.not_run else RequestOutcome.MAY_HAVE_RUN
+        self._metrics.refused(refused.reason, class_name)
+        self._metrics.request_ended(class_name, outcome)
+        routes = self._state.routes
+        log_event(
+            logger,
+            "request_refused",
+            request=call.request_id,
+            route=class_name,
+            reason=refused.reason.value,
+            not_run=refused.not_run,
+            retry_after=refused.retry_after,
+            seconds=round(boot_time() - arrived, 3),
+            version=routes.configuration.version if routes else 0,
+            config_age=round(self._state.confirmation.age(boot_time()), 2),
+            message=refused,
+        )
+        status = REFUSAL_STATUS[refused.reason].value
+        resp = web.Response(status=status, body=refusal_body(refused))
+        resp.content_type = "application/json"
+        for name, value in self._dialect.refusal_fields(refused, call.request_id):
+            resp.headers[name] = value
+        if self.draining:
+            resp.force_close()
+        return resp
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -0,0 +1,392 @@
+"""One request of a caller at a direct entry, from its placing to its last byte."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import web
+from loguru import logger
+from multidict import CIMultiDict
+
+from bilberryplank._caller_answer import CallerGone
+from bilberryplank._caller_request import ReceivedRequest
+from bilberryplank._clocks import boot_time
+from bilberryplank._direct_client import DirectClient, UpstreamAnswer
+from bilberryplank._direct_state import DirectState
+from bilberryplank._logs import log_event
+from bilberryplank._metrics import ProcessMetrics
+from bilberryplank._upstream_call import UpstreamBroke, UpstreamNotReached
+from bilberryplank_core.direct import (
+    AttemptLog,
+    CallerCall,
+    Classified,
+    DirectUpstream,
+    EngineBoard,
+    Outcome,
+    Step,
+    TrueTime,
+    UpstreamDialect,
+    WindowCounts,
+    draw_service,
+    judge_head,
+)
+from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
+from bilberryplank_core.events import EventSplitter
+from bilberryplank_core.messages import Headers
+
+LATE_ANSWER_SECONDS = 0.05
+"""An upstream's own answer at the time limit may take this long to arrive."""
+
+LEAST_TRY_SECONDS = 0.05
+"""With less time left no upstream is asked again."""
+
+RETURN_SECONDS = 0.5
+"""When to come back if no upstream could take a request."""
+
+RETRY_REASONS = {
+    Outcome.NOT_REACHED: RetryReason.LINK_FAILED,
+    Outcome.NOT_RUN: RetryReason.NOT_RUN,
+    Outcome.UNKNOWN: RetryReason.IDEMPOTENT_FAILURE,
+    Outcome.FAILED: RetryReason.IDEMPOTENT_FAILURE,
+}
+
+
+@dataclass(slots=True)
+class RunParts:
+    """What all requests of an entry share."""
+
+    state: DirectState
+    client: DirectClient
+    dialect: UpstreamDialect
+    counts: WindowCounts
+    true_time: TrueTime
+    metrics: ProcessMetrics
+
+
+class DirectRun:
+    """Carries one request out.
+
+    Args:
+        parts: What all requests share.
+        request: The caller's request, to be answered.
+        received: Its method, path, header fields and body.
+        call: What its head says.
+        found: Its route and organisation.
+        arrived: When its head was here, in seconds on the boot clock.
+        closes: True to end the caller's connection after the answer.
+    """
+
+    def __init__(
+        self,
+        parts: RunParts,
+        request: web.BaseRequest,
+        received: ReceivedRequest,
+        call: CallerCall,
+        found: Classified,
+        arrived: float,
+        closes: bool,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._received = received
+        self._call = call
+        self._found = found
+        self._arrived = arrived
+        self._closes = closes
+        self._service = draw_service(found.route, parts.state.rng)
+        self._log = AttemptLog(found.route.repeat, found.route.max_runs)
+        self._tried: set[str] = set()
+        self._resp: web.StreamResponse | None = None
+        self._failed: tuple[int, Headers, bytes] | None = None
+        self._counted = False
+        self._last_event: str | None = call.resume_after
+        limit = found.route.timeout
+        if call.time_limit is not None:
+            limit = min(limit, call.time_limit)
+        self._deadline = arrived + limit
+
+    async def run(self) -> web.StreamResponse:
+        """Returns the answer, sent whole.
+
+        Raises:
+            Refused: No upstream answered.
+            CallerGone: The caller left, or its answer was cut off.
+        """
+        state = self._parts.state
+        state.budget(self._service).request(boot_time())
+        left = self._deadline - boot_time() + LATE_ANSWER_SECONDS
+        try:
+            async with asyncio.timeout(left):
+                return await self._attempts()
+        except TimeoutError:
+            message = "no whole answer came before the time limit"
+            raise self._give_up(RefusalReason.DEADLINE_PASSED, message) from None
+
+    async def _attempts(self) -> web.StreamResponse:
+        while True:
+            upstream, note = self._place()
+            outcome, resp = await self._attempt(upstream, note)
+            if resp is not None:
+                return resp
+            if not self._can_retry(outcome):
+                if self._failed is not None and self._resp is None:
+                    return self._deliver(upstream, *self._failed)
+                raise self._failure(outcome)
+            self._parts.metrics.retried(RETRY_REASONS[outcome])
+
+    def _place(self) -> tuple[DirectUpstream, dict[str, object]]:
+        """Returns the upstream of the next attempt, and what decided."""
+        state, now = self._parts.state, boot_time()
+        known = state.upstreams(self._service)
+        fresh = [each for each in known if each.name not in self._tried] or known
+        board = state.board(self._service)
+        note: dict[str, object] = {"known": len(known)}
+        if isinstance(board, EngineBoard):
+            choice = board.choose(self._call, fresh, now)
+            upstream = choice.upstream if choice else None
+            if choice is not None:
+                board.begin(choice, self._call)
+                note.update(unread=choice.unread, wait=round(choice.wait, 3))
+                note["load_age"] = None if choice.load_age is None else round(choice.load_age, 2)
+        else:
+            upstream = board.choose(fresh, now)
+            if upstream is not None:
+                board.begin(upstream.name)
+        if upstream is None:
+            raise self._give_up(RefusalReason.NO_UPSTREAM, "no upstream can take the request")
+        state.health.begin(upstream.name, now)
+        self._tried.add(upstream.name)
+        return upstream, note
+
+    async def _attempt(
+        self, upstream: DirectUpstream, note: dict[str, object]
+    ) -> tuple[Outcome, web.StreamResponse | None]:
+        state, began = self._parts.state, boot_time()
+        self._log_placed(upstream, note, began)
+        outcome = Outcome.UNKNOWN
+        abandoned = False
+        answer: UpstreamAnswer | None = None
+        try:
+            answer = await self._send(upstream, began)
+            outcome, resp = await self._take(upstream, answer)
+            return outcome, resp
+        except UpstreamNotReached as exc:
+            outcome = Outcome.NOT_REACHED
+            self._log_failed(upstream, outcome, exc)
+            return outcome, None
+        except UpstreamBroke as exc:
+            self._log_failed(upstream, outcome, exc)
+            if self._resp is not None and not self._may_resume():
+                self._cut_off("the upstream broke off its answer")
+            return outcome, None
+        except (asyncio.CancelledError, CallerGone):
+            abandoned = True
+            raise
+        finally:
+            if answer is not None:
+                answer.close()
+            seconds = boot_time() - began if outcome is Outcome.ANSWERED else None
+            self._left(upstream, seconds)
+            self._log.record(outcome)
+            if not abandoned:
+                state.record(upstream, outcome, self._call.request_id)
+
+    async def _send(self, upstream: DirectUpstream, now: float) -> UpstreamAnswer:
+        parts = self._parts
+        is_engine = isinstance(parts.state.board(self._service), EngineBoard)
+        fields = parts.dialect.upstream_fields(
+            ((name, value) for name, value in self._received.headers),
+            upstream,
+            self._found.organisation,
+            self._found.rank if is_engine else None,
+            self._deadline - now,
+            self._last_event,
+        )
+        received = self._received
+        return await parts.client.send(
+            upstream.address, received.method, received.path, fields, received.body
+        )
+
+    async def _take(
+        self, upstream: DirectUpstream, answer: UpstreamAnswer
+    ) -> tuple[Outcome, web.StreamResponse | None]:
+        head = self._parts.dialect.read_answer(answer.status, answer.fields)
+        self._parts.state.report(upstream, head.load)
+        outcome = judge_head(head, self._call.request_id)
+        if outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN):
+            self._log_failed(upstream, outcome, f"answered {answer.status}")
+            return outcome, None
+        if outcome is Outcome.ANSWERED and head.status < 300 and self._found.route.repeat.streamed:
+            return outcome, await self._stream(upstream, answer)
+        if self._resp is not None:
+            return Outcome.UNKNOWN, None
+        body = await answer.body()
+        self._count()
+        fields = self._parts.dialect.answer_fields(answer.fields.items())
+        if outcome is Outcome.FAILED:
+            self._failed = (answer.status, fields, body)
+            self._log_failed(upstream, outcome, f"answered {answer.status}")
+            return outcome, None
+        return outcome, self._deliver(upstream, answer.status, fields, body)
+
+    def _deliver(
+        self, upstream: DirectUpstream, status: int, fields: Headers, body: bytes
+    ) -> web.StreamResponse:
+        headers = CIMultiDict((name, value) for name, value in fields)
+        headers.popall("Content-Length", None)
+        resp = web.Response(status=status, headers=headers, body=body)
+        if self._closes:
+            resp.force_close()
+        self._resp = resp
+        self._log_ended(upstream, status)
+        return resp
+
+    async def _stream(
+        self, upstream: DirectUpstream, answer: UpstreamAnswer
+    ) -> web.StreamResponse:
+        splitter = EventSplitter() if self._resumable else None
+        async for data in answer.pieces():
+            self._first_token()
+            for piece in [data] if splitter is None else splitter.feed(data):
+                await self._pass_on(answer, piece)
+                if splitter is not None:
+                    self._note_event(piece)
+        if splitter is not None and splitter.held:
+            raise UpstreamBroke("the stream ended within an event")
+        if self._resp is None:
+            await self._begin(answer)
+        assert self._resp is not None
+        await self._sent(self._resp.write_eof())
+        self._log_ended(upstream, answer.status)
+        return self._resp
+
+    async def _pass_on(self, answer: UpstreamAnswer, piece: bytes) -> None:
+        if self._resp is None:
+            await self._begin(answer)
+        assert self._resp is not None
+        await self._sent(self._resp.write(piece))
+
+    async def _begin(self, answer: UpstreamAnswer) -> None:
+        fields = CIMultiDict(self._parts.dialect.answer_fields(answer.fields.items()))
+        resp = web.StreamResponse(status=answer.status, headers=fields)
+        if self._closes:
+            resp.force_close()
+        await self._sent(resp.prepare(self._request))
+        self._resp = resp
+
+    @staticmethod
+    async def _sent(writing) -> None:  # noqa: ANN001
+        try:
+            await writing
+        except ConnectionError as exc:
+            raise CallerGone(str(exc)) from exc
+
+    def _note_event(self, event: bytes) -> None:
+        for line in event.splitlines():
+            if line.startswith(b"id:"):
+                self._last_event = line[3:].strip().decode(errors="replace")
+
+    @property
+    def _resumable(self) -> bool:
+        return self._found.route.repeat.repeatable
+
+    def _may_resume(self) -> bool:
+        return self._resumable and self._last_event is not None
+
+    def _first_token(self) -> None:
+        self._count()
+        board = self._parts.state.board(self._service)
+        if isinstance(board, EngineBoard):
+            board.first_token(self._call.request_id)
+
+    def _count(self) -> None:
+        """Counts the request as begun, once, in the window of true time."""
+        now = self._parts.true_time.now()
+        if self._counted or now is None or self._found.organisation is None:
+            return
+        self._counted = True
+        self._parts.counts.add(self._found.organisation, now)
+
+    def _left(self, upstream: DirectUpstream, seconds: float | None) -> None:
+        board = self._parts.state.board(self._service)
+        if isinstance(board, EngineBoard):
+            board.end(self._call.request_id)
+        else:
+            board.end(upstream.name, seconds)
+
+    def _can_retry(self, outcome: Outcome) -> bool:
+        if self._deadline - boot_time() < LEAST_TRY_SECONDS:
+            return False
+        if self._log.after(outcome, True) is not Step.RETRY:
+            return False
+        if outcome is Outcome.NOT_REACHED:
+            return True
+        return self._parts.state.budget(self._service).try_spend(boot_time())
+
+    def _failure(self, outcome: Outcome) -> Exception:
+        if outcome is Outcome.NOT_RUN:
+            return self._give_up(RefusalReason.QUEUE_FULL, "upstreams are full")
+        return self._give_up(RefusalReason.UPSTREAM_FAILED, "no upstream gave a whole answer")
+
+    def _give_up(self, reason: RefusalReason, message: str) -> Exception:
+        """Returns what ends the request: a refusal, or the cut of an answer that has begun."""
+        if self._resp is not None:
+            self._cut_off(message)
+        if self._log.not_run and reason is not RefusalReason.DEADLINE_PASSED:
+            reason = RefusalReason.NO_UPSTREAM
+            wait = RETURN_SECONDS * self._parts.state.rng.uniform(0.6, 1.4)
+            return Refused(reason, message, retry_after=wait)
+        return Refused(reason, message, not_run=self._log.not_run)
+
+    def _cut_off(self, message: str) -> None:
+        """Ends the caller's connection, so that nobody takes the answer for a whole one."""
+        log_event(
+            logger,
+            "answer_cut_off",
+            level="WARNING",
+            request=self._call.request_id,
+            cause=message,
+            seconds=round(boot_time() - self._arrived, 3),
+        )
+        if self._request.transport is not None:
+            self._request.transport.close()
+        raise CallerGone(message)
+
+    def _log_placed(
+        self, upstream: DirectUpstream, note: dict[str, object], now: float
+    ) -> None:
+        log_event(
+            logger,
+            "request_placed",
+            request=self._call.request_id,
+            route=self._found.route.name,
+            organisation=self._found.organisation,
+            rank=self._found.rank,
+            version=self._found.version,
+            config_age=round(self._parts.state.confirmation.age(now), 2),
+            upstream=upstream.name,
+            attempt=self._log.sends + self._log.misses + 1,
+            left=round(self._deadline - now, 3),
+            **note,
+        )
+
+    def _log_failed(self, upstream: DirectUpstream, outcome: Outcome, cause: object) -> None:
+        log_event(
+            logger,
+            "attempt_failed",
+            request=self._call.request_id,
+            upstream=upstream.name,
+            outcome=outcome.value,
+            cause=cause,
+        )
+
+    def _log_ended(self, upstream: DirectUpstream, status: int) -> None:
+        log_event(
+            logger,
+            "request_answered",
+            request=self._call.request_id,
+            upstream=upstream.name,
+            status=status,
+            seconds=round(boot_time() - self._arrived, 3),
+        )
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -0,0 +1,111 @@
+"""What the parts of a direct entry share: routes, upstreams, and what is known of them."""
+
+from __future__ import annotations
+
+from random import Random
+
+from loguru import logger
+
+from bilberryplank._clocks import boot_time
+from bilberryplank._logs import log_event
+from bilberryplank_core.direct import (
+    Confirmation,
+    DirectConfiguration,
+    DirectUpstream,
+    EngineBoard,
+    Outcome,
+    Roster,
+    RosterChange,
+    RouteIndex,
+    ServiceBoard,
+    UpstreamHealth,
+    UpstreamLoad,
+    WindowRetryBudget,
+)
+from bilberryplank_core.settings import DirectEntrySettings
+
+Board = EngineBoard | ServiceBoard
+
+
+class DirectState:
+    """State of a direct entry.
+
+    Attributes:
+        confirmation: Age of the configuration.
+        health: Which upstreams are held out.
+        rng: Random source of the process.
+        routes: Index of the configuration in force; None before the first.
+    """
+
+    def __init__(self, settings: DirectEntrySettings, roster: Roster, rng: Random) -> None:
+        self.confirmation = Confirmation(settings.sure_limit, settings.stale_limit)
+        self.health = UpstreamHealth()
+        self.rng = rng
+        self.routes: RouteIndex | None = None
+        self._boards: dict[str, Board] = {}
+        self._budgets: dict[str, WindowRetryBudget] = {}
+        self._roster = roster
+        self._settings = settings
+
+    def apply_settings(self, settings: DirectEntrySettings) -> None:
+        """Takes in changed settings."""
+        self._settings = settings
+        self.confirmation.set_limits(settings.sure_limit, settings.stale_limit)
+
+    def apply_configuration(self, cfg: DirectConfiguration) -> None:
+        """Takes in a newer configuration."""
+        self.routes = RouteIndex(cfg)
+
+    def apply_roster(self, change: RosterChange) -> None:
+        """Forgets what was known of upstreams that are gone or started anew."""
+        for upstream in (*change.joined, *change.gone):
+            self.health.forget(upstream.name)
+            board = self._boards.get(upstream.service)
+            if board is not None:
+                board.forget(upstream.name)
+
+    def upstreams(self, service: str) -> list[DirectUpstream]:
+        """Returns the upstreams of a service that may get new work."""
+        return self._roster.usable(service)
+
+    def board(self, service: str) -> Board:
+        """Returns what is known of the upstreams of a service."""
+        if service not in self._boards:
+            self._boards[service] = self._new_board(service)
+        return self._boards[service]
+
+    def budget(self, service: str) -> WindowRetryBudget:
+        """Returns the budget of further attempts for a service."""
+        if service not in self._budgets:
+            cfg = self._settings.retries
+            share = cfg.allowance / cfg.entries
+            self._budgets[service] = WindowRetryBudget(cfg.retry_ratio, cfg.window, share)
+        return self._budgets[service]
+
+    def record(self, upstream: DirectUpstream, outcome: Outcome, request_id: str) -> None:
+        """Takes in how an attempt ended."""
+        if self.health.record(upstream.name, outcome, boot_time()):
+            log_event(
+                logger,
+                "upstream_held_out",
+                level="WARNING",
+                upstream=upstream.name,
+                outcome=outcome.value,
+                request=request_id,
+            )
+
+    def report(self, upstream: DirectUpstream, load: UpstreamLoad | None) -> None:
+        """Takes in a load that an upstream told."""
+        if load is not None:
+            self.board(upstream.service).report(upstream.name, load, boot_time())
+
+    def in_flight(self) -> int:
+        """Returns the requests of this entry that hold a place at an upstream."""
+        return sum(board.in_flight for board in self._boards.values())
+
+    def _new_board(self, service: str) -> Board:
+        zone = self._settings.zone
+        shape = self.routes.configuration.services[service].engine if self.routes else None
+        if shape is None:
+            return ServiceBoard(zone, self.health, self.rng)
+        return EngineBoard(zone, shape, self.health, self.rng)
--- a/packages/bilberryplank/bilberryplank/_guarded_http.py
+++ b/packages/bilberryplank/bilberryplank/_guarded_http.py
@@ -44,7 +44,14 @@
         self._base_url = base_url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout)
 
-    async def call(self, method: str, path: str, body: bytes, guard: Guard) -> Answer:
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        guard: Guard,
+        fields: dict[str, str] | None = None,
+    ) -> Answer:
         """Returns the answer to one call.
 
         Raises:
@@ -55,14 +62,16 @@
         sending = _GuardedBody(body, guard)
         try:
             with unavailable_on_failure():
-                answer = await self._exchange(method, path, sending)
+                answer = await self._exchange(method, path, sending, fields or {})
         except PlatformUnavailable:
             sending.raise_refusal()
             raise
         sending.raise_refusal()
         return answer
 
-    async def _exchange(self, method: str, path: str, sending: _GuardedBody) -> Answer:
+    async def _exchange(
+        self, method: str, path: str, sending: _GuardedBody, fields: dict[str, str]
+    ) -> Answer:
         connector = aiohttp.TCPConnector(force_close=True, socket_factory=sending.open_socket)
         async with (
             aiohttp.ClientSession(connector=connector, timeout=self._timeout) as session,
@@ -70,7 +79,7 @@
                 method,
                 URL(self._base_url + path, encoded=True),
                 data=sending.pieces(),
-                headers={"Content-Length": str(len(sending.body))},
+                headers={**fields, "Content-Length": str(len(sending.body))},
                 expect100=True,
                 allow_redirects=False,
             ) as resp,
--- a/packages/bilberryplank/bilberryplank/_operations_server.py
+++ b/packages/bilberryplank/bilberryplank/_operations_server.py
@@ -105,10 +105,11 @@
         journal: DecisionJournal,
         status: StatusProvider,
         push: PushHandler | None = None,
+        further_addresses: tuple[str, ...] = (),
         **kwargs: Any,
     ) -> None:
         self.readiness = Readiness.STARTING
-        self._address = address
+        self._addresses = (address, *further_addresses)
         self._metrics = metrics
         self._journal = journal
         self._status = status
@@ -128,12 +129,13 @@
         Raises:
             OSError: The address cannot be bound.
         """
-        host, _, port = self._address.rpartition(":")
         self._runner = web.AppRunner(
             self._application(), access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, host.strip("[]"), int(port)).start()
+        for address in self._addresses:
+            host, _, port = address.rpartition(":")
+            await web.TCPSite(self._runner, host.strip("[]"), int(port)).start()
 
     async def on_stop(self) -> None:
         """Closes the port."""
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -16,6 +16,9 @@
 from bilberryplank_core.errors import PlatformUnavailable
 
 
+JSON_FIELDS = {"Content-Type": "application/json"}
+
+
 @dataclass(slots=True, frozen=True)
 class Answer:
     """Status and whole body of an HTTP answer."""
@@ -52,7 +55,13 @@
         self._base_url = base_url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout)
 
-    async def call(self, method: str, path: str, body: bytes | None = None) -> Answer:
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        fields: dict[str, str] | None = None,
+    ) -> Answer:
         """Returns the answer to one call.
 
         Raises:
@@ -61,10 +70,28 @@
         url = URL(self._base_url + path, encoded=True)
         with unavailable_on_failure():
             async with self._session.request(
-                method, url, data=body, timeout=self._timeout, allow_redirects=False
+                method,
+                url,
+                data=body,
+                headers=fields,
+                timeout=self._timeout,
+                allow_redirects=False,
             ) as resp:
                 return Answer(resp.status, await resp.read())
 
+    async def call_json(
+        self, method: str, path: str, parameters: dict[str, Any] | None = None, body: Any = None
+    ) -> tuple[int, Any]:
+        """Returns status and decoded JSON body of a call; the body of a failure is None.
+
+        Raises:
+            PlatformUnavailable: Timeout, connection failure, or an answer that is not JSON.
+        """
+        target = path + (query(**parameters) if parameters else "")
+        data = None if body is None else dump_json(body)
+        answer = await self.call(method, target, data, JSON_FIELDS if data else None)
+        return answer.status, answer.json() if answer.status == HTTPStatus.OK else None
+
 
 @contextmanager
 def unavailable_on_failure() -> Iterator[None]:
--- a/packages/bilberryplank/bilberryplank/_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_call.py
@@ -116,7 +116,7 @@
             data=self._body(dispatch),
             allow_redirects=False,
             skip_auto_headers=AUTOMATIC_HEADERS,
-            middlewares=() if dispatch.idempotent else (_Once(),),
+            middlewares=() if dispatch.idempotent else (SendOnce(),),
         ) as resp:
             if self.kind is UpstreamKind.ENGINE and resp.status in OVERLOAD_STATUSES:
                 raise UpstreamNotReached(f"engine refused with {resp.status}")
@@ -145,7 +145,7 @@
         return _with_usage(dispatch.body)
 
 
-class _Once:
+class SendOnce:
     """Keeps the HTTP client from sending a call again by itself.
 
     It does so for methods that HTTP calls idempotent, also on a new connection, although a route
--- a/packages/bilberryplank/bilberryplank/_upstream_headers.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from bilberryplank_core.messages import Dispatch, Headers
@@ -67,3 +69,10 @@
 def _as_text(value: str) -> str:
     """Returns a value in which bytes that are not UTF-8 are replaced, as no frame carries them."""
     return value.encode(errors="surrogateescape").decode(errors="replace")
+
+
+def forwarded_fields(fields: Iterable[tuple[str, str]]) -> Headers:
+    """Returns the fields that don't concern one connection only, in order."""
+    pairs = [[name, _as_text(value)] for name, value in fields]
+    dropped = _HOP | {"content-length", "expect"} | _named_by_connection(pairs)
+    return [pair for pair in pairs if pair[0].lower() not in dropped]
