Send guarded calls to servers that know no 100 Continue

Cause: usage reports timed out; the platform's duty API never answers 100 Continue, so the body never left. Ruled out: the lease and the counts (both were right in the log).

--- a/packages/bilberryplank/bilberryplank/_guarded_http.py
+++ b/packages/bilberryplank/bilberryplank/_guarded_http.py
@@ -36,11 +36,14 @@
     Args:
         base_url: `http://ip:port` of the service.
         timeout: Seconds that a whole call may take.
+        asks_first: True to wait for the server's `100 Continue` before the body; a server that
+            knows no such answer would never get one.
     """
 
-    __slots__ = ("_base_url", "_timeout")
+    __slots__ = ("_asks_first", "_base_url", "_timeout")
 
-    def __init__(self, base_url: str, timeout: float) -> None:
+    def __init__(self, base_url: str, timeout: float, asks_first: bool = True) -> None:
+        self._asks_first = asks_first
         self._base_url = base_url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout)
 
@@ -80,7 +83,7 @@
                 URL(self._base_url + path, encoded=True),
                 data=sending.pieces(),
                 headers={**fields, "Content-Length": str(len(sending.body))},
-                expect100=True,
+                expect100=self._asks_first,
                 allow_redirects=False,
             ) as resp,
         ):
