--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -63,6 +63,17 @@
             loop = asyncio.get_running_loop()
             self._header_timer = loop.call_later(self._header_timeout, self._header_late)
 
+    def close(self) -> None:
+        """Takes no further request; a connection without one is closed at once.
+
+        The library leaves such a connection open and unread until the server is shut down, and a
+        request that a caller sends on it meanwhile would wait for nothing.
+        """
+        idle = self._awaits_request() and not self._messages
+        super().close()
+        if idle and self.transport is not None:
+            self.transport.close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the connection."""
         self._stop_timer()
--- a/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
@@ -337,3 +337,18 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class StopListeningTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_idle_connection_is_closed_and_not_left_unread(self):
+        async def answer(request):
+            return aiohttp.web.Response(text="ok")
+
+        server = CallerServer("127.0.0.1:0", SETTINGS, answer)
+        async with server, asyncio.timeout(TIMEOUT):
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(call())
+            await reader.readuntil(b"ok")
+            server.stop_listening()
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
