Divide engines between long prompts and short-paused streams, and keep shared parts at home

Ruled out: entries' processor time (0.03 core) and slots (under 64 in use). Change: engines of a service are divided by the work of both kinds, in an order that all entries share; each shared part has a home by rendezvous hashing.

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_world.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_world.py
@@ -98,10 +98,12 @@
     Attributes:
         slots: Requests in one batch.
         memory_tokens: Tokens that fit into the memory of prompts and answers.
+        stride: Tokens in one event of a stream.
     """
 
     slots: int
     memory_tokens: int
+    stride: int = 1
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -1,9 +1,8 @@
-"""Choice among the engines of a service, by what each would have to read first.
+"""Choice among the engines of a service, by what each would have to read.
 
-A request goes where its first token is expected soonest: the unread tokens that wait there, and
-the tokens of its own prompt that are not kept there, over the reading speed. Entries share nothing;
-that they still agree comes from rendezvous hashing on the shared part of the prompt, which decides
-where a prompt that nobody seems to keep is put, and from the load that engines tell.
+Each shared part of a prompt has a home: the engine that rendezvous hashing names for it, the same at
+every entry. There it is read once and kept. Another engine takes the request only where the wait at
+home is longer than what reading the part again would cost the fleet.
 
 Load pattern: bursts of long prompts with shared parts, from many entries with stale reports.
 """
@@ -20,6 +19,7 @@
     EngineShape,
     UpstreamLoad,
 )
+from bilberryplank_core._engine_split import EngineSplit, bears_reading
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._ranking import weight
 from bilberryplank_core._upstream_health import UpstreamHealth
@@ -33,8 +33,9 @@
 OTHER_ZONE_SECONDS = 0.01
 """Cost of an engine in another zone: bytes between zones are billed."""
 
-HOME_SECONDS = 0.08
-"""Extra wait worth accepting at the engine that rendezvous hashing names for a prompt."""
+REREAD_SECONDS_PER_TOKEN = 60e-6
+"""Wait worth accepting for a shared token that is not read again: its reading here, and the delay of
+all others that wait there, several times over under load."""
 
 CROWD_SECONDS = 0.001
 """Cost of each request that runs at an engine: it slows the tokens of all others."""
@@ -77,7 +78,7 @@
         rng: Breaks ties.
     """
 
-    __slots__ = ("_caches", "_health", "_loads", "_mean_unread", "_rng", "_sent", "_shape", "_zone")
+    __slots__ = ("_caches", "_health", "_loads", "_mean_unread", "_rng", "_sent", "_shape", "_split", "_zone")
 
     def __init__(
         self, zone: str, shape: EngineShape, health: UpstreamHealth, rng: Random
@@ -90,6 +91,11 @@
         self._loads: dict[str, tuple[UpstreamLoad, float]] = {}
         self._sent: dict[str, _Sent] = {}
         self._mean_unread = 2000.0
+        self._split = EngineSplit()
+
+    def bears_reading(self, gap_objective: float) -> bool:
+        """Returns True for streams whose pauses may be as long as on an engine that reads."""
+        return bears_reading(gap_objective, self._shape.stride)
 
     @property
     def in_flight(self) -> int:
@@ -97,26 +103,35 @@
         return len(self._sent)
 
     def choose(
-        self, call: CallerCall, upstreams: Sequence[DirectUpstream], now: float
+        self, call: CallerCall, bears: bool, upstreams: Sequence[DirectUpstream], now: float
     ) -> EngineChoice | None:
-        """Returns the engine for a request; None where all are held out."""
+        """Returns the engine for a request; None where all are held out.
+
+        Args:
+            call: The request.
+            bears: True where its stream may pause while the engine reads prompts.
+            upstreams: Engines that may get new work.
+            now: Seconds on the boot clock.
+        """
         usable = [each for each in upstreams if self._health.may_use(each.name, now)]
         if not usable:
             return None
+        usable = self._split.part(bears, usable) or usable
         keys = prefix_keys(call.model, call.prompt)
-        shared = keys[-2][0] if len(keys) > 1 else call.request_id
-        home = max(usable, key=lambda each: weight(shared, each.name)).name
+        home = max(usable, key=lambda each: weight(_shared_key(call, keys), each.name)).name
+        shared_tokens = sum(tokens for _, tokens in keys[:-1])
         best: tuple[float, float, EngineChoice] | None = None
         for each in usable:
             choice = self._estimate(each, call, keys, now)
-            cost = choice.wait + self._extra(each, home)
+            cost = choice.wait + self._extra(each, home, shared_tokens)
             if best is None or (cost, self._rng.random()) < best[:2]:
                 best = (cost, self._rng.random(), choice)
         assert best is not None
         return best[2]
 
-    def begin(self, choice: EngineChoice, call: CallerCall) -> None:
+    def begin(self, choice: EngineChoice, call: CallerCall, bears: bool, now: float) -> None:
         """Takes in that a request goes to an engine."""
+        self._split.observe(bears, choice.unread / READING_TOKENS_PER_SECOND, now)
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
         self._sent[call.request_id] = _Sent(name, choice.unread)
@@ -162,12 +177,17 @@
         wait = (backlog + unread) / READING_TOKENS_PER_SECOND + running * CROWD_SECONDS
         return EngineChoice(upstream, unread, wait, age)
 
-    def _extra(self, upstream: DirectUpstream, home: str) -> float:
+    def _extra(self, upstream: DirectUpstream, home: str, shared_tokens: int) -> float:
         away = 0.0 if upstream.zone == self._zone else OTHER_ZONE_SECONDS
-        strange = 0.0 if upstream.name == home else HOME_SECONDS
+        strange = 0.0 if upstream.name == home else shared_tokens * REREAD_SECONDS_PER_TOKEN
         return away + strange + FAILURE_SECONDS * self._health.failure_share(upstream.name)
 
     def _cache(self, name: str) -> PromptCache:
         if name not in self._caches:
             self._caches[name] = PromptCache(self._shape.memory_tokens)
         return self._caches[name]
+
+
+def _shared_key(call: CallerCall, keys: Sequence[tuple[str, int]]) -> str:
+    """Returns the key of the parts of a prompt that other requests share."""
+    return keys[-2][0] if len(keys) > 1 else call.request_id
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -143,10 +143,11 @@
         board = state.board(self._service)
         note: dict[str, object] = {"known": len(known)}
         if isinstance(board, EngineBoard):
-            choice = board.choose(self._call, fresh, now)
+            bears = board.bears_reading(self._found.route.gap_objective)
+            choice = board.choose(self._call, bears, fresh, now)
             upstream = choice.upstream if choice else None
             if choice is not None:
-                board.begin(choice, self._call)
+                board.begin(choice, self._call, bears, now)
                 note.update(unread=choice.unread, wait=round(choice.wait, 3))
                 note["load_age"] = None if choice.load_age is None else round(choice.load_age, 2)
         else:
