Divide engines among kinds of streams by the pause that they bear

Cause (pauses and first pieces now stand on the line of each answer): delivery-note shared engines with consignment-query, whose prompts of 3,000 tokens and more make steps of 45 ms: its pauses were over 200 ms in a quarter of the answers, its first pieces in time.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -19,7 +19,7 @@
     EngineShape,
     UpstreamLoad,
 )
-from bilberryplank_core._engine_split import EngineSplit, bears_reading
+from bilberryplank_core._engine_split import EngineSplit, pause_kind
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._ranking import weight
 from bilberryplank_core._upstream_health import UpstreamHealth
@@ -91,11 +91,11 @@
         self._loads: dict[str, tuple[UpstreamLoad, float]] = {}
         self._sent: dict[str, _Sent] = {}
         self._mean_unread = 2000.0
-        self._split = EngineSplit()
+        self._split = EngineSplit(shape.stride)
 
-    def bears_reading(self, gap_objective: float) -> bool:
-        """Returns True for streams whose pauses may be as long as on an engine that reads."""
-        return bears_reading(gap_objective, self._shape.stride)
+    def pause_kind(self, gap_objective: float) -> float:
+        """Returns the kind of a stream, by the pause in seconds that it bears."""
+        return pause_kind(gap_objective, self._shape.stride)
 
     @property
     def in_flight(self) -> int:
@@ -103,20 +103,20 @@
         return len(self._sent)
 
     def choose(
-        self, call: CallerCall, bears: bool, upstreams: Sequence[DirectUpstream], now: float
+        self, call: CallerCall, kind: float, upstreams: Sequence[DirectUpstream], now: float
     ) -> EngineChoice | None:
         """Returns the engine for a request; None where all are held out.
 
         Args:
             call: The request.
-            bears: True where its stream may pause while the engine reads prompts.
+            kind: Kind of its stream, from `pause_kind`.
             upstreams: Engines that may get new work.
             now: Seconds on the boot clock.
         """
         usable = [each for each in upstreams if self._health.may_use(each.name, now)]
         if not usable:
             return None
-        usable = self._split.part(bears, usable) or usable
+        usable = self._split.part(kind, usable, now)
         keys = prefix_keys(call.model, call.prompt)
         home = max(usable, key=lambda each: weight(_shared_key(call, keys), each.name)).name
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
@@ -129,9 +129,9 @@
         assert best is not None
         return best[2]
 
-    def begin(self, choice: EngineChoice, call: CallerCall, bears: bool, now: float) -> None:
+    def begin(self, choice: EngineChoice, call: CallerCall, kind: float, now: float) -> None:
         """Takes in that a request goes to an engine."""
-        self._split.observe(bears, choice.unread / READING_TOKENS_PER_SECOND, now)
+        self._split.observe(kind, choice.unread / READING_TOKENS_PER_SECOND, now)
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
         self._sent[call.request_id] = _Sent(name, choice.unread)
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -2,10 +2,10 @@
 
 While an engine reads prompts, each step of all streams on it carries a chunk of prompt and takes
 several times as long. Streams that may pause for long bear that; others are late by a single such
-pause. So the engines of a service are divided by the work of both kinds: prompts whose streams bear
-it are read on one part, and the rest of the requests run on the other.
+pause. So the engines of a service are divided among kinds of streams by the pause that they bear, in
+proportion to the reading that each kind brings.
 
-The order of engines is the same at every entry, so that entries with about the same share agree.
+The order of engines is the same at every entry, so that entries that saw about the same shares agree.
 
 Load pattern: bursts of long prompts beside steady streams with short pauses.
 """
@@ -14,6 +14,7 @@
 
 import math
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from bilberryplank_core._direct_world import DirectUpstream
 from bilberryplank_core._ranking import weight
@@ -24,60 +25,102 @@
 MEMORY_SECONDS = 12.0
 """Work counts less with its age, by half in about this long: longer than a burst."""
 
-STEADY_USE = 0.5
-"""Share of its time that an engine of short-paused streams should read prompts at the most."""
-
 READING_USE = 0.9
-"""The same share for an engine of long prompts."""
+"""Share of its time that an engine may read prompts where its streams bear it."""
+
+STEADY_USE = 0.3
+"""The same share where streams bear just one event's worth of reading steps; less with less."""
 
 HYSTERESIS_ENGINES = 0.7
-"""The division moves once the wanted number of engines is further off than this."""
+"""A border moves once the wanted place is further off than this."""
+
+ANY_PAUSE = math.inf
+"""Kind of the streams that bear the pauses of an engine that reads all the time."""
+
 
+def reading_use(kind: float, stride: int) -> float:
+    """Returns the share of its time that an engine of one kind of streams should read prompts."""
+    if kind == ANY_PAUSE:
+        return READING_USE
+    return STEADY_USE * kind / (stride * READING_STEP_SECONDS)
 
-def bears_reading(gap_objective: float, stride: int) -> bool:
-    """Returns True for streams whose pauses may be as long as on an engine that reads.
+
+def pause_kind(gap_objective: float, stride: int) -> float:
+    """Returns the kind of a stream: the pause that it bears, or `ANY_PAUSE`.
 
     Args:
         gap_objective: Longest pause in seconds between events; 0 where none is set.
         stride: Tokens of one event.
     """
-    return gap_objective <= 0 or gap_objective > stride * READING_STEP_SECONDS
+    if gap_objective <= 0 or gap_objective > stride * READING_STEP_SECONDS:
+        return ANY_PAUSE
+    return gap_objective
+
+
+@dataclass(slots=True)
+class _Work:
+    engine_seconds: float = 0.0
+    at: float = 0.0
+
+    def add(self, seconds: float, now: float) -> None:
+        self.engine_seconds = self.value(now) + seconds
+        self.at = now
+
+    def value(self, now: float) -> float:
+        return self.engine_seconds * 0.5 ** (max(0.0, now - self.at) / MEMORY_SECONDS)
 
 
 class EngineSplit:
-    """Divides the engines of a service, by the work that one entry saw."""
+    """Divides the engines of a service, by the work that one entry saw.
 
-    __slots__ = ("_at", "_reading", "_size", "_steady")
+    Args:
+        stride: Tokens of one event.
+    """
+
+    __slots__ = ("_borders", "_stride", "_work")
 
-    def __init__(self) -> None:
-        self._reading = 0.0
-        self._steady = 0.0
-        self._at = float("-inf")
-        self._size: int | None = None
+    def __init__(self, stride: int) -> None:
+        self._stride = stride
+        self._work: dict[float, _Work] = {}
+        self._borders: list[int] = []
 
-    def observe(self, bears: bool, seconds: float, now: float) -> None:
+    def observe(self, kind: float, seconds: float, now: float) -> None:
         """Takes in the reading time of a request."""
-        if math.isfinite(self._at):
-            kept = 0.5 ** ((now - self._at) / MEMORY_SECONDS)
-            self._reading *= kept
-            self._steady *= kept
-        self._at = now
-        if bears:
-            self._reading += seconds / READING_USE
-        else:
-            self._steady += seconds / STEADY_USE
-
-    def part(self, bears: bool, engines: Sequence[DirectUpstream]) -> list[DirectUpstream]:
-        """Returns the engines for requests of one kind, in the order of all entries."""
+        use = reading_use(kind, self._stride)
+        self._work.setdefault(kind, _Work(at=now)).add(seconds / use, now)
+
+    def part(
+        self, kind: float, engines: Sequence[DirectUpstream], now: float
+    ) -> list[DirectUpstream]:
+        """Returns the engines for requests of one kind."""
         ordered = sorted(engines, key=lambda each: weight("split", each.name))
-        if len(ordered) < 2:
+        kinds = sorted({*self._work, kind}, reverse=True)
+        if len(kinds) > len(ordered):
             return ordered
-        size = self._reading_engines(len(ordered))
-        return ordered[:size] if bears else ordered[size:]
-
-    def _reading_engines(self, count: int) -> int:
-        total = self._reading + self._steady
-        wanted = count * (self._reading / total if total else 0.5)
-        if self._size is None or abs(wanted - self._size) > HYSTERESIS_ENGINES:
-            self._size = round(wanted)
-        return max(1, min(count - 1, self._size))
+        borders = self._settle(kinds, len(ordered), now)
+        place = kinds.index(kind)
+        return ordered[borders[place] : borders[place + 1]]
+
+    def _settle(self, kinds: list[float], count: int, now: float) -> list[int]:
+        """Returns where each kind's engines begin, the most patient kind first."""
+        wanted = self._wanted(kinds, count, now)
+        if len(self._borders) != len(wanted) or self._borders[-1] != count:
+            self._borders = [round(each) for each in wanted]
+        for place in range(1, len(wanted) - 1):
+            if abs(wanted[place] - self._borders[place]) > HYSTERESIS_ENGINES:
+                self._borders[place] = round(wanted[place])
+        for place in range(1, len(wanted) - 1):
+            lowest, highest = self._borders[place - 1] + 1, count - (len(kinds) - place)
+            self._borders[place] = min(max(self._borders[place], lowest), highest)
+        return self._borders
+
+    def _wanted(self, kinds: list[float], count: int, now: float) -> list[float]:
+        shares = [self._work[kind].value(now) if kind in self._work else 0.0 for kind in kinds]
+        total = sum(shares)
+        if total <= 0:
+            shares, total = [1.0] * len(kinds), float(len(kinds))
+        borders = [0.0]
+        for share in shares:
+            borders.append(borders[-1] + count * share / total)
+        borders[-1] = float(count)
+        return borders
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -64,6 +64,31 @@
     metrics: ProcessMetrics
 
 
+class AnswerPace:
+    """How the pieces of one answer came.
+
+    Attributes:
+        first: Seconds from the request to the first piece; None before.
+        longest_pause: Longest seconds between two pieces; None before the second.
+    """
+
+    __slots__ = ("_arrived", "_last", "first", "longest_pause")
+
+    def __init__(self, arrived: float) -> None:
+        self.first: float | None = None
+        self.longest_pause: float | None = None
+        self._arrived = arrived
+        self._last = arrived
+
+    def event(self, now: float) -> None:
+        """Takes in that a piece came."""
+        if self.first is None:
+            self.first = round(now - self._arrived, 3)
+        else:
+            self.longest_pause = max(self.longest_pause or 0.0, round(now - self._last, 3))
+        self._last = now
+
+
 class DirectRun:
     """Carries one request out.
 
@@ -100,6 +125,7 @@
         self._resp: web.StreamResponse | None = None
         self._failed: tuple[int, Headers, bytes] | None = None
         self._counted = False
+        self._pace = AnswerPace(arrived)
         self._last_event: str | None = call.resume_after
         limit = found.route.timeout
         if call.time_limit is not None:
@@ -143,11 +169,11 @@
         board = state.board(self._service)
         note: dict[str, object] = {"known": len(known)}
         if isinstance(board, EngineBoard):
-            bears = board.bears_reading(self._found.route.gap_objective)
-            choice = board.choose(self._call, bears, fresh, now)
+            kind = board.pause_kind(self._found.route.gap_objective)
+            choice = board.choose(self._call, kind, fresh, now)
             upstream = choice.upstream if choice else None
             if choice is not None:
-                board.begin(choice, self._call, bears, now)
+                board.begin(choice, self._call, kind, now)
                 note.update(unread=choice.unread, wait=round(choice.wait, 3))
                 note["load_age"] = None if choice.load_age is None else round(choice.load_age, 2)
         else:
@@ -249,6 +275,7 @@
         splitter = EventSplitter() if self._resumable else None
         async for data in answer.pieces():
             self._first_token()
+            self._pace.event(boot_time())
             for piece in [data] if splitter is None else splitter.feed(data):
                 await self._pass_on(answer, piece)
                 if splitter is not None:
@@ -390,4 +417,6 @@
             upstream=upstream.name,
             status=status,
             seconds=round(boot_time() - self._arrived, 3),
+            first=self._pace.first,
+            longest_pause=self._pace.longest_pause,
         )
