--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -237,6 +237,7 @@
         sure_limit: With a configuration confirmed within this long, refusals are for good.
         stale_limit: Without a confirmed configuration for this long, requests are refused.
         usage_window: Length of a usage window.
+        usage_flush_interval: Counts are stored this often; a process that dies loses no more.
         usage_deadline: A window is reported within this long after its end.
         lease_duration: Length of the reporter's lease.
         lease_margin: A holder stops this much earlier, a contender waits this much longer.
@@ -252,6 +253,7 @@
     sure_limit: float = 2.5
     stale_limit: float = 4.5
     usage_window: float = 5.0
+    usage_flush_interval: float = 1.0
     usage_deadline: float = 10.0
     lease_duration: float = 6.0
     lease_margin: float = 1.0
--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -12,6 +12,12 @@
 
 from bilberryplank_core._errors import PlatformUnavailable
 
+SEAL_DELAY_SECONDS = 2.5
+"""A window is summed this long after its end, when entries in touch have stored their counts."""
+
+REPORT_MARGIN_SECONDS = 2.0
+"""Time kept for the report itself, some failed calls included."""
+
 
 class WindowCounts:
     """Counts of one process that are not yet stored.
@@ -33,15 +39,9 @@
         self._counts.setdefault(number, Counter())[organisation] += 1
         self._dirty.add(number)
 
-    def unsaved(self, true_time: float, include_open: bool = False) -> list[int]:
-        """Returns the windows whose counts changed since they were stored.
-
-        Args:
-            true_time: Seconds since 1970; windows that it has not passed are left out.
-            include_open: True to take the current window too.
-        """
-        current = int(true_time // self._window)
-        return sorted(each for each in self._dirty if each < current or include_open)
+    def unsaved(self) -> list[int]:
+        """Returns the windows whose counts changed since they were stored, the oldest first."""
+        return sorted(self._dirty)
 
     def value(self, number: int) -> dict[str, int]:
         """Returns the counts of a window so far."""
@@ -68,6 +68,23 @@
     return {name: total[name] for name in sorted(total)}
 
 
+def may_seal(age: float, deadline: float, present: set[str], expected: set[str]) -> bool:
+    """Returns True where a window should be summed now.
+
+    A process that is cut off from the store stores its counts late, so the sum waits for all that
+    stored counts for the window before, as long as the report can still be in time.
+
+    Args:
+        age: Seconds since the window's end.
+        deadline: Seconds after the end within which the report is due.
+        present: Processes that stored counts for this window.
+        expected: Processes that stored counts for the window before.
+    """
+    if age < SEAL_DELAY_SECONDS:
+        return False
+    return expected <= present or age >= deadline - REPORT_MARGIN_SECONDS
+
+
 class TrueTime:
     """True time from the store's steady clock, so that jumps of the host's clock change nothing.
 
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -33,6 +33,7 @@
     TrueTime,
     WindowCounts,
     WindowSeal,
+    may_seal,
     read_seal,
     sum_counts,
 )
@@ -76,6 +77,7 @@
     "WindowSeal",
     "draw_service",
     "judge_head",
+    "may_seal",
     "read_seal",
     "sum_counts",
 ]
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -64,6 +64,7 @@
         self._reload = asyncio.Event()
         self._rng = process_rng(settings.name)
         self._client: DirectClient | None = None
+        self._reporter: UsageReporter | None = None
 
     async def on_start(self) -> None:
         """Starts the parts, the one that takes work last."""
@@ -77,7 +78,9 @@
         )
         self._client = DirectClient()
         counts, true_time = WindowCounts(cfg.usage_window), platform.true_time
-        self._usage = UsageStore(f"{cfg.name}-{self.epoch}", platform.table, counts, true_time)
+        self._usage = UsageStore(
+            f"{cfg.name}-{self.epoch}", platform.table, counts, cfg.usage_flush_interval
+        )
         self._requests = DirectRequests(
             self._state,
             self._client,
@@ -101,10 +104,10 @@
         for part in (self._operations, self._watch, self._roster, keeper, self._usage):
             await self._start_part(part)
         if platform.reports is not None:
-            reporter = UsageReporter(
+            self._reporter = UsageReporter(
                 cfg, cfg.name, platform.table, platform.reports, true_time, self._rng
             )
-            await self._start_part(reporter)
+            await self._start_part(self._reporter)
         await self._start_part(self._server)
         self.add_future(self._keep_readiness())
         self.add_future(self._keep_settings())
@@ -117,13 +120,15 @@
         log_event(logger, "stopping", in_flight=self._requests.in_flight)
         self._operations.readiness = Readiness.DRAINING
         self._requests.draining = True
+        if self._reporter is not None:
+            self.add_future(self._reporter.retire())
         await asyncio.sleep(cfg.lame_duck)
         self._server.stop_listening()
         self._requests.closed = True
         await self._wait_idle(began + cfg.lame_duck + cfg.drain_timeout)
         try:
             async with asyncio.timeout(POLL_SECONDS * 5):
-                await self._usage.flush(include_open=True)
+                await self._usage.flush()
         except (PlatformError, TimeoutError) as exc:
             log_event(logger, "usage_not_stored", level="WARNING", cause=exc)
         log_event(logger, "stopped", in_flight=self._requests.in_flight)
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -11,6 +11,7 @@
 from mode import Service
 
 from bilberryplank._clocks import boot_time
+from bilberryplank._dependency import Dependency
 from bilberryplank._logs import log_event
 from bilberryplank_core.contracts import Row
 from bilberryplank_core.direct import (
@@ -51,7 +52,7 @@
         self._name = name
         self._rng = rng
         self._revision: int | None = None
-        self._failures = 0
+        self._dependency = Dependency(f"table {name}")
 
     @abstractmethod
     def take_all(self, rows: tuple[Row, ...], sent_at: float) -> None:
@@ -91,17 +92,14 @@
         self._revision = max(changes.revision, self._revision or 0)
 
     def _answered(self) -> None:
-        if self._failures:
-            log_event(logger, "table_regained", table=self._name, failures=self._failures)
-            self._failures = 0
+        if self._dependency.answered():
             self.returned()
 
     async def _failed(self, exc: PlatformError) -> None:
-        if not self._failures:
-            log_event(logger, "table_lost", level="WARNING", table=self._name, cause=exc)
-        self._failures += 1
+        self._dependency.failed(exc)
         self._revision = None
-        pause = min(RETRY_SECONDS * 2 ** min(self._failures, 8), MAX_RETRY_SECONDS)
+        growth = 2 ** min(self._dependency.failures, 8)
+        pause = min(RETRY_SECONDS * growth, MAX_RETRY_SECONDS)
         await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
 
 
@@ -196,7 +194,6 @@
         self._rows = rows
         self._changed = changed
         self._unreadable: set[str] = set()
-        self._was_away = False
 
     def returned(self) -> None:
         """Gives rows that lapsed meanwhile the time to come back."""
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -11,6 +11,7 @@
 from mode import Service
 
 from bilberryplank._clocks import boot_time
+from bilberryplank._dependency import Dependency
 from bilberryplank._logs import log_event
 from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import (
@@ -19,6 +20,7 @@
     WindowCounts,
     WindowReports,
     WindowSeal,
+    may_seal,
     read_seal,
     sum_counts,
 )
@@ -31,13 +33,10 @@
 TIME_TABLE = "true-time"
 TIME_KEY = "offset"
 LEASE = "usage"
-FLUSH_DELAY_SECONDS = 0.4
-"""A window's counts are stored this long after its end; requests begin to count at once."""
-
 SEAL_DELAY_SECONDS = 2.5
-"""A window is summed this long after its end, when all entries have stored their counts."""
+"""Before this age of a window nothing is asked of the table."""
 
-POLL_SECONDS = 0.25
+POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
 KEPT_WINDOWS = 12
 """Windows whose rows are kept for a report that is late."""
@@ -52,6 +51,7 @@
         super().__init__()
         self._table = table
         self._true_time = true_time
+        self._dependency = Dependency("true time")
 
     async def on_started(self) -> None:
         """Begins to ask."""
@@ -62,9 +62,10 @@
             try:
                 offset = await self._offset()
             except PlatformError as exc:
-                log_event(logger, "true_time_unknown", level="WARNING", cause=exc)
+                self._dependency.failed(exc)
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            self._dependency.answered()
             self._true_time.agree(offset)
             log_event(logger, "true_time_agreed", offset=offset)
             return
@@ -95,37 +96,47 @@
         writer: str,
         table: WatchedTable,
         counts: WindowCounts,
-        true_time: TrueTime,
+        interval: float,
     ) -> None:
         super().__init__()
         self._writer = writer
         self._table = table
         self._counts = counts
-        self._true_time = true_time
+        self._interval = interval
+        self._dependency = Dependency("usage store")
 
     async def on_started(self) -> None:
         """Begins to store."""
         self.add_future(self._flush_regularly())
 
-    async def flush(self, include_open: bool = False) -> None:
-        """Stores what has changed; `include_open` takes the current window too."""
-        now = self._true_time.now()
-        if now is None:
+    async def flush(self) -> None:
+        """Stores what has changed, the current window included.
+
+        Raises:
+            PlatformError: The store did not take it; the counts stay here.
+        """
+        numbers = self._counts.unsaved()
+        values = {number: self._counts.value(number) for number in numbers}
+        if not values:
             return
-        for number in self._counts.unsaved(now - FLUSH_DELAY_SECONDS, include_open):
-            value = self._counts.value(number)
-            put = Put(COUNTS_TABLE, f"{number:012d}/{self._writer}", value)
-            await self._table.commit([], [put])
+        puts = [
+            Put(COUNTS_TABLE, f"{number:012d}/{self._writer}", value)
+            for number, value in values.items()
+        ]
+        await self._table.commit([], list(puts))
+        for number, value in values.items():
             self._counts.saved(number, value)
+        self._counts.forget_before(max(numbers) - KEPT_WINDOWS)
 
     async def _flush_regularly(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(self._interval)
             try:
                 await self.flush()
             except PlatformError as exc:
-                log_event(logger, "usage_not_stored", level="WARNING", cause=exc)
-                await asyncio.sleep(RETRY_SECONDS)
+                self._dependency.failed(exc)
+            else:
+                self._dependency.answered()
 
 
 class UsageReporter(Service):
@@ -153,21 +164,38 @@
         self._true_time = true_time
         self._clock = clock
         self._next: int | None = None
+        self._retired = False
+        self._lease_calls = Dependency("usage lease")
+        self._report_calls = Dependency("usage reports")
 
     async def on_started(self) -> None:
         """Begins to contend."""
         self.add_future(self._contend())
         self.add_future(self._report_regularly())
 
+    async def retire(self) -> None:
+        """Gives the lease up at the start of a planned stop, and contends no more.
+
+        A stop takes longer than a lease, so this process acts again only after that long.
+        """
+        self._retired = True
+        held = self.lease.held(self._clock())
+        await self.lease.release()
+        if held:
+            log_event(logger, "lease_released", lease=LEASE, fence=self.lease.fence)
+
     async def _contend(self) -> None:
-        # The lease is never given up early: so two holders never act in turns within its duration.
-        while not self.should_stop:
+        while not (self.should_stop or self._retired):
             held = self.lease.held(self._clock())
             try:
                 holds = await (self.lease.renew() if held else self.lease.try_acquire())
             except PlatformError as exc:
-                log_event(logger, "lease_call_failed", level="WARNING", lease=LEASE, cause=exc)
+                self._lease_calls.failed(exc)
             else:
+                self._lease_calls.answered()
+                if self._retired:
+                    await self.lease.release()
+                    return
                 if holds != held:
                     event = "lease_acquired" if holds else "lease_lost"
                     log_event(logger, event, lease=LEASE, fence=self.lease.fence)
@@ -182,20 +210,23 @@
             try:
                 await self._advance()
             except (PlatformError, LeaseLost) as exc:
-                log_event(logger, "usage_not_reported", level="WARNING", cause=exc)
+                self._report_calls.failed(exc)
                 await asyncio.sleep(RETRY_SECONDS)
+            else:
+                self._report_calls.answered()
 
     async def _advance(self) -> None:
         now = self._true_time.now()
         if now is None:
             return
         window = self._settings.usage_window
-        last_due = int((now - SEAL_DELAY_SECONDS) // window) - 1
+        last_ended = int(now // window) - 1
         oldest = int((now - self._settings.usage_deadline) // window)
         if self._next is None:
             self._next = await self._first_unreported(oldest)
-        while self._next <= last_due and self.lease.held(self._clock()):
-            await self._report(self._next)
+        while self._next <= last_ended and self.lease.held(self._clock()):
+            if not await self._report(self._next, now - (self._next + 1) * window):
+                return
             self._next += 1
 
     async def _first_unreported(self, oldest: int) -> int:
@@ -203,34 +234,50 @@
         reported = [int(row.key) for row in rows if read_seal(row.value).reported]
         return max([oldest, *(number + 1 for number in reported)])
 
-    async def _report(self, number: int) -> None:
-        seal = await self._sealed(number)
+    async def _report(self, number: int, age: float) -> bool:
+        """Reports a window that ended `age` seconds ago; returns False where it must wait."""
+        if age < SEAL_DELAY_SECONDS:
+            return False
+        seal = await self._sealed(number, age)
+        if seal is None:
+            return False
         guard = self.lease.guard()
-        owner = seal.counts
-        await self._reports.send(number, owner, self._settings.name, self.lease.fence, guard)
+        fence = self.lease.fence
+        await self._reports.send(number, seal.counts, self._settings.name, fence, guard)
         log_event(
             logger,
             "usage_reported",
             window=number,
-            fence=self.lease.fence,
+            fence=fence,
+            age=round(age, 2),
             organisations=len(seal.counts),
             requests=sum(seal.counts.values()),
         )
         done = WindowSeal(seal.counts, reported=True)
         await self._table.commit([], [Put(SEALS_TABLE, f"{number:012d}", done.to_value())])
         await self._drop_old(number)
+        return True
 
-    async def _sealed(self, number: int) -> WindowSeal:
+    async def _sealed(self, number: int, age: float) -> WindowSeal | None:
+        """Returns the fixed figures of a window; None where counts are still awaited."""
         key = f"{number:012d}"
         row = await self._table.read(SEALS_TABLE, key)
         if row is not None:
             return read_seal(row.value)
-        rows = await self._table.scan(COUNTS_TABLE, f"{key}/")
-        seal = WindowSeal(sum_counts(each.value for each in rows))
+        before = await self._counts_of(number - 1)
+        counts = await self._counts_of(number)
+        if not may_seal(age, self._settings.usage_deadline, set(counts), set(before)):
+            return None
+        seal = WindowSeal(sum_counts(counts.values()))
         conditions = [Condition(SEALS_TABLE, key, 0), self.lease.fence_condition()]
         await self._table.commit(conditions, [Put(SEALS_TABLE, key, seal.to_value())])
         return seal
 
+    async def _counts_of(self, number: int) -> dict[str, dict[str, int]]:
+        """Returns the counts that each process stored for a window."""
+        rows = await self._table.scan(COUNTS_TABLE, f"{number:012d}/")
+        return {row.key.partition("/")[2]: row.value for row in rows}
+
     async def _drop_old(self, number: int) -> None:
         if number % KEPT_WINDOWS:
             return
--- a/packages/bilberryplank/bilberryplank/direct.py
+++ b/packages/bilberryplank/bilberryplank/direct.py
@@ -3,12 +3,14 @@
 from bilberryplank._bounded_output import BoundedOutput
 from bilberryplank._clocks import boot_time
 from bilberryplank._direct_entry import DirectEntry, run_direct_entry
+from bilberryplank._direct_usage import COUNTS_TABLE
 from bilberryplank._guarded_http import GuardedClient
 from bilberryplank._platform_http import ServiceClient
 from bilberryplank._upstream_headers import forwarded_fields
 
 __all__ = [
     "BoundedOutput",
+    "COUNTS_TABLE",
     "DirectEntry",
     "GuardedClient",
     "ServiceClient",
