Free the place of an attempt whose cancel comes with its dispatch

Cause: a caller that hangs up right after its request makes the entry send Dispatch and Cancel in one piece; the sidecar made the attempt's task and cancelled it before its first step, and such a task runs none of its code, its clean-up included. The place was held for good; after as many of them as there are slots nothing started. Ruled out: the entry's channel (closed in each case), floors and reservations (they hold no place). Change: a task that ends without having begun frees the place and says NotRun, which is true.

--- a/packages/bilberryplank/bilberryplank/_attempt_runner.py
+++ b/packages/bilberryplank/bilberryplank/_attempt_runner.py
@@ -53,6 +53,7 @@
 
     async def run(self, held: HeldAttempt) -> None:
         """Makes the call and sends its answer, or what became of it."""
+        held.began = True
         budget = max(0.0, held.deadline - loop_time())
         dispatch = replace(held.dispatch, budget=budget)
         sink = KeepingSink(
@@ -78,6 +79,12 @@
         finally:
             self._owner.attempt_ended(held)
 
+    def never_began(self, held: HeldAttempt) -> None:
+        """Ends an attempt whose task was cancelled before its first step: nothing was sent."""
+        reason = held.stopped_for or RefusalReason.CANCELLED
+        self._end_not_run(held, reason, "stopped before it was sent")
+        self._owner.attempt_ended(held)
+
     def _first_byte_seen(self, held: HeldAttempt, waited: float) -> None:
         self._parts.queue.first_token(held.dispatch.attempt, loop_time())
         request_class = self._parts.feed.configuration.classes.get(held.dispatch.class_name)
@@ -100,11 +107,15 @@
         held.stream.finish(usage, self._owner.load())
 
     def _never_reached(self, held: HeldAttempt, exc: UpstreamNotReached) -> None:
+        cause = f"{type(exc).__name__}: {exc}"
+        self._end_not_run(held, RefusalReason.UPSTREAM_FAILED, cause)
+
+    def _end_not_run(self, held: HeldAttempt, reason: RefusalReason, cause: str) -> None:
         attempt = held.dispatch.attempt
         self._parts.queue.finished(attempt, loop_time(), 0, 0, False)
         self._parts.kept.fail(attempt)
-        self._log_failure(held, RequestOutcome.NOT_RUN, RefusalReason.UPSTREAM_FAILED, exc)
-        self._owner.send_not_run(held, RefusalReason.UPSTREAM_FAILED, RETRY_ELSEWHERE_SECONDS)
+        self._log_failure(held, RequestOutcome.NOT_RUN, reason, cause)
+        self._owner.send_not_run(held, reason, RETRY_ELSEWHERE_SECONDS)
 
     def _broke(
         self, held: HeldAttempt, generated: int, reason: RefusalReason, exc: BaseException
@@ -115,7 +126,8 @@
         self._parts.kept.fail(attempt)
         class_name = held.dispatch.class_name
         self._parts.metrics.tokens_generated(class_name, TokenUse.WASTED, generated)
-        self._log_failure(held, RequestOutcome.MAY_HAVE_RUN, reason, exc)
+        cause = f"{type(exc).__name__}: {exc}"
+        self._log_failure(held, RequestOutcome.MAY_HAVE_RUN, reason, cause)
         held.stream.fail(reason.value, self._owner.load())
 
     def _log_failure(
@@ -123,10 +135,10 @@
         held: HeldAttempt,
         outcome: RequestOutcome,
         reason: RefusalReason,
-        exc: BaseException,
+        cause: str,
     ) -> None:
         self._parts.metrics.request_ended(held.dispatch.class_name, outcome)
-        self._parts.record(held, DecisionStep.FAILED, f"{reason.value}: {exc}")
+        self._parts.record(held, DecisionStep.FAILED, f"{reason.value}: {cause}")
         log_event(
             logger,
             "attempt_failed",
@@ -134,5 +146,5 @@
             request=held.dispatch.attempt.request,
             attempt=held.dispatch.attempt.number,
             reason=reason.value,
-            cause=f"{type(exc).__name__}: {exc}",
+            cause=cause,
         )
--- a/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_attempts.py
@@ -29,6 +29,7 @@
         task: The call to the upstream once it runs.
         stopped_for: Why its call was stopped; None while it was not.
         waited: Seconds that it waited before it went to the upstream.
+        began: True once its task took its first step.
     """
 
     dispatch: Dispatch
@@ -39,6 +40,7 @@
     task: asyncio.Task[None] | None = None
     stopped_for: RefusalReason | None = None
     waited: float = 0.0
+    began: bool = False
 
     def stop(self, reason: RefusalReason) -> None:
         """Stops the running call."""
--- a/packages/bilberryplank/bilberryplank/_sidecar_requests.py
+++ b/packages/bilberryplank/bilberryplank/_sidecar_requests.py
@@ -244,6 +244,15 @@
         self._parts.metrics.queue_waited(held.dispatch.class_name, held.waited)
         self._parts.record(held, DecisionStep.STARTED, f"waited={held.waited:.3f}")
         held.task = asyncio.get_running_loop().create_task(self._runner.run(held))
+        held.task.add_done_callback(lambda _: self._ended_unbegun(held))
+
+    def _ended_unbegun(self, held: HeldAttempt) -> None:
+        """Frees the place of an attempt that was stopped before its task took its first step.
+
+        A task that is cancelled before that runs none of its code, not even its clean-up.
+        """
+        if not held.began:
+            self._runner.never_began(held)
 
     def _refuse(self, held: HeldAttempt, reason: RefusalReason, retry_after: float) -> None:
         attempt = held.dispatch.attempt
