--- a/Makefile
+++ b/Makefile
@@ -16,12 +16,12 @@
 	touch $@
 
 format: $(STAMP)
-	$(BIN)/black --quiet packages tools features
-	$(BIN)/ruff check --quiet --fix packages tools features
+	$(BIN)/black --quiet packages platform tools features
+	$(BIN)/ruff check --quiet --fix packages platform tools features
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet packages tools features
-	$(BIN)/ruff check packages tools features
+	$(BIN)/black --check --quiet packages platform tools features
+	$(BIN)/ruff check packages platform tools features
 
 test: $(STAMP)
 	$(BIN)/python tools/verdict.py
--- a/packages/bilberryplank-core/bilberryplank_core/_direct_world.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_world.py
@@ -132,14 +132,12 @@
         routes: All routes.
         services: Services by name.
         organisations: Organisations by key; None where no keys are used.
-        max_body_bytes: Most bytes of a request's body.
     """
 
     version: int
     routes: tuple[DirectRoute, ...]
     services: dict[str, DirectService]
     organisations: dict[str, Organisation] | None = field(repr=False)
-    max_body_bytes: int = 4 * 1024 * 1024
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -1,8 +1,8 @@
 """Choice among the engines of a service, by what each would have to read.
 
-Each shared part of a prompt has a home: the engine that rendezvous hashing names for it, the same at
-every entry. There it is read once and kept. Another engine takes the request only where the wait at
-home is longer than what reading the part again would cost the fleet.
+Each shared part of a prompt has a home: the engine that rendezvous hashing names for it, the same
+at every entry. There it is read once and kept. Another engine takes the request only where the wait
+at home is longer than what reading the part again would cost the fleet.
 
 Load pattern: bursts of long prompts with shared parts, from many entries with stale reports.
 """
@@ -34,8 +34,8 @@
 """Cost of an engine in another zone: bytes between zones are billed."""
 
 REREAD_SECONDS_PER_TOKEN = 60e-6
-"""Wait worth accepting for a shared token that is not read again: its reading here, and the delay of
-all others that wait there, several times over under load."""
+"""Wait worth accepting for a shared token that is not read again: its reading, and the delay of all
+others that wait there, several times over under load."""
 
 CROWD_SECONDS = 0.001
 """Cost of each request that runs at an engine: it slows the tokens of all others."""
@@ -78,11 +78,19 @@
         rng: Breaks ties.
     """
 
-    __slots__ = ("_caches", "_health", "_loads", "_mean_unread", "_rng", "_sent", "_shape", "_split", "_zone")
-
-    def __init__(
-        self, zone: str, shape: EngineShape, health: UpstreamHealth, rng: Random
-    ) -> None:
+    __slots__ = (
+        "_caches",
+        "_health",
+        "_loads",
+        "_mean_unread",
+        "_rng",
+        "_sent",
+        "_shape",
+        "_split",
+        "_zone",
+    )
+
+    def __init__(self, zone: str, shape: EngineShape, health: UpstreamHealth, rng: Random) -> None:
         self._zone = zone
         self._shape = shape
         self._health = health
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -2,10 +2,10 @@
 
 While an engine reads prompts, each step of all streams on it carries a chunk of prompt and takes
 several times as long. Streams that may pause for long bear that; others are late by a single such
-pause. So the engines of a service are divided among kinds of streams by the pause that they bear, in
-proportion to the reading that each kind brings.
+pause. So the engines of a service are divided among kinds of streams by the pause that they bear,
+in proportion to the reading that each kind brings.
 
-The order of engines is the same at every entry, so that entries that saw about the same shares agree.
+The order of engines is the same at every entry, so entries that saw about the same shares agree.
 
 Load pattern: bursts of long prompts beside steady streams with short pauses.
 """
--- a/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
@@ -63,7 +63,10 @@
     policies = _POLICIES.get(kind)
     if policies is not None and settings.policy not in policies:
         faults.append(_not_one_of(settings.policy, policies, f"{place}.policy"))
-    if kind in ("FleetSettings", "DirectEntrySettings") and settings.lease_margin * 2 >= settings.lease_duration:
+    if (
+        kind in ("FleetSettings", "DirectEntrySettings")
+        and settings.lease_margin * 2 >= settings.lease_duration
+    ):
         faults.append(Fault(f"{place}.lease_margin", "too long", "under half of lease_duration"))
     if kind == "LinkSettings" and settings.silence_limit <= settings.heartbeat_interval:
         faults.append(Fault(f"{place}.silence_limit", "too short", "more than heartbeat_interval"))
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_attempts.py
@@ -0,0 +1,130 @@
+import itertools
+import unittest
+from random import Random
+
+from bilberryplank_core.direct import (
+    AnswerHead,
+    AttemptLog,
+    Outcome,
+    RepeatRule,
+    Step,
+    UpstreamHealth,
+    WindowRetryBudget,
+    judge_head,
+)
+
+
+def head(status, request_id="r", refused=False, signed=True):
+    return AnswerHead(status, request_id, refused, signed)
+
+
+class JudgeTest(unittest.TestCase):
+    def test_outcomes_of_heads(self):
+        cases = (
+            (head(200), Outcome.ANSWERED),
+            (head(404), Outcome.ANSWERED),
+            (head(200, request_id="other"), Outcome.UNKNOWN),
+            (head(200, signed=False), Outcome.UNKNOWN),
+            (head(503, refused=True, signed=False), Outcome.NOT_RUN),
+            (head(421, signed=False), Outcome.NOT_RUN),
+            (head(503), Outcome.UNKNOWN),
+            (head(429, signed=False), Outcome.UNKNOWN),
+            (head(500), Outcome.FAILED),
+        )
+        for found, outcome in cases:
+            with self.subTest(found=found):
+                self.assertIs(judge_head(found, "r"), outcome)
+
+
+class AttemptLogTest(unittest.TestCase):
+    def test_no_sequence_of_outcomes_breaks_a_promise(self):
+        """Whatever happens: at most once, never more runs than allowed, "not run" is true."""
+        outcomes = [each for each in Outcome if each is not Outcome.ANSWERED]
+        for repeat, max_runs in itertools.product(RepeatRule, (1, 2)):
+            for sequence in itertools.product(outcomes, repeat=4):
+                self.check(AttemptLog(repeat, max_runs), sequence)
+
+    def check(self, log, sequence):
+        ran = 0
+        for outcome in sequence:
+            ran += outcome in (Outcome.UNKNOWN, Outcome.FAILED)
+            log.record(outcome)
+            step = log.after(outcome, can_retry=True)
+            if step is not Step.RETRY:
+                break
+        limit = log.max_runs if log.repeat.repeatable else 1
+        self.assertLessEqual(ran, limit, (log, sequence))
+        if step is Step.REFUSE:
+            self.assertEqual(ran, 0, (log, sequence))
+
+    def test_without_leave_nothing_is_tried_again(self):
+        log = AttemptLog(RepeatRule.SAFE, 3)
+        log.record(Outcome.NOT_RUN)
+        self.assertIs(log.after(Outcome.NOT_RUN, can_retry=False), Step.REFUSE)
+
+
+class WindowRetryBudgetTest(unittest.TestCase):
+    """Load pattern: every request fails for a while, then few do."""
+
+    def test_no_window_has_more_further_attempts_than_allowed(self):
+        ratio, window, allowance = 0.2, 10.0, 3.0
+        rng = Random(5)
+        budget = WindowRetryBudget(ratio, window, allowance)
+        requests, spent, now = [], [], 0.0
+        for _ in range(4000):
+            now += rng.expovariate(30.0 if 20 < now < 40 else 3.0)
+            budget.request(now)
+            requests.append(now)
+            if rng.random() < 0.9 and budget.try_spend(now):
+                spent.append(now)
+            used = sum(at > now - window for at in spent)
+            # The rule takes the busiest of this window, the one before and the half one before.
+            made = max(
+                sum(end - window < at <= end for at in requests)
+                for end in (now, now - window / 2, now - window)
+            )
+            self.assertLessEqual(used, ratio * made + allowance)
+        self.assertGreater(len(spent), 0.1 * len(requests))
+
+
+class UpstreamHealthTest(unittest.TestCase):
+    """Load pattern: an upstream goes dark and comes back; another loses answers now and then."""
+
+    def test_an_unreachable_upstream_is_held_out_at_once_and_tried_singly(self):
+        health = UpstreamHealth()
+        self.assertTrue(health.record("u", Outcome.NOT_REACHED, 0.0))
+        self.assertFalse(health.may_use("u", 0.5))
+        self.assertTrue(health.may_use("u", 0.9))
+        health.begin("u", 0.9)
+        self.assertFalse(health.may_use("u", 1.0))
+        health.record("u", Outcome.ANSWERED, 1.1)
+        self.assertTrue(health.may_use("u", 1.1))
+
+    def test_each_further_failure_holds_it_out_longer(self):
+        health = UpstreamHealth()
+        now, holds = 0.0, []
+        for _ in range(4):
+            health.record("u", Outcome.NOT_REACHED, now)
+            began = now
+            while not health.may_use("u", now):
+                now += 0.1
+            holds.append(now - began)
+        self.assertEqual(holds, sorted(holds))
+        self.assertGreater(holds[-1], 2 * holds[0])
+
+    def test_lost_answers_hold_it_out_only_in_a_row(self):
+        health = UpstreamHealth()
+        for _ in range(10):
+            self.assertFalse(health.record("u", Outcome.UNKNOWN, 0.0))
+            self.assertFalse(health.record("u", Outcome.UNKNOWN, 0.0))
+            health.record("u", Outcome.ANSWERED, 0.0)
+        for _ in range(2):
+            health.record("u", Outcome.UNKNOWN, 0.0)
+        self.assertTrue(health.record("u", Outcome.UNKNOWN, 0.0))
+
+    def test_refusals_are_no_fault(self):
+        health = UpstreamHealth()
+        for _ in range(10):
+            health.record("u", Outcome.NOT_RUN, 0.0)
+        self.assertTrue(health.may_use("u", 0.0))
+        self.assertEqual(health.failure_share("u"), 0.0)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_routes.py
@@ -0,0 +1,97 @@
+import unittest
+from random import Random
+
+from bilberryplank_core.direct import (
+    CallerCall,
+    Confirmation,
+    DirectConfiguration,
+    DirectRoute,
+    Organisation,
+    RepeatRule,
+    RouteIndex,
+    Trust,
+    draw_service,
+)
+from bilberryplank_core.errors import RefusalReason, Refused
+
+
+def route(name, prefix, authority="a.example", public=False, targets=(("s", 1),)):
+    return DirectRoute(
+        name, authority, prefix, RepeatRule.SAFE, 1.0, 0.5, 0.0, 3, targets, 2, public
+    )
+
+
+class RouteIndexTest(unittest.TestCase):
+    def setUp(self):
+        routes = (
+            route("root", "/"),
+            route("long", "/x/y/"),
+            route("short", "/x/"),
+            route("open", "/open/", public=True),
+            route("elsewhere", "/", authority="b.example"),
+        )
+        owners = {"k1": Organisation("one"), "k2": Organisation("two", 0)}
+        self.index = RouteIndex(DirectConfiguration(7, routes, {}, owners))
+
+    def test_the_longest_prefix_of_the_authority_wins(self):
+        cases = (
+            ("a.example", "/x/y/z", "long"),
+            ("a.example", "/x/yy", "short"),
+            ("a.example", "/z", "root"),
+            ("b.example", "/x/y/z", "elsewhere"),
+        )
+        for authority, path, name in cases:
+            with self.subTest(path=path, authority=authority):
+                found = self.index.classify(authority, path, CallerCall("r", credential="k1"))
+                self.assertEqual((found.route.name, found.version), (name, 7))
+
+    def test_the_organisation_s_rank_goes_before_the_route_s(self):
+        ranks = [
+            self.index.classify("a.example", "/", CallerCall("r", credential=key)).rank
+            for key in ("k1", "k2")
+        ]
+        self.assertEqual(ranks, [3, 0])
+
+    def test_refusals(self):
+        cases = (
+            ("c.example", "/", "k1", RefusalReason.ROUTE_UNKNOWN),
+            ("a.example", "/", "k3", RefusalReason.KEY_UNKNOWN),
+            ("a.example", "/", None, RefusalReason.KEY_MISSING),
+        )
+        for authority, path, key, reason in cases:
+            with self.subTest(reason=reason), self.assertRaises(Refused) as caught:
+                self.index.classify(authority, path, CallerCall("r", credential=key))
+            self.assertIs(caught.exception.reason, reason)
+
+    def test_a_public_route_needs_no_key_but_knows_one(self):
+        for key, owner in ((None, None), ("k1", "one")):
+            found = self.index.classify("a.example", "/open/", CallerCall("r", credential=key))
+            self.assertEqual(found.organisation, owner)
+
+    def test_weights_of_targets_are_kept(self):
+        split = route("w", "/", targets=(("s", 90), ("t", 10)))
+        rng = Random(1)
+        drawn = [draw_service(split, rng) for _ in range(2000)]
+        self.assertAlmostEqual(drawn.count("t") / 2000, 0.1, delta=0.03)
+
+
+class ConfirmationTest(unittest.TestCase):
+    def test_trust_ends_with_the_age_of_the_read_s_sending(self):
+        confirmation = Confirmation(2.0, 4.5)
+        self.assertIs(confirmation.trust(0.0), Trust.STALE)
+        confirmation.confirm(10.0)
+        confirmation.confirm(9.0)
+        cases = (
+            (12.0, Trust.SURE),
+            (12.1, Trust.USABLE),
+            (14.5, Trust.USABLE),
+            (14.6, Trust.STALE),
+        )
+        for now, trust in cases:
+            with self.subTest(now=now):
+                self.assertIs(confirmation.trust(now), trust)
+
+    def test_without_a_limit_nothing_turns_stale(self):
+        confirmation = Confirmation(2.0, None)
+        confirmation.confirm(0.0)
+        self.assertIs(confirmation.trust(1e6), Trust.USABLE)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
@@ -0,0 +1,195 @@
+"""Placing of requests at engines, against the load patterns that it answers."""
+
+import unittest
+from collections import Counter
+from random import Random
+
+from bilberryplank_core._engine_split import ANY_PAUSE, EngineSplit, pause_kind
+from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
+from bilberryplank_core.direct import (
+    CallerCall,
+    DirectUpstream,
+    EngineBoard,
+    EngineShape,
+    Outcome,
+    PromptPart,
+    ServiceBoard,
+    UpstreamHealth,
+    UpstreamLoad,
+)
+
+ENGINES = [DirectUpstream(f"e{n}", "s", f"1.1.1.{n}:1", "z", 64) for n in range(6)]
+SHAPE = EngineShape(64, 647_156, 5)
+RATE = 60_000.0
+
+
+def call(number, shared="p", shared_tokens=13_000, own=3_700):
+    parts = (PromptPart(shared, shared_tokens), PromptPart(f"own{number}", own))
+    return CallerCall(f"r{number}", model="m", prompt=parts, prompt_tokens=shared_tokens + own)
+
+
+def board(seed=1):
+    return EngineBoard("z", SHAPE, UpstreamHealth(), Random(seed))
+
+
+class PromptCacheTest(unittest.TestCase):
+    def test_a_part_counts_only_behind_all_parts_before_it(self):
+        cache = PromptCache(1000)
+        cache.add(prefix_keys("m", (PromptPart("a", 100), PromptPart("b", 50))))
+        cases = (("ab", 150), ("a", 100), ("b", 0), ("ca", 0))
+        for names, kept in cases:
+            prompt = tuple(PromptPart(name, {"a": 100, "b": 50}.get(name, 9)) for name in names)
+            self.assertEqual(cache.kept_tokens(prefix_keys("m", prompt)), kept)
+        self.assertEqual(cache.kept_tokens(prefix_keys("n", (PromptPart("a", 100),))), 0)
+
+    def test_the_least_recently_used_parts_go(self):
+        cache = PromptCache(1000)
+        for name in "abcdefghij":
+            cache.add(prefix_keys("m", (PromptPart(name, 100),)))
+        self.assertEqual(cache.kept_tokens(prefix_keys("m", (PromptPart("a", 100),))), 0)
+        self.assertEqual(cache.kept_tokens(prefix_keys("m", (PromptPart("j", 100),))), 100)
+
+
+class EngineBoardTest(unittest.TestCase):
+    def place(self, boards, calls, kind=ANY_PAUSE):
+        placed = {}
+        for number, each in enumerate(calls):
+            one = boards[number % len(boards)]
+            choice = one.choose(each, kind, ENGINES, number * 0.1)
+            one.begin(choice, each, kind, number * 0.1)
+            one.first_token(each.request_id)
+            one.end(each.request_id)
+            placed[each.request_id] = choice.upstream.name
+        return placed
+
+    def test_entries_that_share_nothing_agree_on_the_home_of_a_part(self):
+        calls = [call(number, shared=f"p{number % 7}") for number in range(70)]
+        placed = self.place([board(seed) for seed in range(5)], calls)
+        for shared in range(7):
+            homes = {placed[f"r{number}"] for number in range(70) if number % 7 == shared}
+            self.assertEqual(len(homes), 1)
+
+    def test_a_long_wait_at_home_sends_a_request_elsewhere(self):
+        one = board()
+        first = one.choose(call(0), ANY_PAUSE, ENGINES, 0.0)
+        for number in range(12):
+            one.begin(first, call(number, own=30_000), ANY_PAUSE, 0.0)
+        other = one.choose(call(99), ANY_PAUSE, ENGINES, 0.0)
+        self.assertNotEqual(other.upstream.name, first.upstream.name)
+
+    def test_a_report_of_waiting_requests_counts_while_it_is_fresh(self):
+        one = board()
+        home = one.choose(call(0), ANY_PAUSE, ENGINES, 0.0).upstream.name
+        one.report(home, UpstreamLoad(64, 200, 64), 0.0)
+        self.assertNotEqual(one.choose(call(1), ANY_PAUSE, ENGINES, 0.0).upstream.name, home)
+        self.assertEqual(one.choose(call(1), ANY_PAUSE, ENGINES, 5.0).upstream.name, home)
+
+    def test_an_engine_that_is_held_out_gets_nothing(self):
+        health = UpstreamHealth()
+        one = EngineBoard("z", SHAPE, health, Random(1))
+        for engine in ENGINES[1:]:
+            health.record(engine.name, Outcome.NOT_REACHED, 0.0)
+        self.assertEqual(one.choose(call(0), ANY_PAUSE, ENGINES, 0.1).upstream.name, "e0")
+        health.record("e0", Outcome.NOT_REACHED, 0.1)
+        self.assertIsNone(one.choose(call(0), ANY_PAUSE, ENGINES, 0.2))
+
+    def test_all_places_are_given_back(self):
+        one = board()
+        for number in range(20):
+            choice = one.choose(call(number), ANY_PAUSE, ENGINES, 0.0)
+            one.begin(choice, call(number), ANY_PAUSE, 0.0)
+        self.assertEqual(one.in_flight, 20)
+        for number in range(20):
+            one.end(f"r{number}")
+        self.assertEqual(one.in_flight, 0)
+
+
+class EngineSplitTest(unittest.TestCase):
+    """Load pattern: bursts of long prompts beside steady streams with short pauses."""
+
+    def replay(self, split, seed):
+        """A minute of long prompts with bursts and short ones; yields the parts in between."""
+        rng = Random(seed)
+        now = 0.0
+        while now < 60.0:
+            now += rng.expovariate(40.0)
+            burst = 10 < now < 19 or 35 < now < 40
+            long = rng.random() < (0.45 if burst else 0.25)
+            tokens = rng.lognormvariate(8.2, 0.9) if long else rng.lognormvariate(7.0, 0.6)
+            split.observe(ANY_PAUSE if long else 0.2, tokens / RATE, now)
+            yield now
+
+    def test_kinds_never_share_an_engine_and_each_has_one(self):
+        split = EngineSplit(5)
+        for kind in (ANY_PAUSE, 0.2):
+            split.observe(kind, 0.1, 0.0)
+        for now in self.replay(split, 3):
+            patient = {each.name for each in split.part(ANY_PAUSE, ENGINES, now)}
+            hasty = {each.name for each in split.part(0.2, ENGINES, now)}
+            self.assertTrue(patient and hasty)
+            self.assertEqual(patient & hasty, set())
+            self.assertEqual(len(patient | hasty), len(ENGINES))
+
+    def test_parts_seldom_move(self):
+        split = EngineSplit(5)
+        sizes = [len(split.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(split, 4)]
+        moves = sum(before != after for before, after in zip(sizes, sizes[1:], strict=False))
+        self.assertLess(moves, 12)
+
+    def test_entries_that_see_other_parts_of_the_traffic_mostly_agree(self):
+        one, two = EngineSplit(5), EngineSplit(5)
+        sizes = zip(
+            (len(one.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(one, 5)),
+            (len(two.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(two, 6)),
+            strict=False,
+        )
+        apart = Counter(abs(first - second) for first, second in sizes)
+        self.assertGreater((apart[0] + apart[1]) / apart.total(), 0.9)
+
+    def test_a_service_with_fewer_engines_than_kinds_shares_them(self):
+        split = EngineSplit(5)
+        for kind in (ANY_PAUSE, 0.3, 0.2):
+            split.observe(kind, 1.0, 0.0)
+        self.assertEqual(len(split.part(0.2, ENGINES[:2], 0.0)), 2)
+
+    def test_kinds_of_streams(self):
+        cases = ((0.8, 5, ANY_PAUSE), (0.0, 5, ANY_PAUSE), (0.2, 5, 0.2), (0.3, 5, 0.3))
+        for gap, stride, kind in cases:
+            self.assertEqual(pause_kind(gap, stride), kind)
+
+
+class ServiceBoardTest(unittest.TestCase):
+    """Load pattern: few slots; one upstream is slow, another fails part of its requests."""
+
+    def setUp(self):
+        self.health = UpstreamHealth()
+        self.board = ServiceBoard("z", self.health, Random(1))
+        self.upstreams = [DirectUpstream(f"p{n}", "s", f"1.1.1.{n}:1", "z", 6) for n in range(3)]
+
+    def serve(self, seconds_of, fails=(), count=300):
+        placed = Counter()
+        for number in range(count):
+            now = number * 0.01
+            name = self.board.choose(self.upstreams, now).name
+            placed[name] += 1
+            self.board.begin(name)
+            failed = name in fails and number % 3 == 0
+            self.health.record(name, Outcome.FAILED if failed else Outcome.ANSWERED, now)
+            self.board.end(name, seconds_of.get(name, 0.02))
+        return placed
+
+    def test_equal_upstreams_share_evenly(self):
+        placed = self.serve({})
+        self.assertLess(max(placed.values()) - min(placed.values()), 100)
+
+    def test_a_slow_upstream_gets_less(self):
+        placed = self.serve({"p0": 0.08})
+        self.assertLess(placed["p0"], placed["p1"] / 2)
+
+    def test_an_upstream_that_fails_a_third_gets_less(self):
+        placed = self.serve({}, fails=("p0",))
+        self.assertLess(placed["p0"], placed["p1"] / 2)
+
+    def test_places_are_given_back(self):
+        self.serve({})
+        self.assertEqual(self.board.in_flight, 0)
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_window_counts.py
@@ -0,0 +1,74 @@
+import unittest
+
+from bilberryplank_core.direct import (
+    TrueTime,
+    WindowCounts,
+    WindowSeal,
+    may_seal,
+    read_seal,
+    sum_counts,
+)
+from bilberryplank_core.errors import PlatformUnavailable
+
+
+class WindowCountsTest(unittest.TestCase):
+    def test_counts_stay_unsaved_until_the_store_has_just_these(self):
+        counts = WindowCounts(5.0)
+        counts.add("a", 12.0)
+        sent = counts.value(2)
+        counts.add("a", 14.9)
+        counts.saved(2, sent)
+        self.assertEqual(counts.unsaved(), [2])
+        counts.saved(2, counts.value(2))
+        self.assertEqual(counts.unsaved(), [])
+        counts.add("b", 15.0)
+        self.assertEqual((counts.unsaved(), counts.value(3)), ([3], {"b": 1}))
+
+    def test_old_windows_are_forgotten(self):
+        counts = WindowCounts(5.0)
+        for number in range(5):
+            counts.add("a", number * 5.0)
+        counts.forget_before(3)
+        self.assertEqual(counts.unsaved(), [3, 4])
+
+    def test_sums_take_only_whole_numbers_of_known_shape(self):
+        self.assertEqual(sum_counts([{"b": 1, "a": 2}, {"a": 1, "x": "y"}, None]), {"a": 3, "b": 1})
+
+    def test_a_seal_survives_its_row(self):
+        seal = WindowSeal({"a": 1}, True)
+        self.assertEqual(read_seal(seal.to_value()), seal)
+
+
+class MaySealTest(unittest.TestCase):
+    def test_a_window_waits_for_the_writers_of_the_one_before_while_there_is_time(self):
+        cases = (
+            (2.4, {"a", "b"}, {"a", "b"}, False),
+            (2.6, {"a", "b", "c"}, {"a", "b"}, True),
+            (2.6, {"a"}, {"a", "b"}, False),
+            (7.9, {"a"}, {"a", "b"}, False),
+            (8.0, {"a"}, {"a", "b"}, True),
+        )
+        for age, present, expected, sealed in cases:
+            with self.subTest(age=age, present=present):
+                self.assertEqual(may_seal(age, 10.0, present, expected), sealed)
+
+
+class TrueTimeTest(unittest.TestCase):
+    def test_true_time_follows_the_store_s_clock_and_no_other(self):
+        now = [100.0]
+        time = TrueTime(lambda: now[0])
+        self.assertIsNone(time.now())
+        with self.assertRaises(PlatformUnavailable):
+            time.store_time()
+        time.observe(50.0, 99.9, 100.1)
+        time.agree(1_000_000.0)
+        self.assertAlmostEqual(time.now(), 1_000_050.0)
+        now[0] += 7.0
+        self.assertAlmostEqual(time.now(), 1_000_057.0)
+
+    def test_the_quickest_answer_tells_the_clock(self):
+        time = TrueTime(lambda: 0.0)
+        time.agree(0.0)
+        time.observe(10.0, -0.01, 0.01)
+        time.observe(20.0, -3.0, 3.0)
+        self.assertAlmostEqual(time.now(), 10.0)
--- /dev/null
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
@@ -0,0 +1,119 @@
+"""Stand-in of an upstream on the users' platform: a plain service, or an engine that streams."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from bilberryplank_testing._server import FakeServer
+
+ID = "X-Bilberryplank-Attempt-Id"
+SIGNATURE = "X-Bilberryplank-Response-Signature"
+TARGET = "X-Bilberryplank-Target-Instance"
+NEVER_RAN = "X-Bilberryplank-Not-Executed"
+LOAD = "X-Bilberryplank-Server-Load"
+
+
+@dataclass(slots=True)
+class Manner:
+    """How the stand-in answers.
+
+    Attributes:
+        status: Status of its answers.
+        refuses: True to refuse without running.
+        events: Events of a stream; 0 for an answer in one piece.
+        pause: Seconds between events.
+        breaks_after: Events after which it resets the connection; None for never.
+        unframed: True for an answer without a length that ends with its connection.
+        silent: True to run a request and never answer it.
+        foreign_id: True to answer under another request's id.
+    """
+
+    status: int = 200
+    refuses: bool = False
+    events: int = 0
+    pause: float = 0.0
+    breaks_after: int | None = None
+    unframed: bool = False
+    silent: bool = False
+    foreign_id: bool = False
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that ran."""
+
+    request_id: str
+    method: str
+    path: str
+    fields: dict[str, str]
+    body: bytes
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class UpstreamState:
+    """What the stand-in saw."""
+
+    runs: list[Run] = field(default_factory=list)
+    refused: int = 0
+
+
+class StandInUpstream(FakeServer):
+    """An upstream.
+
+    Attributes:
+        name: Its id.
+        manner: How it answers.
+        seen: What it saw.
+    """
+
+    cancels_on_disconnect = True
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.manner = Manner()
+        self.seen = UpstreamState()
+        super().__init__(("upstream",))
+        self.app.router.add_route("*", "/{path:.*}", self._take)
+
+    async def _take(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        if request.headers.get(TARGET, self.name) != self.name:
+            return web.Response(status=421)
+        if self.manner.refuses:
+            self.seen.refused += 1
+            return web.Response(status=503, headers={NEVER_RAN: "1"})
+        request_id = request.headers.get(ID, "")
+        run = Run(request_id, request.method, request.raw_path, dict(request.headers), body)
+        self.seen.runs.append(run)
+        try:
+            return await self._answer(request, run)
+        finally:
+            run.ended = True
+
+    async def _answer(self, request: web.Request, run: Run) -> web.StreamResponse:
+        manner = self.manner
+        if manner.silent:
+            await asyncio.Event().wait()
+        shown_id = "another" if manner.foreign_id else run.request_id
+        fields = {ID: shown_id, SIGNATURE: f"sig-{self.name}", LOAD: "1,0,4"}
+        if not manner.events:
+            return web.Response(status=manner.status, headers=fields, text=f"from {self.name}")
+        resp = web.StreamResponse(headers={**fields, "Content-Type": "text/event-stream"})
+        if manner.unframed:
+            resp.force_close()
+            resp._length_check = False
+        await resp.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, manner.events + 1):
+            if manner.breaks_after is not None and number > manner.breaks_after:
+                await resp.write(b"id: cut")
+                assert request.transport is not None
+                request.transport.abort()
+                raise ConnectionResetError
+            await resp.write(f"id: {number}\ndata: {number}\n\n".encode())
+            await asyncio.sleep(manner.pause)
+        return resp
--- a/packages/bilberryplank/bilberryplank/_bounded_output.py
+++ b/packages/bilberryplank/bilberryplank/_bounded_output.py
@@ -51,7 +51,9 @@
             self.dropped += 1
             return len(text)
         if self.dropped > self._reported:
-            self._held += f"event=log_lines_dropped lines={self.dropped - self._reported}\n".encode()
+            self._held += (
+                f"event=log_lines_dropped lines={self.dropped - self._reported}\n".encode()
+            )
             self._reported = self.dropped
         self._held += line
         self._send()
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -27,7 +27,6 @@
     DirectConfiguration,
     DirectPlatform,
     RosterChange,
-    TrueTime,
     Trust,
     WindowCounts,
 )
@@ -69,9 +68,7 @@
     async def on_start(self) -> None:
         """Starts the parts, the one that takes work last."""
         cfg, platform = self._settings, self._platform
-        self._roster = RosterWatch(
-            platform.table, platform.rows, self._roster_changed, self._rng
-        )
+        self._roster = RosterWatch(platform.table, platform.rows, self._roster_changed, self._rng)
         self._state = DirectState(cfg, self._roster.roster, self._rng)
         self._watch = ConfigurationWatch(
             platform.table, platform.rows, self._state.confirmation, self._configured, self._rng
@@ -125,7 +122,7 @@
         await asyncio.sleep(cfg.lame_duck)
         self._server.stop_listening()
         self._requests.closed = True
-        await self._wait_idle(began + cfg.lame_duck + cfg.drain_timeout)
+        await self._requests.wait_idle(began + cfg.lame_duck + cfg.drain_timeout - boot_time())
         try:
             async with asyncio.timeout(POLL_SECONDS * 5):
                 await self._usage.flush()
@@ -155,10 +152,6 @@
             running=self._requests.in_flight,
         )
 
-    async def _wait_idle(self, until: float) -> None:
-        while self._requests.in_flight and boot_time() < until:
-            await asyncio.sleep(POLL_SECONDS)
-
     async def _keep_readiness(self) -> None:
         while not self.should_stop:
             now = boot_time()
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from aiohttp import web
 from loguru import logger
@@ -20,10 +19,10 @@
 from bilberryplank_core.direct import (
     CallerCall,
     Classified,
+    TrueTime,
     Trust,
     UpstreamDialect,
     WindowCounts,
-    TrueTime,
 )
 from bilberryplank_core.errors import REFUSAL_STATUS, RefusalReason, Refused
 from bilberryplank_core.settings import CallerSettings
@@ -37,14 +36,6 @@
 """Refusals that hold only while the configuration is known to be the newest."""
 
 
-@dataclass(slots=True)
-class Intake:
-    """A request as far as its head tells."""
-
-    call: CallerCall
-    arrived: float
-
-
 class DirectRequests:
     """Handles callers' requests.
 
@@ -67,6 +58,8 @@
         self.in_flight = 0
         self.draining = False
         self.closed = False
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._state = state
         self._dialect = dialect
         self._metrics = metrics
@@ -77,6 +70,7 @@
         """Returns the final answer to a request."""
         arrived = boot_time()
         self.in_flight += 1
+        self._idle.clear()
         call = CallerCall("")
         class_name = NO_CLASS
         try:
@@ -97,6 +91,17 @@
             raise
         finally:
             self.in_flight -= 1
+            if not self.in_flight:
+                self._idle.set()
+
+    async def wait_idle(self, timeout: float) -> bool:
+        """Waits until no request is in flight; returns False where the time is up first."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def _classify(self, request: web.BaseRequest, call: CallerCall) -> Classified:
         routes = self._state.routes
@@ -107,9 +112,7 @@
         if routes is None or trust is Trust.STALE:
             age = self._state.confirmation.age(now)
             message = f"the configuration was last confirmed {age:.2f} s ago"
-            raise Refused(
-                RefusalReason.CONFIGURATION_STALE, message, retry_after=SOON_SECONDS
-            )
+            raise Refused(RefusalReason.CONFIGURATION_STALE, message, retry_after=SOON_SECONDS)
         path = request.raw_path.partition("?")[0]
         try:
             return routes.classify(request.headers.get("Host", ""), path, call)
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -269,9 +270,7 @@
         self._log_ended(upstream, status)
         return resp
 
-    async def _stream(
-        self, upstream: DirectUpstream, answer: UpstreamAnswer
-    ) -> web.StreamResponse:
+    async def _stream(self, upstream: DirectUpstream, answer: UpstreamAnswer) -> web.StreamResponse:
         splitter = EventSplitter() if self._resumable else None
         async for data in answer.pieces():
             self._first_token()
@@ -304,7 +303,7 @@
         self._resp = resp
 
     @staticmethod
-    async def _sent(writing) -> None:  # noqa: ANN001
+    async def _sent(writing: Awaitable[object]) -> None:
         try:
             await writing
         except ConnectionError as exc:
@@ -381,9 +380,7 @@
             self._request.transport.close()
         raise CallerGone(message)
 
-    def _log_placed(
-        self, upstream: DirectUpstream, note: dict[str, object], now: float
-    ) -> None:
+    def _log_placed(self, upstream: DirectUpstream, note: dict[str, object], now: float) -> None:
         log_event(
             logger,
             "request_placed",
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -15,7 +15,6 @@
 
 from bilberryplank_core.errors import PlatformUnavailable
 
-
 JSON_FIELDS = {"Content-Type": "application/json"}
 
 
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
@@ -0,0 +1,70 @@
+"""What the end of a connection tells about an answer."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from bilberryplank._direct_client import DirectClient
+from bilberryplank._upstream_call import UpstreamBroke, UpstreamNotReached
+
+
+class DirectClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.client = DirectClient()
+        self.answer, self.resets = b"", False
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.answer)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if self.resets:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        writer.close()
+
+    async def ask(self):
+        answer = await self.client.send(self.address, "GET", "/x?y=%2F", [("A", "b")], b"")
+        try:
+            return answer.status, await answer.body()
+        finally:
+            answer.close()
+
+    async def test_an_answer_without_a_length_ends_with_its_connection(self):
+        self.answer = b"HTTP/1.1 200 OK\r\n\r\nwhole"
+        self.assertEqual(await self.ask(), (200, b"whole"))
+
+    async def test_such_an_answer_that_ends_in_a_reset_is_not_whole(self):
+        self.answer, self.resets = b"HTTP/1.1 200 OK\r\n\r\npart", True
+        with self.assertRaises(UpstreamBroke):
+            await self.ask()
+
+    async def test_a_second_answer_belongs_to_nobody(self):
+        one = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+        self.answer = one + one
+        for _ in range(3):
+            self.assertEqual(await self.ask(), (200, b"one"))
+
+    async def test_answers_that_are_cut_or_no_http_broke(self):
+        for text in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+            b"",
+            b"\x00garbage\r\n\r\n",
+        ):
+            self.answer = text
+            with self.subTest(text=text), self.assertRaises(UpstreamBroke):
+                await self.ask()
+
+    async def test_a_port_without_a_listener_was_never_reached(self):
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(UpstreamNotReached):
+            await self.ask()
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -23,7 +23,8 @@
     "bilberryplankctl": "bilberryplankctl",
     "bilberryplank-testing": "bilberryplank_testing",
 }
-SOURCES = ("packages", "tools", "features")
+ADAPTER = "platform"
+SOURCES = ("packages", "platform", "tools", "features")
 
 
 @dataclass(slots=True)
@@ -89,11 +90,13 @@
         verdict.broken.append(name)
 
 
-def run_unit_tests(verdict: Verdict, directory: str, module: str) -> None:
-    """Runs the unit tests of one package."""
+def run_unit_tests(
+    verdict: Verdict, directory: str, module: str, parent: str = "packages/"
+) -> None:
+    """Runs the unit tests of one package, or of the adapter's folder."""
     results = RESULTS / f"{directory}.xml"
-    command = [sys.executable, "-m", "nose2", "--start-dir", f"packages/{directory}"]
-    command += ["--top-level-directory", f"packages/{directory}", "--junit-xml"]
+    command = [sys.executable, "-m", "nose2", "--start-dir", parent + directory]
+    command += ["--top-level-directory", parent + directory, "--junit-xml"]
     command += ["--junit-xml-path", str(results), module]
     run_counted(verdict, f"unit {directory}", command, results)
 
@@ -124,6 +127,7 @@
     run_plain(verdict, "linter", [python, "-m", "ruff", "check", *SOURCES])
     for directory, module in PACKAGES.items():
         run_unit_tests(verdict, directory, module)
+    run_unit_tests(verdict, ADAPTER, "tests", parent="")
     run_scenarios(verdict)
     allowed = known_red(KNOWN_RED.read_text()) if KNOWN_RED.exists() else []
     for name in allowed:
