Refuse long prompts that no engine can read in time, and learn the wait at engines

All organisations have one rank there, so the routes' ranks were lost. Ruled out: slots, entries' processor time.

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
@@ -11,6 +11,9 @@
 from bilberryplank_core._direct_world import CallerCall, DirectConfiguration, DirectRoute
 from bilberryplank_core._errors import RefusalReason, Refused
 
+RANKS_OF_ROUTES = 3
+"""Ranks of routes that an engine tells apart within a rank of organisations."""
+
 
 @dataclass(slots=True, frozen=True)
 class Classified:
@@ -19,24 +22,32 @@
     Attributes:
         route: The route.
         organisation: Name of the organisation; None on a public route without a key.
-        rank: Urgency; 0 is the highest.
+        urgency: Rank of the organisation, or of the route where it has none, and behind that the
+            route's own; lower goes first.
         version: Version of the configuration that decided.
     """
 
     route: DirectRoute
     organisation: str | None
-    rank: int
+    urgency: tuple[int, int]
     version: int
 
 
 class RouteIndex:
     """Looks requests up in one configuration."""
 
-    __slots__ = ("_by_authority", "_cfg")
+    __slots__ = ("_by_authority", "_cfg", "_least_urgent")
 
     def __init__(self, cfg: DirectConfiguration) -> None:
         self._cfg = cfg
         self._by_authority: dict[str, list[DirectRoute]] = {}
+        owners = set((cfg.organisations or {}).values())
+        ranks = [owner.rank for owner in owners if owner.rank is not None]
+        self._least_urgent: dict[str, tuple[int, int]] = {}
+        for route in cfg.routes:
+            least = (max(ranks, default=route.rank), route.rank)
+            for service, _ in route.targets:
+                self._least_urgent[service] = max(least, self._least_urgent.get(service, least))
         for route in sorted(cfg.routes, key=lambda each: -len(each.prefix)):
             self._by_authority.setdefault(route.authority, []).append(route)
 
@@ -56,15 +67,19 @@
             raise Refused(RefusalReason.ROUTE_UNKNOWN, "no route for this host and path")
         owners = self._cfg.organisations
         if owners is None:
-            return Classified(route, None, route.rank, self._cfg.version)
+            return Classified(route, None, (route.rank, route.rank), self._cfg.version)
         owner = owners.get(call.credential or "")
         if owner is None:
             if route.public:
-                return Classified(route, None, route.rank, self._cfg.version)
+                return Classified(route, None, (route.rank, route.rank), self._cfg.version)
             reason = RefusalReason.KEY_UNKNOWN if call.credential else RefusalReason.KEY_MISSING
             raise Refused(reason, "the request carries no key that is known")
         rank = route.rank if owner.rank is None else owner.rank
-        return Classified(route, owner.name, rank, self._cfg.version)
+        return Classified(route, owner.name, (rank, route.rank), self._cfg.version)
+
+    def is_least_urgent(self, service: str, urgency: tuple[int, int]) -> bool:
+        """Returns True where nothing less urgent may use a service."""
+        return urgency >= self._least_urgent.get(service, (0, 0))
 
     def _route(self, authority: str, path: str) -> DirectRoute | None:
         for route in self._by_authority.get(authority, ()):
@@ -73,6 +88,12 @@
         return None
 
 
+def engine_rank(urgency: tuple[int, int]) -> int:
+    """Returns one rank for an engine's queue, which keeps the order of urgencies."""
+    first, second = urgency
+    return first * RANKS_OF_ROUTES + min(second, RANKS_OF_ROUTES - 1)
+
+
 def draw_service(route: DirectRoute, rng: Random) -> str:
     """Returns the service of one request, by the weights of its route."""
     if len(route.targets) == 1:
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -20,6 +20,7 @@
     UpstreamLoad,
 )
 from bilberryplank_core._engine_split import EngineSplit, pause_kind
+from bilberryplank_core._engine_waits import EngineWaits
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._ranking import weight
 from bilberryplank_core._upstream_health import UpstreamHealth
@@ -40,6 +41,12 @@
 CROWD_SECONDS = 0.001
 """Cost of each request that runs at an engine: it slows the tokens of all others."""
 
+SHARE_WEIGHT = 0.05
+"""Weight of one report in the running share of the traffic."""
+
+MOST_ENTRIES = 16.0
+"""Bound on the share, so that a few odd reports do not turn everything away."""
+
 FAILURE_SECONDS = 1.0
 """Cost of an engine that fails every request."""
 
@@ -68,6 +75,29 @@
     load_age: float | None
 
 
+class TrafficShare:
+    """How many requests all entries have at engines for each of this entry's own.
+
+    Load reports count the requests of all entries; compared with its own at that moment, an entry
+    learns by how much its own backlog must be scaled.
+    """
+
+    __slots__ = ("_all", "_mine")
+
+    def __init__(self) -> None:
+        self._mine = 1.0
+        self._all = 1.0
+
+    def note(self, mine: int, everybody: int) -> None:
+        """Takes in one report, beside the entry's own requests there."""
+        self._mine += SHARE_WEIGHT * (mine - self._mine)
+        self._all += SHARE_WEIGHT * (max(mine, everybody) - self._all)
+
+    def factor(self) -> float:
+        """Returns the requests of all entries for each of this entry's own; at least 1."""
+        return min(MOST_ENTRIES, max(1.0, self._all / self._mine))
+
+
 class EngineBoard:
     """What one entry knows of the engines of one service.
 
@@ -82,11 +112,12 @@
         "_caches",
         "_health",
         "_loads",
-        "_mean_unread",
+        "_share",
         "_rng",
         "_sent",
         "_shape",
         "_split",
+        "_waits",
         "_zone",
     )
 
@@ -98,8 +129,9 @@
         self._caches: dict[str, PromptCache] = {}
         self._loads: dict[str, tuple[UpstreamLoad, float]] = {}
         self._sent: dict[str, _Sent] = {}
-        self._mean_unread = 2000.0
+        self._share = TrafficShare()
         self._split = EngineSplit(shape.stride)
+        self._waits = EngineWaits()
 
     def pause_kind(self, gap_objective: float) -> float:
         """Returns the kind of a stream, by the pause in seconds that it bears."""
@@ -135,33 +167,44 @@
             if best is None or (cost, self._rng.random()) < best[:2]:
                 best = (cost, self._rng.random(), choice)
         assert best is not None
-        return best[2]
+        choice = best[2]
+        # What is refused counts too: it is demand for engines of its kind.
+        self._split.observe(kind, choice.unread / READING_TOKENS_PER_SECOND, now)
+        return choice
 
-    def begin(self, choice: EngineChoice, call: CallerCall, kind: float, now: float) -> None:
+    def begin(self, choice: EngineChoice, call: CallerCall, now: float) -> None:
         """Takes in that a request goes to an engine."""
-        self._split.observe(kind, choice.unread / READING_TOKENS_PER_SECOND, now)
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
         self._sent[call.request_id] = _Sent(name, choice.unread)
-        self._mean_unread += 0.05 * (choice.unread - self._mean_unread)
+        reading = choice.unread / READING_TOKENS_PER_SECOND
+        self._waits.sent(name, call.request_id, reading, now)
 
-    def first_token(self, request_id: str) -> None:
+    def first_token(self, request_id: str, now: float) -> None:
         """Takes in that a request began to run."""
-        if request_id in self._sent:
-            self._sent[request_id].started = True
+        sent = self._sent.get(request_id)
+        if sent is not None and not sent.started:
+            sent.started = True
+            self._waits.started(sent.upstream, request_id, now)
 
     def end(self, request_id: str) -> None:
         """Takes in that a request left its engine."""
-        self._sent.pop(request_id, None)
+        sent = self._sent.pop(request_id, None)
+        if sent is not None:
+            self._waits.ended(sent.upstream, request_id)
 
     def report(self, name: str, load: UpstreamLoad, now: float) -> None:
         """Takes in a load that an engine told."""
         self._loads[name] = (load, now)
+        mine = sum(each.upstream == name for each in self._sent.values())
+        if mine:
+            self._share.note(mine, load.running + load.waiting)
 
     def forget(self, name: str) -> None:
         """Drops an engine that is gone or started anew."""
         for known in (self._caches, self._loads):
             known.pop(name, None)
+        self._waits.forget(name)
 
     def _estimate(
         self,
@@ -173,16 +216,17 @@
         name = upstream.name
         unread = max(0, call.prompt_tokens - self._cache(name).kept_tokens(keys))
         mine = [each for each in self._sent.values() if each.upstream == name]
-        backlog = float(sum(each.unread for each in mine if not each.started))
-        running = float(len(mine))
+        others = self._share.factor()
+        backlog = others * sum(each.unread for each in mine if not each.started)
+        running = others * len(mine)
         age = None
         if name in self._loads:
             load, at = self._loads[name]
             age = now - at
             fresh = max(0.0, 1.0 - age / REPORT_SECONDS)
-            backlog = max(backlog, fresh * load.waiting * self._mean_unread)
-            running = max(running, fresh * load.running)
-        wait = (backlog + unread) / READING_TOKENS_PER_SECOND + running * CROWD_SECONDS
+            running += fresh * (load.running - running)
+        delay = max(backlog / READING_TOKENS_PER_SECOND, self._waits.delay(name, now))
+        wait = delay + unread / READING_TOKENS_PER_SECOND + running * CROWD_SECONDS
         return EngineChoice(upstream, unread, wait, age)
 
     def _extra(self, upstream: DirectUpstream, home: str, shared_tokens: int) -> float:
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -11,7 +11,7 @@
     WatchedTable,
     WindowReports,
 )
-from bilberryplank_core._direct_routes import Classified, RouteIndex, draw_service
+from bilberryplank_core._direct_routes import Classified, RouteIndex, draw_service, engine_rank
 from bilberryplank_core._direct_world import (
     AnswerHead,
     CallerCall,
@@ -25,6 +25,7 @@
     RepeatRule,
     UpstreamLoad,
 )
+from bilberryplank_core._engine_admission import may_enter, return_after
 from bilberryplank_core._engine_board import EngineBoard, EngineChoice
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
@@ -76,8 +77,11 @@
     "WindowRetryBudget",
     "WindowSeal",
     "draw_service",
+    "engine_rank",
     "judge_head",
+    "may_enter",
     "may_seal",
     "read_seal",
+    "return_after",
     "sum_counts",
 ]
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -30,7 +30,10 @@
     UpstreamDialect,
     WindowCounts,
     draw_service,
+    engine_rank,
     judge_head,
+    may_enter,
+    return_after,
 )
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
 from bilberryplank_core.events import EventSplitter
@@ -120,6 +123,8 @@
         self._found = found
         self._arrived = arrived
         self._closes = closes
+        assert parts.state.routes is not None
+        self._routes = parts.state.routes
         self._service = draw_service(found.route, parts.state.rng)
         self._log = AttemptLog(found.route.repeat, found.route.max_runs)
         self._tried: set[str] = set()
@@ -174,7 +179,8 @@
             choice = board.choose(self._call, kind, fresh, now)
             upstream = choice.upstream if choice else None
             if choice is not None:
-                board.begin(choice, self._call, kind, now)
+                self._admit(choice.wait, now)
+                board.begin(choice, self._call, now)
                 note.update(unread=choice.unread, wait=round(choice.wait, 3))
                 note["load_age"] = None if choice.load_age is None else round(choice.load_age, 2)
         else:
@@ -187,6 +193,16 @@
         self._tried.add(upstream.name)
         return upstream, note
 
+    def _admit(self, wait: float, now: float) -> None:
+        """Refuses a request that no engine can serve in time."""
+        state, route = self._parts.state, self._found.route
+        least_urgent = self._routes.is_least_urgent(self._service, self._found.urgency)
+        if may_enter(wait, route.objective, self._deadline - now, least_urgent):
+            return
+        message = f"the shortest wait at an engine is {wait:.2f} s, too long for this request"
+        retry_after = return_after(wait, route.objective, state.rng)
+        raise self._give_up(RefusalReason.DEADLINE_UNREACHABLE, message, retry_after)
+
     async def _attempt(
         self, upstream: DirectUpstream, note: dict[str, object]
     ) -> tuple[Outcome, web.StreamResponse | None]:
@@ -227,7 +243,7 @@
             ((name, value) for name, value in self._received.headers),
             upstream,
             self._found.organisation,
-            self._found.rank if is_engine else None,
+            engine_rank(self._found.urgency) if is_engine else None,
             self._deadline - now,
             self._last_event,
         )
@@ -325,7 +341,7 @@
         self._count()
         board = self._parts.state.board(self._service)
         if isinstance(board, EngineBoard):
-            board.first_token(self._call.request_id)
+            board.first_token(self._call.request_id, boot_time())
 
     def _count(self) -> None:
         """Counts the request as begun, once, in the window of true time."""
@@ -356,14 +372,20 @@
             return self._give_up(RefusalReason.QUEUE_FULL, "upstreams are full")
         return self._give_up(RefusalReason.UPSTREAM_FAILED, "no upstream gave a whole answer")
 
-    def _give_up(self, reason: RefusalReason, message: str) -> Exception:
+    def _give_up(
+        self, reason: RefusalReason, message: str, retry_after: float | None = None
+    ) -> Exception:
         """Returns what ends the request: a refusal, or the cut of an answer that has begun."""
         if self._resp is not None:
             self._cut_off(message)
         if self._log.not_run and reason is not RefusalReason.DEADLINE_PASSED:
-            reason = RefusalReason.NO_UPSTREAM
-            wait = RETURN_SECONDS * self._parts.state.rng.uniform(0.6, 1.4)
-            return Refused(reason, message, retry_after=wait)
+            if reason is RefusalReason.UPSTREAM_FAILED:
+                reason = RefusalReason.NO_UPSTREAM
+            if retry_after is None:
+                retry_after = RETURN_SECONDS * self._parts.state.rng.uniform(0.6, 1.4)
+            return Refused(reason, message, retry_after=retry_after)
+        if reason is RefusalReason.DEADLINE_UNREACHABLE:
+            reason = RefusalReason.UPSTREAM_FAILED
         return Refused(reason, message, not_run=self._log.not_run)
 
     def _cut_off(self, message: str) -> None:
@@ -387,7 +409,7 @@
             request=self._call.request_id,
             route=self._found.route.name,
             organisation=self._found.organisation,
-            rank=self._found.rank,
+            rank=engine_rank(self._found.urgency),
             version=self._found.version,
             config_age=round(self._parts.state.confirmation.age(now), 2),
             upstream=upstream.name,
