Keep one memory for all kinds in the division of engines; describe the platform for readers

Design note, operators' way from a request to its cause, findings, settings; a scenario on real processes for callers that hang up.

--- a/features/steps/traffic_steps.py
+++ b/features/steps/traffic_steps.py
@@ -3,6 +3,8 @@
 
 from behave import then, when
 
+from bilberryplank_testing._scenario_document import MODELS
+
 
 @when("{org:Name} asks {entry:Entry} for {tokens:d} tokens of {kind:Name} as {name:Name}")
 def step_generate(context, org, entry, tokens, kind, name):
@@ -157,3 +159,49 @@
     first = context.world.outcome(name)
     last = max(item.sent + item.total for item in context.world.outcomes(prefix))
     assert first.sent + first.total < last, (first, last)
+
+
+@when(
+    "{org:Name} hangs up {count:d} times at {entry:Entry} right after asking"
+    " for {tokens:d} tokens of {kind:Name}"
+)
+def step_hang_up(context, org, count, entry, tokens, kind):
+    world = context.world
+    host, _, port = world.deployment.entry_urls[entry].removeprefix("http://").partition(":")
+    document = {
+        "model": MODELS[kind],
+        "stream": True,
+        "max_tokens": tokens,
+        "fake_output_tokens": tokens,
+    }
+    document["messages"] = [{"role": "user", "content": "hang up"}]
+    body = json.dumps(document).encode()
+    secret = world.secrets[f"key-{org}"]
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: {host}\r\n"
+        f"Authorization: Bearer {secret}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+
+    async def hang_up():
+        for _ in range(count):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head.encode() + body)
+            await writer.drain()
+            writer.close()
+
+    world.run(hang_up())
+
+
+@then("no process holds anything within {seconds:g} seconds")
+def step_nothing_held(context, seconds):
+    world = context.world
+
+    async def held():
+        total = 0
+        for address in world.deployment.operations.values():
+            async with world.deployment.session.get(f"http://{address}/status") as resp:
+                status = await resp.json()
+                total += status["queued"] + status["running"]
+        return total
+
+    world.wait_until(lambda: world.run(held()) == 0, "nothing is held", seconds)
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_admission.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_admission.py
@@ -1,8 +1,8 @@
 """Whether a request should be refused at once because no engine can serve it in time.
 
-Served late, a request of the least urgent kind earns little and makes those behind it late too; refused
-at once, it may come back when the backlog is gone. More urgent requests are refused only where they
-could not begin before their caller leaves: nothing less urgent is to be served in their place.
+Served late, a request of the least urgent kind earns little and makes those behind it late too;
+refused at once, it may come back when the backlog is gone. More urgent requests are refused only
+where they could not begin before their caller leaves: nothing less urgent is served in their place.
 
 Load pattern: more prompt tokens than the engines can read, for seconds.
 """
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -22,12 +22,9 @@
 READING_STEP_SECONDS = 0.06
 """Longest step of an engine that reads a chunk of a long prompt, from the users' sheet."""
 
-READING_MEMORY_SECONDS = 12.0
-"""Work of patient streams counts half after this long: longer than a burst, so that the engines
-that keep their prompts seldom change."""
-
-STEADY_MEMORY_SECONDS = 5.0
-"""The same for short-paused streams, whose prompts are short: a burst of them gets engines soon."""
+MEMORY_SECONDS = 12.0
+"""Work counts half after this long: longer than a burst, so that the engines that keep shared parts
+seldom change."""
 
 READING_USE = 0.75
 """Share of its time that an engine may read prompts where its streams bear it."""
@@ -63,7 +60,6 @@
 
 @dataclass(slots=True)
 class _Work:
-    memory: float
     engine_seconds: float = 0.0
     at: float = 0.0
 
@@ -72,7 +68,7 @@
         self.at = now
 
     def value(self, now: float) -> float:
-        return self.engine_seconds * 0.5 ** (max(0.0, now - self.at) / self.memory)
+        return self.engine_seconds * 0.5 ** (max(0.0, now - self.at) / MEMORY_SECONDS)
 
 
 class EngineSplit:
@@ -93,10 +89,8 @@
         """Takes in the reading time of a request."""
         use = reading_use(kind, self._stride)
         if kind not in self._work:
-            patient = kind == ANY_PAUSE
-            memory = READING_MEMORY_SECONDS if patient else STEADY_MEMORY_SECONDS
-            self._work[kind] = _Work(memory, at=now)
-        self._work[kind].add(seconds / (use * self._work[kind].memory), now)
+            self._work[kind] = _Work(at=now)
+        self._work[kind].add(seconds / use, now)
 
     def part(
         self, kind: float, engines: Sequence[DirectUpstream], now: float
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_waits.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_waits.py
@@ -1,7 +1,7 @@
 """How long requests wait at each engine, learnt from first tokens that came or are overdue.
 
-An entry sees only its own part of what waits at an engine. What its own requests met there tells the
-rest: the delay of the last first token, and the age of a request that still has none.
+An entry sees only its own part of what waits at an engine. What its own requests met there tells
+the rest: the delay of the last first token, and the age of a request that still has none.
 
 Load pattern: bursts from many entries, none of which sees the whole backlog.
 """
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from bilberryplank_core._engine_split import ANY_PAUSE, EngineSplit, pause_kind
+from bilberryplank_core._engine_waits import EngineWaits
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core.direct import (
     CallerCall,
@@ -16,6 +17,8 @@
     ServiceBoard,
     UpstreamHealth,
     UpstreamLoad,
+    may_enter,
+    return_after,
 )
 
 ENGINES = [DirectUpstream(f"e{n}", "s", f"1.1.1.{n}:1", "z", 64) for n in range(6)]
@@ -85,8 +88,8 @@
             one.begin(choice, call(0), 0.0)
             for _ in range(reports):
                 one.report(choice.upstream.name, UpstreamLoad(4, 1, 64), 0.0)
-            one._split.part = lambda kind, engines, now, home=choice: [home.upstream]
-            waits.append(one.choose(call(1), ANY_PAUSE, ENGINES, 0.0).wait)
+            only_home = [choice.upstream]
+            waits.append(one.choose(call(1), ANY_PAUSE, only_home, 0.0).wait)
         self.assertGreater(waits[1], 3 * waits[0])
 
     def test_a_request_without_its_first_token_shows_the_wait_at_its_engine(self):
@@ -207,3 +210,61 @@
     def test_places_are_given_back(self):
         self.serve({})
         self.assertEqual(self.board.in_flight, 0)
+
+
+class EngineWaitsTest(unittest.TestCase):
+    def test_met_delays_fade_and_overdue_requests_count(self):
+        waits = EngineWaits()
+        self.assertEqual(waits.delay("e", 0.0), 0.0)
+        waits.sent("e", "r1", 0.2, 0.0)
+        self.assertAlmostEqual(waits.delay("e", 1.0), 0.8)
+        waits.started("e", "r1", 1.2)
+        self.assertAlmostEqual(waits.delay("e", 1.2), 1.0)
+        self.assertAlmostEqual(waits.delay("e", 2.2), 0.5)
+        self.assertEqual(waits.delay("e", 9.0), 0.0)
+
+    def test_a_request_that_left_is_not_overdue(self):
+        waits = EngineWaits()
+        waits.sent("e", "r1", 0.2, 0.0)
+        waits.ended("e", "r1")
+        self.assertEqual(waits.delay("e", 5.0), 0.0)
+
+
+class AdmissionTest(unittest.TestCase):
+    """Load pattern: twice the prompt tokens that an engine can read, for twenty seconds."""
+
+    OBJECTIVE = 1.5
+    LIMIT = 8.0
+
+    def replay(self, refuses):
+        """Returns how many of a burst begin within the objective, and how many began at all."""
+        rng = Random(7)
+        now, free_at, in_time, begun = 0.0, 0.0, 0, 0
+        while now < 20.0:
+            now += rng.expovariate(2 * RATE / 5000)
+            reading = rng.lognormvariate(8.2, 0.8) / RATE
+            wait = max(0.0, free_at - now) + reading
+            if refuses and not may_enter(wait, self.OBJECTIVE, self.LIMIT, True):
+                continue
+            free_at = max(free_at, now) + reading
+            begun += wait <= self.LIMIT
+            in_time += wait <= self.OBJECTIVE
+        return in_time, begun
+
+    def test_early_refusal_serves_more_in_time_than_taking_all(self):
+        with_refusals, begun = self.replay(refuses=True)
+        first_come_first_served, _ = self.replay(refuses=False)
+        self.assertGreater(with_refusals, 3 * first_come_first_served)
+        self.assertEqual(with_refusals, begun)
+
+    def test_a_more_urgent_request_is_refused_only_where_it_could_not_begin(self):
+        cases = ((1.0, True, True), (1.6, True, False), (1.6, False, True), (8.1, False, False))
+        for wait, least, enters in cases:
+            self.assertEqual(may_enter(wait, self.OBJECTIVE, self.LIMIT, least), enters)
+
+    def test_callers_come_back_spread_and_within_bounds(self):
+        rng = Random(3)
+        times = [return_after(2.5, self.OBJECTIVE, rng) for _ in range(200)]
+        self.assertGreater(max(times) - min(times), 0.5)
+        self.assertLess(return_after(100.0, self.OBJECTIVE, rng), 2.5)
+        self.assertGreater(return_after(0.0, self.OBJECTIVE, rng), 0.2)
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -190,6 +190,7 @@
         if upstream is None:
             raise self._give_up(RefusalReason.NO_UPSTREAM, "no upstream can take the request")
         state.health.begin(upstream.name, now)
+        self._parts.metrics.set_load(0, state.in_flight())
         self._tried.add(upstream.name)
         return upstream, note
 
@@ -338,6 +339,9 @@
         return self._resumable and self._last_event is not None
 
     def _first_token(self) -> None:
+        if self._pace.first is None:
+            waited = boot_time() - self._arrived
+            self._parts.metrics.first_token(self._found.route.name, waited)
         self._count()
         board = self._parts.state.board(self._service)
         if isinstance(board, EngineBoard):
@@ -357,6 +361,7 @@
             board.end(self._call.request_id)
         else:
             board.end(upstream.name, seconds)
+        self._parts.metrics.set_load(0, self._parts.state.in_flight())
 
     def _can_retry(self, outcome: Outcome) -> bool:
         if self._deadline - boot_time() < LEAST_TRY_SECONDS:
--- a/packages/bilberryplankctl/bilberryplankctl/tests/test_pages.py
+++ b/packages/bilberryplankctl/bilberryplankctl/tests/test_pages.py
@@ -17,6 +17,8 @@
 DOCS = ROOT / "docs"
 SETTINGS_KINDS = {
     "Entry": settings.EntrySettings,
+    "Direct entry": settings.DirectEntrySettings,
+    "Retry budget": settings.RetryBudgetSettings,
     "Sidecar": settings.SidecarSettings,
     "Operator": settings.OperatorSettings,
     "Platform": settings.PlatformSettings,
@@ -58,7 +60,7 @@
 class PagesTest(unittest.TestCase):
     def test_settings_are_those_of_the_data_classes(self):
         text = page("SETTINGS.md")
-        self.assertEqual(re.findall(r"^## (\w+)$", text, re.MULTILINE), list(SETTINGS_KINDS))
+        self.assertEqual(re.findall(r"^## ([\w ]+)$", text, re.MULTILINE), list(SETTINGS_KINDS))
         for heading, kind in SETTINGS_KINDS.items():
             with self.subTest(section=heading):
                 written = [(cells[0], cells[2]) for cells in rows(section(text, heading))]
