--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -156,7 +156,9 @@
         usable = [each for each in upstreams if self._health.may_use(each.name, now)]
         if not usable:
             return None
-        usable = self._split.part(kind, usable, now)
+        # Divided before those held out are left out, so that the others keep their kinds.
+        part = self._split.part(kind, upstreams, now)
+        usable = [each for each in usable if each in part] or usable
         keys = prefix_keys(call.model, call.prompt)
         home = max(usable, key=lambda each: weight(_shared_key(call, keys), each.name)).name
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -19,7 +19,7 @@
 from bilberryplank_core._direct_world import DirectUpstream
 from bilberryplank_core._ranking import weight
 
-READING_STEP_SECONDS = 0.06
+READING_STEP_SECONDS = 0.055
 """Longest step of an engine that reads a chunk of a long prompt, from the users' sheet."""
 
 MEMORY_SECONDS = 12.0
