--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -72,13 +72,13 @@
     """Returns True where a window should be summed now.
 
     A process that is cut off from the store stores its counts late, so the sum waits for all that
-    stored counts for the window before, as long as the report can still be in time.
+    stored counts for the windows before, as long as the report can still be in time.
 
     Args:
         age: Seconds since the window's end.
         deadline: Seconds after the end within which the report is due.
         present: Processes that stored counts for this window.
-        expected: Processes that stored counts for the window before.
+        expected: Processes that stored counts for the windows before.
     """
     if age < SEAL_DELAY_SECONDS:
         return False
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -76,7 +76,7 @@
         self._client = DirectClient()
         counts, true_time = WindowCounts(cfg.usage_window), platform.true_time
         self._usage = UsageStore(
-            f"{cfg.name}-{self.epoch}", platform.table, counts, cfg.usage_flush_interval
+            f"{cfg.name}/{self.epoch}", platform.table, counts, cfg.usage_flush_interval
         )
         self._requests = DirectRequests(
             self._state,
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -38,6 +38,9 @@
 
 POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
+WRITER_WINDOWS = 3
+"""Windows back from which writers are awaited: longer than a process is usually cut off."""
+
 KEPT_WINDOWS = 12
 """Windows whose rows are kept for a report that is late."""
 
@@ -264,9 +267,11 @@
         row = await self._table.read(SEALS_TABLE, key)
         if row is not None:
             return read_seal(row.value)
-        before = await self._counts_of(number - 1)
         counts = await self._counts_of(number)
-        if not may_seal(age, self._settings.usage_deadline, set(counts), set(before)):
+        expected: set[str] = set()
+        for before in range(number - WRITER_WINDOWS, number):
+            expected |= _names(await self._counts_of(before))
+        if not may_seal(age, self._settings.usage_deadline, _names(counts), expected):
             return None
         seal = WindowSeal(sum_counts(counts.values()))
         conditions = [Condition(SEALS_TABLE, key, 0), self.lease.fence_condition()]
@@ -290,3 +295,8 @@
                 if int(row.key.partition("/")[0]) < number - KEPT_WINDOWS
             ]
         await self._table.forget(keys)
+
+
+def _names(counts: dict[str, dict[str, int]]) -> set[str]:
+    """Returns the names of processes among writers; a restarted one counts as the one before."""
+    return {writer.rpartition("/")[0] for writer in counts}
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -0,0 +1,117 @@
+"""Sealing and reporting of usage windows, in virtual time against a table in memory."""
+
+import unittest
+from random import Random
+
+from bilberryplank._direct_usage import COUNTS_TABLE, SEALS_TABLE, UsageReporter, UsageStore
+from bilberryplank_core.contracts import Put
+from bilberryplank_core.direct import TrueTime, WindowCounts
+from bilberryplank_core.errors import PlatformUnavailable
+from bilberryplank_core.settings import DirectEntrySettings
+from bilberryplank_core.tests._memory_platform import MemoryTable
+
+WINDOW = 5.0
+START = 1000.0
+FIRST = int(START // WINDOW)
+
+
+class Reports:
+    def __init__(self):
+        self.sent = []
+        self.down = None
+
+    async def send(self, window, counts, holder, fence, guard):
+        guard.check()
+        if self.down == window:
+            raise PlatformUnavailable("down")
+        self.sent.append((window, counts, fence))
+
+
+class UsageReporterTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = START
+        self.table = MemoryTable()
+        self.table.forget = self.forget
+        self.reports = Reports()
+        self.time = TrueTime(lambda: self.now)
+        self.time.observe(0.0, START, START)
+        self.time.agree(START)
+
+    async def forget(self, keys):
+        return None
+
+    def reporter(self, name):
+        settings = DirectEntrySettings(
+            name,
+            "z",
+            "1.1.1.1:1",
+            "1.1.1.1:2",
+            "1.1.1.1:3",
+            lease_duration=3.0,
+            lease_margin=0.5,
+        )
+        return UsageReporter(
+            settings, name, self.table, self.reports, self.time, Random(1), lambda: self.now
+        )
+
+    async def count(self, writer, number, **counts):
+        await self.table.commit([], [Put(COUNTS_TABLE, f"{number:012d}/{writer}", counts)])
+
+    async def at(self, reporter, seconds):
+        self.now = START + seconds
+        if not reporter.lease.held(self.now):
+            await reporter.lease.try_acquire()
+        await reporter._advance()
+
+    async def test_a_window_waits_for_a_process_that_was_cut_off_for_windows(self):
+        one = self.reporter("one")
+        for number in (FIRST - 2, FIRST - 1):
+            await self.count("a/1", number, org=1)
+        await self.count("b/1", FIRST - 2, org=1)
+        await self.count("a/1", FIRST, org=2)
+        await self.at(one, 7.6)
+        self.assertNotIn(FIRST, [window for window, _, _ in self.reports.sent])
+        await self.count("b/1", FIRST, org=3)
+        await self.at(one, 8.2)
+        self.assertIn((FIRST, {"org": 5}, 1), self.reports.sent)
+
+    async def test_a_restarted_process_is_not_awaited_under_its_old_run(self):
+        one = self.reporter("one")
+        await self.count("a/1", FIRST - 1, org=1)
+        await self.count("a/2", FIRST, org=2)
+        await self.at(one, 7.6)
+        self.assertIn((FIRST, {"org": 2}, 1), self.reports.sent)
+
+    async def test_the_figures_of_a_seal_are_sent_whoever_sends_and_whatever_came_later(self):
+        one, two = self.reporter("one"), self.reporter("two")
+        await self.count("a/1", FIRST, org=2)
+        self.reports.down = FIRST
+        with self.assertRaises(PlatformUnavailable):
+            await self.at(one, 8.0)
+        await self.count("a/1", FIRST, org=9)
+        self.reports.down = None
+        await self.at(two, 8.1)
+        self.assertNotIn(FIRST, [window for window, _, _ in self.reports.sent])
+        await self.at(two, 11.7)
+        sent = dict((window, counts) for window, counts, _ in self.reports.sent)
+        self.assertEqual(sent[FIRST], {"org": 2})
+        self.assertEqual([fence for window, _, fence in self.reports.sent if window == FIRST], [2])
+
+    async def test_a_retired_holder_reports_no_more(self):
+        one = self.reporter("one")
+        await self.at(one, 1.0)
+        await one.retire()
+        self.assertFalse(one.lease.held(self.now))
+        two = self.reporter("two")
+        self.now += 0.1
+        self.assertTrue(await two.lease.try_acquire())
+
+    async def test_counts_stay_here_until_the_store_has_them(self):
+        counts = WindowCounts(WINDOW)
+        store = UsageStore("a/1", self.table, counts, 1.0)
+        counts.add("org", START)
+        await store.flush()
+        self.assertEqual(counts.unsaved(), [])
+        row = await self.table.read(COUNTS_TABLE, f"{FIRST:012d}/a/1")
+        self.assertEqual(row.value, {"org": 1})
+        self.assertIsNone(await self.table.read(SEALS_TABLE, f"{FIRST:012d}"))
