--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -105,7 +105,8 @@
 
     def _new_board(self, service: str) -> Board:
         zone = self._settings.zone
-        shape = self.routes.configuration.services[service].engine if self.routes else None
+        known = self.routes.configuration.services.get(service) if self.routes else None
+        shape = known.engine if known else None
         if shape is None:
             return ServiceBoard(zone, self.health, self.rng)
         return EngineBoard(zone, shape, self.health, self.rng)
