Let no rejected usage report hold up later windows

Cause, found in reading: a report that the platform rejects for good was sent again for ever, and every later window waited behind it. It is now written as an error and passed over; its figures stay in its row. The test raises without the change.

--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -31,6 +31,7 @@
 from bilberryplank_core._service_board import ServiceBoard
 from bilberryplank_core._upstream_health import UpstreamHealth
 from bilberryplank_core._window_counts import (
+    SEAL_DELAY_SECONDS,
     TrueTime,
     WindowCounts,
     WindowSeal,
@@ -64,6 +65,7 @@
     "Roster",
     "RosterChange",
     "RouteIndex",
+    "SEAL_DELAY_SECONDS",
     "ServiceBoard",
     "Step",
     "TrueTime",
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -15,6 +15,7 @@
 from bilberryplank._logs import log_event
 from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import (
+    SEAL_DELAY_SECONDS,
     TrueTime,
     WatchedTable,
     WindowCounts,
@@ -24,7 +25,7 @@
     read_seal,
     sum_counts,
 )
-from bilberryplank_core.errors import Conflict, LeaseLost, PlatformError
+from bilberryplank_core.errors import Conflict, LeaseLost, PlatformError, ReportRejected
 from bilberryplank_core.fleet import LeaseHolder
 from bilberryplank_core.settings import DirectEntrySettings
 
@@ -33,9 +34,6 @@
 TIME_TABLE = "true-time"
 TIME_KEY = "offset"
 LEASE = "usage"
-SEAL_DELAY_SECONDS = 2.5
-"""Before this age of a window nothing is asked of the table."""
-
 POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
 WRITER_WINDOWS = 3
@@ -246,10 +244,17 @@
             return False
         guard = self.lease.guard()
         fence = self.lease.fence
-        await self._reports.send(number, seal.counts, self._settings.name, fence, guard)
+        event, level = "usage_reported", "INFO"
+        try:
+            await self._reports.send(number, seal.counts, self._settings.name, fence, guard)
+        except ReportRejected as exc:
+            # Sent again it would be rejected again, and hold up all later windows.
+            event, level = "usage_rejected", "ERROR"
+            self._report_calls.failed(exc)
         log_event(
             logger,
-            "usage_reported",
+            event,
+            level=level,
             window=number,
             fence=fence,
             age=round(age, 2),
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -6,7 +6,7 @@
 from bilberryplank._direct_usage import COUNTS_TABLE, SEALS_TABLE, UsageReporter, UsageStore
 from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import TrueTime, WindowCounts
-from bilberryplank_core.errors import PlatformUnavailable
+from bilberryplank_core.errors import PlatformUnavailable, ReportRejected
 from bilberryplank_core.settings import DirectEntrySettings
 from bilberryplank_core.tests._memory_platform import MemoryTable
 
@@ -19,11 +19,14 @@
     def __init__(self):
         self.sent = []
         self.down = None
+        self.rejects = None
 
     async def send(self, window, counts, holder, fence, guard):
         guard.check()
         if self.down == window:
             raise PlatformUnavailable("down")
+        if self.rejects == window:
+            raise ReportRejected("other figures")
         self.sent.append((window, counts, fence))
 
 
@@ -97,6 +100,16 @@
         self.assertEqual(sent[FIRST], {"org": 2})
         self.assertEqual([fence for window, _, fence in self.reports.sent if window == FIRST], [2])
 
+    async def test_a_rejected_window_holds_up_no_later_one(self):
+        one = self.reporter("one")
+        self.reports.rejects = FIRST
+        await self.count("a/1", FIRST + 1, org=4)
+        await self.at(one, 8.0)
+        await self.at(one, 13.0)
+        windows = [window for window, _, _ in self.reports.sent]
+        self.assertNotIn(FIRST, windows)
+        self.assertIn((FIRST + 1, {"org": 4}, 2), self.reports.sent)
+
     async def test_a_retired_holder_reports_no_more(self):
         one = self.reporter("one")
         await self.at(one, 1.0)
