--- a/packages/bilberryplankctl/bilberryplankctl/_rendering.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_rendering.py
@@ -26,6 +26,7 @@
     KeyCreated,
     KeyList,
     KeyWithdrawn,
+    LogExplanation,
     ProcessAnswer,
     Result,
     UpstreamDrained,
@@ -71,6 +72,8 @@
             return f"order {order_id} is asked for: {upstream} {action} {argument}"
         case FleetStatus(processes):
             return _status(processes)
+        case LogExplanation(lines=lines):
+            return "\n".join(lines)
         case Explanation():
             return _explanation(result)
 
--- a/packages/bilberryplankctl/bilberryplankctl/_results.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_results.py
@@ -137,6 +137,14 @@
     unreached: tuple[ProcessAnswer, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class LogExplanation:
+    """Log lines about a request, with those that may explain them, by time."""
+
+    request_id: str
+    lines: tuple[str, ...]
+
+
 Result = (
     Checked
     | Applied
@@ -149,4 +157,5 @@
     | EngineOrderAsked
     | FleetStatus
     | Explanation
+    | LogExplanation
 )
--- a/packages/bilberryplankctl/bilberryplankctl/main.py
+++ b/packages/bilberryplankctl/bilberryplankctl/main.py
@@ -14,6 +14,7 @@
 from bilberryplankctl import _configuration_commands as configuration
 from bilberryplankctl import _engine_commands as engines
 from bilberryplankctl import _key_commands as keys
+from bilberryplankctl import _log_lines as log_lines
 from bilberryplankctl import _process_commands as processes
 from bilberryplankctl._configuration_commands import Kind
 from bilberryplankctl._engine_commands import EngineAction
@@ -188,14 +189,23 @@
     return run_connected(settings, json, lambda session: processes.status(session.processes))
 
 
-def explain(request_id: str, *, settings: Path = DEFAULT_SETTINGS, json: bool = False) -> ExitCode:
+def explain(
+    request_id: str,
+    *,
+    logs: Sequence[Path] = (),
+    settings: Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> ExitCode:
     """Prints why a request went where it went or was refused.
 
     Args:
         request_id: Id of the request, as its answer's headers and the logs show it.
+        logs: Log files of processes to read; without them the processes are asked.
         settings: Settings file of the operators' command.
         json: Print JSON.
     """
+    if logs:
+        return run_local(json, lambda: log_lines.explain(logs, request_id))
     return run_connected(
         settings, json, lambda session: processes.explain(session.processes, request_id)
     )
--- /dev/null
+++ b/packages/bilberryplankctl/bilberryplankctl/tests/test_log_lines.py
@@ -0,0 +1,50 @@
+import io
+import tempfile
+import unittest
+from contextlib import redirect_stdout
+from pathlib import Path
+
+from bilberryplankctl._failures import ExitCode, NotFound
+from bilberryplankctl._log_lines import explain_lines
+from bilberryplankctl.main import run
+
+
+def line(second, event, process="front-1", **fields):
+    rest = " ".join(f"{name}={value}" for name, value in fields.items())
+    at = f"2026-02-05T08:50:{second:06.3f}+00:00"
+    return f"time={at} level=info process={process} event={event} {rest}"
+
+
+LINES = [
+    line(1.0, "dependency_lost", dependency='"table op"', cause='"TimeoutError: "'),
+    line(1.0, "dependency_lost", process="front-2", dependency='"table op"'),
+    line(2.0, "upstream_held_out", upstream="u1", request="other"),
+    line(2.1, "upstream_held_out", upstream="u2", request="other"),
+    line(3.0, "request_placed", request="r1", upstream="u1"),
+    line(3.2, "request_answered", request="r2", upstream="u1"),
+    line(4.0, "attempt_failed", request="r1", upstream="u1", cause='"reset by \\"peer\\""'),
+    line(9.0, "dependency_regained", dependency='"table op"'),
+    "no line of ours",
+]
+
+
+class ExplainLinesTest(unittest.TestCase):
+    def test_a_request_s_lines_come_with_what_may_explain_them(self):
+        found = explain_lines(reversed(LINES), "r1")
+        self.assertEqual(found, [LINES[0], LINES[2], LINES[4], LINES[6]])
+
+    def test_an_unknown_request_is_said_so(self):
+        with self.assertRaises(NotFound):
+            explain_lines(LINES, "r9")
+
+    def test_the_command_reads_files(self):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "front.log"
+            path.write_text("\n".join(LINES))
+            out = io.StringIO()
+            with redirect_stdout(out):
+                code = run(["explain", "r1", "--logs", str(path)])
+            self.assertEqual(code, ExitCode.OK)
+            self.assertIn("attempt_failed", out.getvalue())
+            self.assertEqual(run(["explain", "r9", "--logs", str(path)]), ExitCode.NOT_FOUND)
+            self.assertEqual(run(["explain", "r1", "--logs", directory]), ExitCode.NOT_FOUND)
