--- a/packages/bilberryplank-core/bilberryplank_core/_attempt_history.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_attempt_history.py
@@ -82,8 +82,15 @@
     def refuse(self, reason: RefusalReason) -> Refused:
         """Returns the refusal for the caller."""
         if not self.none_ran:
-            return Refused(reason, "may have run", not_run=False)
+            return Refused(reason, f"may have run: {self._cause()}", not_run=False)
         retry_after = self._retry_after
         if reason is RefusalReason.NO_UPSTREAM and retry_after is None:
             retry_after = NO_UPSTREAM_RETRY_SECONDS
-        return Refused(reason, "not run", retry_after=retry_after)
+        return Refused(reason, f"not run: {self._cause()}", retry_after=retry_after)
+
+    def _cause(self) -> str:
+        """Returns who was asked and what the last word was, for the caller and for on-call."""
+        if not self.asked:
+            return "no upstream could be asked"
+        word = f"last word {self._refusal.value}" if self._refusal else "no word came back"
+        return f"asked {', '.join(sorted(self.asked))}, {word}"
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_attempts.py
@@ -175,6 +175,17 @@
         self.assertEqual(step.refused.reason, RefusalReason.DEADLINE_PASSED)
         self.assertTrue(step.refused.not_run)
 
+    def test_a_refusal_names_who_was_asked_and_the_last_word(self):
+        subject = attempts(deadline=1.0)
+        sent = subject.start(0.0)
+        refused = subject.expired(1.0).refused
+        self.assertIn(sent.upstream.name, str(refused))
+        self.assertIn("no word came back", str(refused))
+        subject = attempts(deadline=1.0)
+        sent = subject.start(0.0)
+        refused = subject.not_run(sent.attempt, SHED, None, 0.99).refused
+        self.assertIn(f"asked {sent.upstream.name}, last word shed", str(refused))
+
     def test_a_suspect_upstream_is_left_once_where_that_is_safe(self):
         for idempotent, suspect, expected in ((True, True, True), (True, False, False), (0, 1, 0)):
             with self.subTest(idempotent=idempotent, suspect=suspect):
