Take an engine that was not used lately to be as full as the others

Cause: with 21 and 27 entries each has a request at few of the engines. Ruled out: engines that are too few (placed prompts need 0.8 of 1.47 million tokens a second on average); scale of the entry's own backlog alone (it is 0 at most engines). Change: EngineWaits keeps delays by urgency and takes the median of the engines used lately for the others; a request waits for what is as urgent or more.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -20,7 +20,7 @@
     UpstreamLoad,
 )
 from bilberryplank_core._engine_split import EngineSplit, pause_kind
-from bilberryplank_core._engine_waits import EngineWaits
+from bilberryplank_core._engine_waits import EngineWaits, Urgency
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._ranking import weight
 from bilberryplank_core._upstream_health import UpstreamHealth
@@ -143,13 +143,19 @@
         return len(self._sent)
 
     def choose(
-        self, call: CallerCall, kind: float, upstreams: Sequence[DirectUpstream], now: float
+        self,
+        call: CallerCall,
+        kind: float,
+        urgency: Urgency,
+        upstreams: Sequence[DirectUpstream],
+        now: float,
     ) -> EngineChoice | None:
         """Returns the engine for a request; None where all are held out.
 
         Args:
             call: The request.
             kind: Kind of its stream, from `pause_kind`.
+            urgency: Its urgency, by which engines order what waits.
             upstreams: Engines that may get new work.
             now: Seconds on the boot clock.
         """
@@ -162,9 +168,10 @@
         keys = prefix_keys(call.model, call.prompt)
         home = max(usable, key=lambda each: weight(_shared_key(call, keys), each.name)).name
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
+        delays = self._waits.delays([each.name for each in usable], urgency, now)
         best: tuple[float, float, EngineChoice] | None = None
         for each in usable:
-            choice = self._estimate(each, call, keys, now)
+            choice = self._estimate(each, call, keys, delays[each.name], now)
             cost = choice.wait + self._extra(each, home, shared_tokens)
             if best is None or (cost, self._rng.random()) < best[:2]:
                 best = (cost, self._rng.random(), choice)
@@ -174,13 +181,13 @@
         self._split.observe(kind, choice.unread / READING_TOKENS_PER_SECOND, now)
         return choice
 
-    def begin(self, choice: EngineChoice, call: CallerCall, now: float) -> None:
+    def begin(self, choice: EngineChoice, call: CallerCall, urgency: Urgency, now: float) -> None:
         """Takes in that a request goes to an engine."""
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
         self._sent[call.request_id] = _Sent(name, choice.unread)
         reading = choice.unread / READING_TOKENS_PER_SECOND
-        self._waits.sent(name, call.request_id, reading, now)
+        self._waits.sent(name, call.request_id, reading, urgency, now)
 
     def first_token(self, request_id: str, now: float) -> None:
         """Takes in that a request began to run."""
@@ -213,6 +220,7 @@
         upstream: DirectUpstream,
         call: CallerCall,
         keys: Sequence[tuple[str, int]],
+        met_delay: float,
         now: float,
     ) -> EngineChoice:
         name = upstream.name
@@ -227,7 +235,7 @@
             age = now - at
             fresh = max(0.0, 1.0 - age / REPORT_SECONDS)
             running += fresh * (load.running - running)
-        delay = max(backlog / READING_TOKENS_PER_SECOND, self._waits.delay(name, now))
+        delay = max(backlog / READING_TOKENS_PER_SECOND, met_delay)
         wait = delay + unread / READING_TOKENS_PER_SECOND + running * CROWD_SECONDS
         return EngineChoice(upstream, unread, wait, age)
 
