Estimate the fleet's backlog from small samples, and plan engines for slots too

(2) Engines were divided by reading alone, and refused prompts counted: in bursts the short streams had 2 of 24 engines with 64 slots each; 557 arrivals were rejected as full, the busiest engine had 3.9 times the mean. Ruled out: the borders' disagreement among entries (late pauses at one or two engines of the border only). Change: the request that brings a report is left out of both sides of the share; the backlog at one engine is the mean with a gamma prior of two requests; the division takes the larger of reading and slots, of requests that were sent.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -41,12 +41,18 @@
 CROWD_SECONDS = 0.001
 """Cost of each request that runs at an engine: it slows the tokens of all others."""
 
-SHARE_WEIGHT = 0.05
+SHARE_WEIGHT = 0.02
 """Weight of one report in the running share of the traffic."""
 
-MOST_ENTRIES = 16.0
+FIRST_REPORTS = 5
+"""Reports that the assumption of being alone counts for, until reports have come."""
+
+MOST_ENTRIES = 64.0
 """Bound on the share, so that a few odd reports do not turn everything away."""
 
+PRIOR_REQUESTS = 2.0
+"""Requests of its own that an entry must see at an engine to believe in as much as in the mean."""
+
 FAILURE_SECONDS = 1.0
 """Cost of an engine that fails every request."""
 
@@ -58,18 +64,28 @@
     started: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class _Backlog:
+    requests: float
+    unread: float
+
+
 @dataclass(slots=True, frozen=True)
 class EngineChoice:
     """An engine and why it was chosen.
 
     Attributes:
         upstream: The engine.
+        kind: Kind of the request's stream.
+        urgency: Urgency of the request.
         unread: Tokens of the prompt that it has to read.
         wait: Expected seconds until the first token.
         load_age: Age in seconds of the engine's last report; None without one.
     """
 
     upstream: DirectUpstream
+    kind: float
+    urgency: Urgency
     unread: int
     wait: float
     load_age: float | None
@@ -79,23 +95,45 @@
     """How many requests all entries have at engines for each of this entry's own.
 
     Load reports count the requests of all entries; compared with its own at that moment, an entry
-    learns by how much its own backlog must be scaled.
+    learns by how much its own backlog must be scaled. The request that brings a report is left out
+    of both: an entry hears only of engines where it has one.
     """
 
-    __slots__ = ("_all", "_mine")
+    __slots__ = ("_all", "_mine", "_reports")
 
     def __init__(self) -> None:
         self._mine = 1.0
         self._all = 1.0
+        self._reports = FIRST_REPORTS
 
     def note(self, mine: int, everybody: int) -> None:
         """Takes in one report, beside the entry's own requests there."""
-        self._mine += SHARE_WEIGHT * (mine - self._mine)
-        self._all += SHARE_WEIGHT * (max(mine, everybody) - self._all)
+        self._reports += 1
+        share = max(SHARE_WEIGHT, 1.0 / self._reports)
+        self._mine += share * (mine - 1 - self._mine)
+        self._all += share * (max(mine, everybody) - 1 - self._all)
 
     def factor(self) -> float:
         """Returns the requests of all entries for each of this entry's own; at least 1."""
-        return min(MOST_ENTRIES, max(1.0, self._all / self._mine))
+        return max(1.0, min(MOST_ENTRIES, self._all / max(self._mine, self._all / MOST_ENTRIES)))
+
+
+def all_entries(own: float, mean: float, unit: float, entries: float) -> float:
+    """Returns what all entries are likely to have at one engine, by one entry's own part.
+
+    With many entries an own part is a small sample: it says little of this engine, so the estimate
+    stays near the mean of all engines (the mean of a gamma distribution after a Poisson sample).
+
+    Args:
+        own: The entry's own part at the engine.
+        mean: The mean of its own parts over all engines.
+        unit: Size of the part that one request makes.
+        entries: Requests of all entries for each of its own.
+    """
+    if mean <= 0:
+        return entries * own
+    prior = PRIOR_REQUESTS * unit
+    return entries * mean * (prior + own) / (prior + mean)
 
 
 class EngineBoard:
@@ -130,7 +168,7 @@
         self._loads: dict[str, tuple[UpstreamLoad, float]] = {}
         self._sent: dict[str, _Sent] = {}
         self._share = TrafficShare()
-        self._split = EngineSplit(shape.stride)
+        self._split = EngineSplit(shape)
         self._waits = EngineWaits()
 
     def pause_kind(self, gap_objective: float) -> float:
@@ -169,25 +207,28 @@
         home = max(usable, key=lambda each: weight(_shared_key(call, keys), each.name)).name
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
         delays = self._waits.delays([each.name for each in usable], urgency, now)
+        backlogs = self._backlogs([each.name for each in usable])
         best: tuple[float, float, EngineChoice] | None = None
         for each in usable:
-            choice = self._estimate(each, call, keys, delays[each.name], now)
-            cost = choice.wait + self._extra(each, home, shared_tokens)
+            unread = max(0, call.prompt_tokens - self._cache(each.name).kept_tokens(keys))
+            wait, age = self._estimate(
+                each.name, unread, backlogs[each.name], delays[each.name], now
+            )
+            choice = EngineChoice(each, kind, urgency, unread, wait, age)
+            cost = wait + self._extra(each, home, shared_tokens)
             if best is None or (cost, self._rng.random()) < best[:2]:
                 best = (cost, self._rng.random(), choice)
         assert best is not None
-        choice = best[2]
-        # What is refused counts too: it is demand for engines of its kind.
-        self._split.observe(kind, choice.unread / READING_TOKENS_PER_SECOND, now)
-        return choice
+        return best[2]
 
-    def begin(self, choice: EngineChoice, call: CallerCall, urgency: Urgency, now: float) -> None:
+    def begin(self, choice: EngineChoice, call: CallerCall, now: float) -> None:
         """Takes in that a request goes to an engine."""
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
         self._sent[call.request_id] = _Sent(name, choice.unread)
         reading = choice.unread / READING_TOKENS_PER_SECOND
-        self._waits.sent(name, call.request_id, reading, urgency, now)
+        self._waits.sent(name, call.request_id, reading, choice.urgency, now)
+        self._split.observe(choice.kind, reading, _answer_tokens(call), now)
 
     def first_token(self, request_id: str, now: float) -> None:
         """Takes in that a request began to run."""
@@ -215,29 +256,40 @@
             known.pop(name, None)
         self._waits.forget(name)
 
+    def _backlogs(self, engines: Sequence[str]) -> dict[str, _Backlog]:
+        """Returns what all entries are likely to have at each engine."""
+        own = {name: [0, 0, 0] for name in engines}
+        for sent in self._sent.values():
+            if sent.upstream in own:
+                counts = own[sent.upstream]
+                counts[0] += 1
+                if not sent.started:
+                    counts[1] += 1
+                    counts[2] += sent.unread
+        requests, waiting, unread = (sum(each) for each in zip(*own.values(), strict=True))
+        entries, count = self._share.factor(), len(own)
+        unit = unread / waiting if waiting else 0.0
+        return {
+            name: _Backlog(
+                all_entries(counts[0], requests / count, 1.0, entries),
+                all_entries(counts[2], unread / count, unit, entries),
+            )
+            for name, counts in own.items()
+        }
+
     def _estimate(
-        self,
-        upstream: DirectUpstream,
-        call: CallerCall,
-        keys: Sequence[tuple[str, int]],
-        met_delay: float,
-        now: float,
-    ) -> EngineChoice:
-        name = upstream.name
-        unread = max(0, call.prompt_tokens - self._cache(name).kept_tokens(keys))
-        mine = [each for each in self._sent.values() if each.upstream == name]
-        others = self._share.factor()
-        backlog = others * sum(each.unread for each in mine if not each.started)
-        running = others * len(mine)
+        self, name: str, unread: int, backlog: _Backlog, met_delay: float, now: float
+    ) -> tuple[float, float | None]:
+        """Returns the expected seconds until the first token, and the age of the last report."""
+        running = backlog.requests
         age = None
         if name in self._loads:
             load, at = self._loads[name]
             age = now - at
             fresh = max(0.0, 1.0 - age / REPORT_SECONDS)
             running += fresh * (load.running - running)
-        delay = max(backlog / READING_TOKENS_PER_SECOND, met_delay)
-        wait = delay + unread / READING_TOKENS_PER_SECOND + running * CROWD_SECONDS
-        return EngineChoice(upstream, unread, wait, age)
+        delay = max(backlog.unread / READING_TOKENS_PER_SECOND, met_delay)
+        return delay + unread / READING_TOKENS_PER_SECOND + running * CROWD_SECONDS, age
 
     def _extra(self, upstream: DirectUpstream, home: str, shared_tokens: int) -> float:
         away = 0.0 if upstream.zone == self._zone else OTHER_ZONE_SECONDS
@@ -250,6 +302,13 @@
         return self._caches[name]
 
 
+def _answer_tokens(call: CallerCall) -> int:
+    """Returns the tokens that an answer is likely to have."""
+    if call.likely_output_tokens is None:
+        return call.max_output_tokens
+    return min(call.likely_output_tokens, call.max_output_tokens)
+
+
 def _shared_key(call: CallerCall, keys: Sequence[tuple[str, int]]) -> str:
     """Returns the key of the parts of a prompt that other requests share."""
     return keys[-2][0] if len(keys) > 1 else call.request_id
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -3,7 +3,10 @@
 While an engine reads prompts, each step of all streams on it carries a chunk of prompt and takes
 several times as long. Streams that may pause for long bear that; others are late by a single such
 pause. So the engines of a service are divided among kinds of streams by the pause that they bear,
-in proportion to the reading that each kind brings.
+in proportion to the engines that each kind needs, for its prompts or for its running streams.
+
+Only requests that were sent count. A backlog of long prompts that is turned away would else take
+engines from streams that are served in full.
 
 The order of engines is the same at every entry, so entries that saw about the same shares agree.
 
@@ -16,7 +19,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from bilberryplank_core._direct_world import DirectUpstream
+from bilberryplank_core._direct_world import DirectUpstream, EngineShape
 from bilberryplank_core._ranking import weight
 
 READING_STEP_SECONDS = 0.055
@@ -32,6 +35,12 @@
 STEADY_USE = 0.35
 """The same share where streams bear just one event's worth of reading steps; less with less."""
 
+SLOT_USE = 0.5
+"""Share of an engine's slots to plan with; the rest bears bursts."""
+
+ANSWER_TOKEN_SECONDS = 0.005
+"""Time of a token of an answer at a busy engine, from the users' sheet of their engines."""
+
 HYSTERESIS_ENGINES = 0.7
 """A border moves once the wanted place is further off than this."""
 
@@ -60,37 +69,50 @@
 
 @dataclass(slots=True)
 class _Work:
-    engine_seconds: float = 0.0
+    reading: float = 0.0
+    answering: float = 0.0
     at: float = 0.0
 
-    def add(self, seconds: float, now: float) -> None:
-        self.engine_seconds = self.value(now) + seconds
+    def add(self, reading: float, answering: float, now: float) -> None:
+        fade = self._fade(now)
+        self.reading = self.reading * fade + reading
+        self.answering = self.answering * fade + answering
         self.at = now
 
-    def value(self, now: float) -> float:
-        return self.engine_seconds * 0.5 ** (max(0.0, now - self.at) / MEMORY_SECONDS)
+    def engines(self, now: float) -> float:
+        return max(self.reading, self.answering) * self._fade(now)
+
+    def _fade(self, now: float) -> float:
+        return 0.5 ** (max(0.0, now - self.at) / MEMORY_SECONDS)
 
 
 class EngineSplit:
-    """Divides the engines of a service, by the work that one entry saw.
+    """Divides the engines of a service, by the work that one entry sent.
 
     Args:
-        stride: Tokens of one event.
+        shape: Size of the engines.
     """
 
-    __slots__ = ("_borders", "_stride", "_work")
+    __slots__ = ("_borders", "_shape", "_work")
 
-    def __init__(self, stride: int) -> None:
-        self._stride = stride
+    def __init__(self, shape: EngineShape) -> None:
+        self._shape = shape
         self._work: dict[float, _Work] = {}
         self._borders: list[int] = []
 
-    def observe(self, kind: float, seconds: float, now: float) -> None:
-        """Takes in the reading time of a request."""
-        use = reading_use(kind, self._stride)
+    def observe(self, kind: float, reading: float, answer_tokens: int, now: float) -> None:
+        """Takes in a request that was sent.
+
+        Args:
+            kind: Kind of its stream.
+            reading: Seconds that reading its prompt takes.
+            answer_tokens: Tokens that its answer is likely to have.
+            now: Seconds on the boot clock.
+        """
         if kind not in self._work:
             self._work[kind] = _Work(at=now)
-        self._work[kind].add(seconds / use, now)
+        answering = answer_tokens * ANSWER_TOKEN_SECONDS / (self._shape.slots * SLOT_USE)
+        self._work[kind].add(reading / reading_use(kind, self._shape.stride), answering, now)
 
     def part(
         self, kind: float, engines: Sequence[DirectUpstream], now: float
@@ -118,7 +140,7 @@
         return self._borders
 
     def _wanted(self, kinds: list[float], count: int, now: float) -> list[float]:
-        shares = [self._work[kind].value(now) if kind in self._work else 0.0 for kind in kinds]
+        shares = [self._work[kind].engines(now) if kind in self._work else 0.0 for kind in kinds]
         total = sum(shares)
         if total <= 0:
             shares, total = [1.0] * len(kinds), float(len(kinds))
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from random import Random
 
+from bilberryplank_core._engine_board import TrafficShare, all_entries
 from bilberryplank_core._engine_split import ANY_PAUSE, EngineSplit, pause_kind
 from bilberryplank_core._engine_waits import EngineWaits
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
@@ -60,7 +61,7 @@
         for number, each in enumerate(calls):
             one = boards[number % len(boards)]
             choice = one.choose(each, kind, LEAST, ENGINES, number * 0.1)
-            one.begin(choice, each, LEAST, number * 0.1)
+            one.begin(choice, each, number * 0.1)
             one.first_token(each.request_id, number * 0.1)
             one.end(each.request_id)
             placed[each.request_id] = choice.upstream.name
@@ -77,7 +78,7 @@
         one = board()
         first = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
         for number in range(12):
-            one.begin(first, call(number, own=30_000), LEAST, 0.0)
+            one.begin(first, call(number, own=30_000), 0.0)
         other = one.choose(call(99), ANY_PAUSE, LEAST, ENGINES, 0.0)
         self.assertNotEqual(other.upstream.name, first.upstream.name)
 
@@ -86,7 +87,7 @@
         for reports in (0, 100):
             one = board()
             choice = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
-            one.begin(choice, call(0), LEAST, 0.0)
+            one.begin(choice, call(0), 0.0)
             for _ in range(reports):
                 one.report(choice.upstream.name, UpstreamLoad(4, 1, 64), 0.0)
             only_home = [choice.upstream]
@@ -96,7 +97,7 @@
     def test_a_request_without_its_first_token_shows_the_wait_at_its_engine(self):
         one = board()
         home = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
-        one.begin(home, call(0), LEAST, 0.0)
+        one.begin(home, call(0), 0.0)
         self.assertNotEqual(
             one.choose(call(1), ANY_PAUSE, LEAST, ENGINES, 3.0).upstream, home.upstream
         )
@@ -121,13 +122,32 @@
         one = board()
         for number in range(20):
             choice = one.choose(call(number), ANY_PAUSE, LEAST, ENGINES, 0.0)
-            one.begin(choice, call(number), LEAST, 0.0)
+            one.begin(choice, call(number), 0.0)
         self.assertEqual(one.in_flight, 20)
         for number in range(20):
             one.end(f"r{number}")
         self.assertEqual(one.in_flight, 0)
 
 
+class TrafficShareTest(unittest.TestCase):
+    """Load pattern: many entries, each with a request at few of the engines."""
+
+    def test_the_share_is_learnt_though_only_engines_in_use_report(self):
+        for entries in (6, 27):
+            rng, share = Random(entries), TrafficShare()
+            for _ in range(500):
+                others = sum(rng.random() < 0.5 for _ in range(20))
+                mine = sum(rng.random() < 1 / entries for _ in range(others))
+                share.note(1 + mine, 1 + others)
+            self.assertAlmostEqual(share.factor() / entries, 1.0, delta=0.5)
+
+    def test_a_small_own_part_says_little_of_one_engine(self):
+        cases = ((0.0, 1.2), (1.0, 1.8), (10.0, 7.2))
+        for own, all_requests in cases:
+            self.assertAlmostEqual(all_entries(own, 0.5, 1.0, 3.0), all_requests)
+        self.assertEqual(all_entries(2.0, 0.0, 1.0, 3.0), 6.0)
+
+
 class EngineSplitTest(unittest.TestCase):
     """Load pattern: bursts of long prompts beside steady streams with short pauses."""
 
@@ -140,13 +160,13 @@
             burst = 10 < now < 19 or 35 < now < 40
             long = rng.random() < (0.45 if burst else 0.25)
             tokens = rng.lognormvariate(8.2, 0.9) if long else rng.lognormvariate(7.0, 0.6)
-            split.observe(ANY_PAUSE if long else 0.2, tokens / RATE, now)
+            split.observe(ANY_PAUSE if long else 0.2, tokens / RATE, 100, now)
             yield now
 
     def test_kinds_never_share_an_engine_and_each_has_one(self):
-        split = EngineSplit(5)
+        split = EngineSplit(SHAPE)
         for kind in (ANY_PAUSE, 0.2):
-            split.observe(kind, 0.1, 0.0)
+            split.observe(kind, 0.1, 100, 0.0)
         for now in self.replay(split, 3):
             patient = {each.name for each in split.part(ANY_PAUSE, ENGINES, now)}
             hasty = {each.name for each in split.part(0.2, ENGINES, now)}
@@ -155,13 +175,13 @@
             self.assertEqual(len(patient | hasty), len(ENGINES))
 
     def test_parts_seldom_move(self):
-        split = EngineSplit(5)
+        split = EngineSplit(SHAPE)
         sizes = [len(split.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(split, 4)]
         moves = sum(before != after for before, after in zip(sizes, sizes[1:], strict=False))
         self.assertLess(moves, 12)
 
     def test_entries_that_see_other_parts_of_the_traffic_mostly_agree(self):
-        one, two = EngineSplit(5), EngineSplit(5)
+        one, two = EngineSplit(SHAPE), EngineSplit(SHAPE)
         sizes = zip(
             (len(one.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(one, 5)),
             (len(two.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(two, 6)),
@@ -171,11 +191,23 @@
         self.assertGreater((apart[0] + apart[1]) / apart.total(), 0.9)
 
     def test_a_service_with_fewer_engines_than_kinds_shares_them(self):
-        split = EngineSplit(5)
+        split = EngineSplit(SHAPE)
         for kind in (ANY_PAUSE, 0.3, 0.2):
-            split.observe(kind, 1.0, 0.0)
+            split.observe(kind, 1.0, 100, 0.0)
         self.assertEqual(len(split.part(0.2, ENGINES[:2], 0.0)), 2)
 
+    def test_streams_that_need_slots_more_than_reading_get_engines(self):
+        """Load pattern: a burst of prompts that are kept already, with long answers."""
+        sizes = []
+        for answer_tokens in (10, 1000):
+            split = EngineSplit(SHAPE)
+            for number in range(100):
+                split.observe(ANY_PAUSE, 0.05, 100, number * 0.1)
+                split.observe(0.2, 0.001, answer_tokens, number * 0.1)
+            sizes.append(len(split.part(0.2, ENGINES, 10.0)))
+        self.assertEqual(sizes[0], 1)
+        self.assertGreater(sizes[1], 2)
+
     def test_kinds_of_streams(self):
         cases = ((0.8, 5, ANY_PAUSE), (0.0, 5, ANY_PAUSE), (0.3, 5, ANY_PAUSE), (0.2, 5, 0.2))
         for gap, stride, kind in cases:
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -147,12 +147,11 @@
         note: dict[str, object] = {"known": len(known)}
         if isinstance(board, EngineBoard):
             kind = board.pause_kind(self._found.route.gap_objective)
-            urgency = self._found.urgency
-            choice = board.choose(self._call, kind, urgency, fresh, now)
+            choice = board.choose(self._call, kind, self._found.urgency, fresh, now)
             upstream = choice.upstream if choice else None
             if choice is not None:
                 self._admit(choice.wait, now)
-                board.begin(choice, self._call, urgency, now)
+                board.begin(choice, self._call, now)
                 note.update(unread=choice.unread, wait=round(choice.wait, 3))
                 note["load_age"] = None if choice.load_age is None else round(choice.load_age, 2)
         else:
