Make fewer calls to the store, and date a configuration by the store's clock

Ruled out: one read for both tables (a read takes one table); contenders ranked (the platform gives no list of entries). Change: reads of the configuration wait 1.8 s, of the upstreams 2.8 s; counts are stored soon after each window and once within it; a contender for the lease reads once in a lease and margin, and the first of many still follows within 1.3 of it. Now the answer is dated by the store's steady clock, less the uncertainty; a clock that makes no sense falls back to the sending. Steady clocks may drift: an old observation of the store's clock gives way to a newer one that is less exact. The first long prompts of entries that had seen only short ones all went to one engine: an entry divides engines only once it has sent an engine-second of work.

--- a/packages/bilberryplank-core/bilberryplank_core/_confirmation.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_confirmation.py
@@ -1,9 +1,9 @@
 """Whether the configuration that a process holds may still be acted on.
 
 A withdrawn key must stop working everywhere within a bound, also on a host that is cut off from
-the store. So a process counts the age of its configuration from the moment at which the store read
-that confirmed it was sent, on a clock that goes on while the host is suspended, and refuses work
-once that age leaves no room for the bound.
+the store. So a process counts the age of its configuration from the moment at which the store
+confirmed it, on a clock that goes on while the host is suspended, and refuses work once that age
+leaves no room for the bound.
 
 Load pattern: a key is withdrawn while some hosts can't reach the store.
 """
@@ -47,10 +47,10 @@
         self._sure_limit = sure_limit
         self._stale_limit = stale_limit
 
-    def confirm(self, sent_at: float) -> None:
-        """Takes in that a read sent at `sent_at` showed the configuration in force as newest."""
-        if self._confirmed_at is None or sent_at > self._confirmed_at:
-            self._confirmed_at = sent_at
+    def confirm(self, as_of: float) -> None:
+        """Takes in that the configuration in force was the newest at a moment, or later."""
+        if self._confirmed_at is None or as_of > self._confirmed_at:
+            self._confirmed_at = as_of
 
     def age(self, now: float) -> float:
         """Returns the seconds since the last confirmation; infinite before the first."""
--- a/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -34,11 +34,14 @@
         rows: Rows with their values; a value that could not be read is None.
         removed: Keys of rows that are gone; only in changes.
         revision: Revision from which to go on.
+        as_of: When the table answered, in seconds on the clock of this process; never later than
+            that. Changes made after it may be missing.
     """
 
     rows: tuple[Row, ...]
     removed: tuple[str, ...]
     revision: int
+    as_of: float
 
 
 class WatchedTable(Table):
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -41,6 +41,12 @@
 ANSWER_TOKEN_SECONDS = 0.005
 """Time of a token of an answer at a busy engine, from the users' sheet of their engines."""
 
+FIRST_WORK = 1.0
+"""Engine-seconds that an entry must have sent before it divides engines; less tells no shares."""
+
+ASSUMED_WORK = 0.1
+"""Engine-seconds assumed of each kind, so that the first of a kind do not all get one engine."""
+
 HYSTERESIS_ENGINES = 0.7
 """A border moves once the wanted place is further off than this."""
 
@@ -120,7 +126,8 @@
         """Returns the engines for requests of one kind."""
         ordered = sorted(engines, key=lambda each: weight("split", each.name))
         kinds = sorted({*self._work, kind}, reverse=True)
-        if len(kinds) > len(ordered):
+        sent = sum(each.engines(now) for each in self._work.values())
+        if len(kinds) > len(ordered) or sent < FIRST_WORK:
             return ordered
         borders = self._settle(kinds, len(ordered), now)
         place = kinds.index(kind)
@@ -140,10 +147,11 @@
         return self._borders
 
     def _wanted(self, kinds: list[float], count: int, now: float) -> list[float]:
-        shares = [self._work[kind].engines(now) if kind in self._work else 0.0 for kind in kinds]
+        shares = [
+            ASSUMED_WORK + (self._work[kind].engines(now) if kind in self._work else 0.0)
+            for kind in kinds
+        ]
         total = sum(shares)
-        if total <= 0:
-            shares, total = [1.0] * len(kinds), float(len(kinds))
         borders = [0.0]
         for share in shares:
             borders.append(borders[-1] + count * share / total)
--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -134,6 +134,14 @@
         wait = self._duration / RENEWALS_PER_LEASE
         return wait * self._rng.uniform(1 - JITTER, 1 + JITTER)
 
+    def takeover_delay(self) -> float:
+        """Returns the seconds to wait before the next `try_acquire` where many contend.
+
+        A read within the time of a lease could not find it ended, and of many contenders one soon
+        reads after that. A single contender takes over within twice this time.
+        """
+        return (self._duration + self._margin) * self._rng.uniform(1, 1 + JITTER)
+
     async def try_acquire(self) -> bool:
         """Takes the lease where it is free; returns True where this process holds it.
 
--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -18,6 +18,9 @@
 REPORT_MARGIN_SECONDS = 2.0
 """Time kept for the report itself, some failed calls included."""
 
+LEAST_FLUSH_PAUSE_SECONDS = 0.05
+"""Bounds the calls where a clock is read a moment before the time that was waited for."""
+
 
 class WindowCounts:
     """Counts of one process that are not yet stored.
@@ -52,6 +55,21 @@
         if self.value(number) == value:
             self._dirty.discard(number)
 
+    def until_flush(self, now: float, interval: float, offset: float) -> float:
+        """Returns the seconds until the counts should be stored next.
+
+        That is `offset` seconds after each window's end, so that its counts are there before it is
+        summed, and at intervals within the window, so that little is lost with the process.
+
+        Args:
+            now: True time in seconds since 1970.
+            interval: Longest time in seconds between two flushes.
+            offset: Seconds by which this process is behind, which spreads the calls.
+        """
+        into = (now - offset) % self._window
+        following = (int(into / interval) + 1) * interval
+        return max(LEAST_FLUSH_PAUSE_SECONDS, min(following, self._window) - into)
+
     def forget_before(self, number: int) -> None:
         """Drops what is older than a window."""
         for each in [old for old in self._counts if old < number]:
@@ -85,6 +103,10 @@
     return expected <= present or age >= deadline - REPORT_MARGIN_SECONDS
 
 
+CLOCK_DRIFT = 200e-6
+"""Seconds by which two steady clocks may move apart in a second; twice what crystals are rated."""
+
+
 class TrueTime:
     """True time from the store's steady clock, so that jumps of the host's clock change nothing.
 
@@ -95,20 +117,38 @@
         clock: Seconds that go on while the host is suspended.
     """
 
-    __slots__ = ("_clock", "_offset", "_round_trip", "_store_ahead")
+    __slots__ = ("_clock", "_observed_at", "_offset", "_round_trip", "_store_ahead")
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._store_ahead: float | None = None
         self._round_trip = float("inf")
+        self._observed_at = 0.0
         self._offset: float | None = None
 
     def observe(self, store_time: float, sent_at: float, got_at: float) -> None:
         """Takes in the store's clock from one answer; the quickest answer is the most exact."""
-        if got_at - sent_at < self._round_trip:
+        if got_at - sent_at <= self._uncertainty(got_at):
             self._round_trip = got_at - sent_at
+            self._observed_at = got_at
             self._store_ahead = store_time - (sent_at + got_at) / 2
 
+    def local(self, store_time: float, sent_at: float, got_at: float) -> float:
+        """Returns when the store's clock showed a time, on the clock of this process.
+
+        Args:
+            store_time: What an answer told, in seconds.
+            sent_at: When its call was sent; returned where the store's clock makes no sense.
+            got_at: When the answer was here.
+        """
+        if self._store_ahead is None:
+            return sent_at
+        told = store_time - self._store_ahead - self._uncertainty(got_at) / 2
+        return told if sent_at <= told <= got_at else sent_at
+
+    def _uncertainty(self, now: float) -> float:
+        return self._round_trip + CLOCK_DRIFT * (now - self._observed_at)
+
     def store_time(self) -> float:
         """Returns the store's clock in seconds.
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
@@ -1,3 +1,4 @@
+import heapq
 import itertools
 import unittest
 from random import Random
@@ -32,6 +33,33 @@
                 self.assertEqual(await self.second.try_acquire(), taken)
         self.assertEqual((self.first.fence, self.second.fence), (1, 2))
 
+    async def test_one_of_many_takes_over_soon_though_each_reads_seldom(self):
+        """27 contenders read less than once a lease each, and still one follows within 1.3."""
+        await self.first.try_acquire()
+        died_at = self.now
+        rng = Random(3)
+        contenders = [
+            (self.now - rng.uniform(0, DURATION), number, self.holder(f"c{number}"))
+            for number in range(27)
+        ]
+        reads = 0
+        while True:
+            self.now, number, holder = heapq.heappop(contenders)
+            reads += 1
+            if await holder.try_acquire():
+                break
+            heapq.heappush(contenders, (self.now + holder.takeover_delay(), number, holder))
+        self.assertLess(self.now - died_at, 1.3 * (DURATION + MARGIN))
+        self.assertLess(reads, 27 * 2.5)
+
+    async def test_a_single_contender_takes_over_within_two_reads(self):
+        await self.first.try_acquire()
+        died_at = self.now
+        self.assertFalse(await self.second.try_acquire())
+        self.now += self.second.takeover_delay()
+        self.assertTrue(await self.second.try_acquire())
+        self.assertLess(self.now - died_at, 2 * (DURATION + MARGIN))
+
     async def test_each_renewal_begins_the_wait_anew(self):
         await self.first.try_acquire()
         for _ in range(10):
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_window_counts.py
@@ -31,6 +31,15 @@
         counts.forget_before(3)
         self.assertEqual(counts.unsaved(), [3, 4])
 
+    def test_counts_are_stored_soon_after_each_window_and_at_intervals_within(self):
+        counts = WindowCounts(5.0)
+        cases = ((100.0, 0.4), (100.4, 2.5), (102.0, 0.9), (102.9, 2.5), (104.9, 0.5), (105.3, 0.1))
+        for now, pause in cases:
+            self.assertAlmostEqual(counts.until_flush(now, 2.5, 0.4), pause)
+        self.assertAlmostEqual(counts.until_flush(100.4, 2.0, 0.4), 2.0)
+        self.assertAlmostEqual(counts.until_flush(104.5, 2.0, 0.4), 0.9)
+        self.assertAlmostEqual(counts.until_flush(100.39, 30.0, 0.4), 0.05)
+
     def test_sums_take_only_whole_numbers_of_known_shape(self):
         self.assertEqual(sum_counts([{"b": 1, "a": 2}, {"a": 1, "x": "y"}, None]), {"a": 3, "b": 1})
 
@@ -54,6 +63,26 @@
 
 
 class TrueTimeTest(unittest.TestCase):
+    def test_an_answer_that_was_held_is_as_old_as_the_store_says(self):
+        time = TrueTime(lambda: 0.0)
+        self.assertEqual(time.local(50.0, 1.0, 2.0), 1.0)
+        time.observe(50.0, 99.99, 100.01)
+        # Sent at 100, answered after 1.8 s, here after 2.5 s.
+        self.assertAlmostEqual(time.local(51.8, 100.0, 102.5), 101.79, delta=0.002)
+        for strange in (10.0, 49.0, 53.0, 900.0):
+            self.assertEqual(time.local(strange, 100.0, 102.5), 100.0)
+
+    def test_a_quick_answer_of_long_ago_gives_way_as_clocks_drift(self):
+        now = [100.0]
+        time = TrueTime(lambda: now[0])
+        time.observe(50.0, 99.999, 100.001)
+        now[0] = 160.0
+        time.observe(110.1, 159.99, 160.01)
+        self.assertAlmostEqual(time.store_time(), 110.0)
+        now[0] = 400.0
+        time.observe(350.1, 399.99, 400.01)
+        self.assertAlmostEqual(time.store_time(), 350.1)
+
     def test_true_time_follows_the_store_s_clock_and_no_other(self):
         now = [100.0]
         time = TrueTime(lambda: now[0])
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -68,9 +68,7 @@
     async def on_start(self) -> None:
         """Starts the parts, the one that takes work last."""
         cfg, platform = self._settings, self._platform
-        self._roster = RosterWatch(
-            platform.table, platform.rows, self._roster_changed, self._rng, cfg.stale_limit
-        )
+        self._roster = RosterWatch(platform.table, platform.rows, self._roster_changed, self._rng)
         self._state = DirectState(cfg, self._roster.roster, self._rng)
         self._watch = ConfigurationWatch(
             platform.table,
@@ -82,9 +80,9 @@
         )
         self._client = DirectClient()
         counts, true_time = WindowCounts(cfg.usage_window), platform.true_time
-        self._usage = UsageStore(
-            f"{cfg.name}/{self.epoch}", platform.table, counts, cfg.usage_flush_interval
-        )
+        writer = f"{cfg.name}/{self.epoch}"
+        interval = cfg.usage_flush_interval
+        self._usage = UsageStore(writer, platform.table, counts, true_time, interval, self._rng)
         self._requests = DirectRequests(
             self._state,
             self._client,
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -27,10 +27,15 @@
 )
 from bilberryplank_core.errors import ConfigurationInvalid, PlatformError
 
-CHANGE_WAIT_SECONDS = 1.0
-"""How long one read waits for a change; the age of what is known stays within twice this."""
+CONFIGURATION_WAIT_SECONDS = 1.8
+"""How long a read of the configuration waits for a change. Each call is billed; each confirms the
+configuration, whose age must stay within the limit up to which refusals are for good."""
 
-STALE_SHARE = 0.25
+ROSTER_WAIT_SECONDS = 2.8
+"""How long a read of the upstreams waits. A lost answer is noticed this late and a call's timeout,
+which is less than what the platform allows until a leaving upstream gets no more work."""
+
+STALE_SHARE = 0.4
 """Share of the stale limit that a read may wait: what is known must not turn stale in between."""
 
 RETRY_SECONDS = 0.1
@@ -45,14 +50,14 @@
         table: The table service.
         name: Name of the table.
         rng: Spreads the pauses.
-        stale_limit: Seconds after which what is known may no longer be used.
+        wait: Seconds that a read waits for a change.
     """
 
     abstract = True
 
-    def __init__(self, table: WatchedTable, name: str, rng: Random, stale_limit: float) -> None:
+    def __init__(self, table: WatchedTable, name: str, rng: Random, wait: float) -> None:
         super().__init__()
-        self._wait = min(CHANGE_WAIT_SECONDS, STALE_SHARE * stale_limit)
+        self._wait = wait
         self._table = table
         self._name = name
         self._rng = rng
@@ -60,12 +65,12 @@
         self._dependency = Dependency(f"table {name}")
 
     @abstractmethod
-    def take_all(self, rows: tuple[Row, ...], sent_at: float) -> None:
-        """Takes in all rows, from a read that was sent at `sent_at`."""
+    def take_all(self, changes: Changes) -> None:
+        """Takes in all rows."""
 
     @abstractmethod
-    def take_changes(self, changes: Changes, sent_at: float) -> None:
-        """Takes in what changed, from a read that was sent at `sent_at`."""
+    def take_changes(self, changes: Changes) -> None:
+        """Takes in what changed."""
 
     def returned(self) -> None:
         """Takes in that the table answers again."""
@@ -85,15 +90,14 @@
                 await self._failed(exc)
 
     async def _read(self) -> None:
-        sent_at = boot_time()
         if self._revision is None:
             changes = await self._table.snapshot(self._name)
             self._answered()
-            self.take_all(changes.rows, sent_at)
+            self.take_all(changes)
         else:
             changes = await self._table.changes(self._name, self._revision, self._wait)
             self._answered()
-            self.take_changes(changes, sent_at)
+            self.take_changes(changes)
         self._revision = max(changes.revision, self._revision or 0)
 
     def _answered(self) -> None:
@@ -127,26 +131,27 @@
         rng: Random,
         stale_limit: float,
     ) -> None:
-        super().__init__(table, rows.configuration_table, rng, stale_limit)
+        wait = min(CONFIGURATION_WAIT_SECONDS, STALE_SHARE * stale_limit)
+        super().__init__(table, rows.configuration_table, rng, wait)
         self.confirmation = confirmation
         self.configuration: DirectConfiguration | None = None
         self._rows = rows
         self._apply = apply
 
-    def take_all(self, rows: tuple[Row, ...], sent_at: float) -> None:
+    def take_all(self, changes: Changes) -> None:
         """Takes in all rows."""
-        self._take(rows, sent_at)
+        self._take(changes)
 
-    def take_changes(self, changes: Changes, sent_at: float) -> None:
+    def take_changes(self, changes: Changes) -> None:
         """Takes in what changed."""
-        self._take(changes.rows, sent_at)
+        self._take(changes)
 
-    def _take(self, rows: Iterable[Row], sent_at: float) -> None:
-        for row in rows:
+    def _take(self, changes: Changes) -> None:
+        for row in changes.rows:
             if row.key == self._rows.configuration_key and not self._take_row(row):
                 return
         if self.configuration is not None:
-            self.confirmation.confirm(sent_at)
+            self.confirmation.confirm(changes.as_of)
 
     def _take_row(self, row: Row) -> bool:
         try:
@@ -194,9 +199,8 @@
         rows: DirectRows,
         changed: Callable[[RosterChange], None],
         rng: Random,
-        stale_limit: float,
     ) -> None:
-        super().__init__(table, rows.upstream_table, rng, stale_limit)
+        super().__init__(table, rows.upstream_table, rng, ROSTER_WAIT_SECONDS)
         self.roster = Roster()
         self._rows = rows
         self._changed = changed
@@ -206,11 +210,11 @@
         """Gives rows that lapsed meanwhile the time to come back."""
         self.roster.store_returned(boot_time())
 
-    def take_all(self, rows: tuple[Row, ...], sent_at: float) -> None:
+    def take_all(self, changes: Changes) -> None:
         """Takes in all rows."""
-        self._tell(self.roster.replace(self._read_rows(rows), boot_time()))
+        self._tell(self.roster.replace(self._read_rows(changes.rows), boot_time()))
 
-    def take_changes(self, changes: Changes, sent_at: float) -> None:
+    def take_changes(self, changes: Changes) -> None:
         """Takes in what changed."""
         now = boot_time()
         found = self._read_rows(changes.rows)
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -39,6 +39,9 @@
 WRITER_WINDOWS = 3
 """Windows back from which writers are awaited: longer than a process is usually cut off."""
 
+FLUSH_SPREAD_SECONDS = 1.0
+"""Processes store their counts spread over this long after a window's end, before it is summed."""
+
 KEPT_WINDOWS = 12
 """Windows whose rows are kept for a report that is late."""
 
@@ -97,10 +100,14 @@
         writer: str,
         table: WatchedTable,
         counts: WindowCounts,
+        true_time: TrueTime,
         interval: float,
+        rng: Random,
     ) -> None:
         super().__init__()
         self._writer = writer
+        self._true_time = true_time
+        self._offset = rng.uniform(0, FLUSH_SPREAD_SECONDS)
         self._table = table
         self._counts = counts
         self._interval = interval
@@ -131,7 +138,7 @@
 
     async def _flush_regularly(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(self._interval)
+            await asyncio.sleep(self._pause())
             try:
                 await self.flush()
             except PlatformError as exc:
@@ -139,6 +146,12 @@
             else:
                 self._dependency.answered()
 
+    def _pause(self) -> float:
+        now = self._true_time.now()
+        if now is None:
+            return self._interval
+        return self._counts.until_flush(now, self._interval, self._offset)
+
 
 class UsageReporter(Service):
     """Sums each window once, under a lease, and reports exactly what was sealed."""
@@ -201,7 +214,8 @@
                     event = "lease_acquired" if holds else "lease_lost"
                     log_event(logger, event, lease=LEASE, fence=self.lease.fence)
                     self._next = None
-            await asyncio.sleep(self.lease.delay())
+            holds = self.lease.held(self._clock())
+            await asyncio.sleep(self.lease.delay() if holds else self.lease.takeover_delay())
 
     async def _report_regularly(self) -> None:
         while not self.should_stop:
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -52,7 +52,7 @@
     def __init__(self, session: aiohttp.ClientSession, base_url: str, timeout: float) -> None:
         self._session = session
         self._base_url = base_url.rstrip("/")
-        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._timeout = timeout
 
     async def call(
         self,
@@ -60,26 +60,33 @@
         path: str,
         body: bytes | None = None,
         fields: dict[str, str] | None = None,
+        waits: float = 0.0,
     ) -> Answer:
-        """Returns the answer to one call.
+        """Returns the answer to one call; `waits` is how long the service was asked to hold it.
 
         Raises:
             PlatformUnavailable: Timeout or connection failure.
         """
         url = URL(self._base_url + path, encoded=True)
+        timeout = aiohttp.ClientTimeout(total=self._timeout + waits)
         with unavailable_on_failure():
             async with self._session.request(
                 method,
                 url,
                 data=body,
                 headers=fields,
-                timeout=self._timeout,
+                timeout=timeout,
                 allow_redirects=False,
             ) as resp:
                 return Answer(resp.status, await resp.read())
 
     async def call_json(
-        self, method: str, path: str, parameters: dict[str, Any] | None = None, body: Any = None
+        self,
+        method: str,
+        path: str,
+        parameters: dict[str, Any] | None = None,
+        body: Any = None,
+        waits: float = 0.0,
     ) -> tuple[int, Any]:
         """Returns status and decoded JSON body of a call; the body of a failure is None.
 
@@ -88,7 +95,7 @@
         """
         target = path + (query(**parameters) if parameters else "")
         data = None if body is None else dump_json(body)
-        answer = await self.call(method, target, data, JSON_FIELDS if data else None)
+        answer = await self.call(method, target, data, JSON_FIELDS if data else None, waits)
         return answer.status, answer.json() if answer.status == HTTPStatus.OK else None
 
 
