Add the fault soak: real entries under seeded faults from outside

Cause: no run so far had real entry processes struck by overlapping faults from outside them while callers keep on. The former make soak is make load.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := bilberryplank-core bilberryplank bilberryplankctl bilberryplank-testing
 RESULTS := build/results
 
-.PHONY: install demo test format lint scenarios soak clean
+.PHONY: install demo test format lint scenarios soak load clean
 
 install: $(STAMP)
 
@@ -32,8 +32,13 @@
 scenarios: $(STAMP)
 	$(BIN)/python -m behave --format progress3 features
 
-# Bounded: about ten minutes; prints its seeds and figures.
+# Real entries under seeded faults from outside; some 25 s a seed.
+SEEDS ?= 50
 soak: $(STAMP)
+	cd platform && PYTHONPATH=. ../$(BIN)/python -m tests.fault_soak --seeds $(SEEDS) --at-once 2
+
+# Bounded: about ten minutes; prints its seeds and figures.
+load: $(STAMP)
 	$(BIN)/python -m bilberryplank_testing.load --workload rarangi --policy tiered \
 		--rate-factor 0.7,2 --seeds 5 --seconds 20 --fault none,straggler,kill
 
--- a/packages/bilberryplank-testing/bilberryplank_testing/_child.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_child.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -13,17 +14,29 @@
 class Child:
     """One child process whose output goes to a file.
 
+    Args:
+        arguments: Name of the module to run, and what it is given.
+        directory: Folder of its output.
+        environment: Variables beside this process's own.
+
     Attributes:
         name: Name in reports.
         log: File that holds its standard output and error.
     """
 
-    __slots__ = ("name", "log", "_process", "_arguments")
+    __slots__ = ("name", "log", "_process", "_arguments", "_environment")
 
-    def __init__(self, name: str, arguments: list[str], directory: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        directory: Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.log = directory / f"{name}.log"
         self._arguments = arguments
+        self._environment = {**os.environ, **(environment or {})}
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -47,6 +60,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                env=self._environment,
             )
 
     def signal(self, number: signal.Signals) -> None:
--- a/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
@@ -25,9 +25,14 @@
 
 
 class CutProxy:
-    """Passes TCP connections on to one address."""
+    """Passes TCP connections on to one address.
+
+    Attributes:
+        delay: Seconds by which bytes are late, each way.
+    """
 
     def __init__(self, listen: str, target: str) -> None:
+        self.delay = 0.0
         self._listen = listen
         self._target = target
         self._state = WireState.OPEN
@@ -50,31 +55,36 @@
         """Changes what the wire does."""
         self._state = state
         if state is WireState.CUT:
-            for writer in list(self._writers):
-                writer.transport.abort()
+            self.reset()
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def reset(self) -> None:
+        """Breaks the open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self._target.rpartition(":")
         self._writers.add(writer)
+        ways: list[asyncio.Task[None]] = []
         try:
             if self._state is WireState.CUT:
                 return
             there, back = await asyncio.open_connection(host, int(port))
             self._writers.add(back)
-            await asyncio.wait(
-                [
-                    asyncio.create_task(self._pass(reader, back, answers=False)),
-                    asyncio.create_task(self._pass(there, writer, answers=True)),
-                ],
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            ways = [
+                asyncio.create_task(self._pass(reader, back, answers=False)),
+                asyncio.create_task(self._pass(there, writer, answers=True)),
+            ]
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
             back.transport.abort()
             self._writers.discard(back)
         except OSError:
             return
         finally:
+            for way in ways:
+                way.cancel()
             writer.transport.abort()
             self._writers.discard(writer)
 
@@ -85,6 +95,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 while self._holds(answers):
                     await self._changed.wait()
+                if self.delay:
+                    await asyncio.sleep(self.delay)
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -43,13 +44,14 @@
 
 @dataclass(slots=True)
 class Run:
-    """A request that ran."""
+    """A request that ran; `began` on the monotonic clock."""
 
     request_id: str
     method: str
     path: str
     fields: dict[str, str]
     body: bytes
+    began: float = 0.0
     ended: bool = False
 
 
@@ -87,7 +89,14 @@
             self.seen.refused += 1
             return web.Response(status=503, headers={NEVER_RAN: "1"})
         request_id = request.headers.get(ID, "")
-        run = Run(request_id, request.method, request.raw_path, dict(request.headers), body)
+        run = Run(
+            request_id,
+            request.method,
+            request.raw_path,
+            dict(request.headers),
+            body,
+            time.monotonic(),
+        )
         self.seen.runs.append(run)
         try:
             return await self._answer(request, run)
@@ -101,7 +110,9 @@
         shown_id = "another" if manner.foreign_id else run.request_id
         fields = {ID: shown_id, SIGNATURE: f"sig-{self.name}", LOAD: "1,0,4"}
         if not manner.events:
-            return web.Response(status=manner.status, headers=fields, text=f"from {self.name}")
+            return web.Response(
+                status=manner.status, headers=fields, text=f"{run.request_id} from {self.name}"
+            )
         resp = web.StreamResponse(headers={**fields, "Content-Type": "text/event-stream"})
         if manner.unframed:
             resp.force_close()
