Ask engines for their load before a long prompt is placed, and let the least urgent wait less

(2) An engine that reads all the time makes a token in 45 to 70 ms, so long answers do not end within their time: 226 of 1,822 long prompts failed, though their first tokens came. Change: (1) before a prompt of 4,000 tokens or more of the least urgent kind is placed, up to three engines are asked for their load, over kept connections, for 60 ms at the most: the two homes of its shared part and the one that looks best. (2) The least urgent may wait for others for 0.4 of their objective; their own reading does not count, else large prompts would be starved.

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -13,6 +13,7 @@
     CallerCall,
     DirectConfiguration,
     DirectUpstream,
+    UpstreamLoad,
 )
 from bilberryplank_core._errors import PlatformError, Refused
 from bilberryplank_core._window_counts import TrueTime
@@ -101,6 +102,19 @@
     def read_answer(self, status: int, fields: Mapping[str, str]) -> AnswerHead:
         """Returns what the head of an upstream's answer says."""
 
+    @property
+    @abstractmethod
+    def load_path(self) -> str:
+        """Path under which an engine tells its load without running anything."""
+
+    @abstractmethod
+    def read_load(self, body: bytes, slots: int) -> UpstreamLoad:
+        """Returns the load in an engine's answer.
+
+        Raises:
+            ValueError: The answer is not a load.
+        """
+
     @abstractmethod
     def answer_fields(self, fields: HeaderFields) -> list[tuple[str, str]]:
         """Returns the header fields of an upstream's answer that the caller gets."""
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_admission.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_admission.py
@@ -11,8 +11,9 @@
 
 from random import Random
 
-BACKLOG_SHARE = 1.0
-"""Share of the objective up to which the least urgent requests may wait."""
+BACKLOG_SHARE = 0.4
+"""Share of the objective for which the least urgent requests may wait for others. An engine that
+reads without a break makes a token in some 50 ms: long answers would not end in time."""
 
 LEAST_RETURN_SECONDS = 0.3
 MOST_RETURN_SECONDS = 2.0
@@ -22,21 +23,33 @@
 """Callers that were refused together come back spread over this share of the time."""
 
 
-def may_enter(wait: float, objective: float, time_left: float, least_urgent: bool) -> bool:
+def may_enter(
+    delay: float, wait: float, objective: float, time_left: float, least_urgent: bool
+) -> bool:
     """Returns True where a request should go to an engine.
 
+    Its own reading does not count against it, else large prompts would never enter.
+
     Args:
-        wait: Expected seconds until its first token.
+        delay: Expected seconds for which it waits for others.
+        wait: Expected seconds until its first token, its own reading included.
         objective: Seconds to the first token that earn the full benefit.
         time_left: Seconds that its caller still waits.
         least_urgent: True where nothing less urgent uses the service.
     """
-    if least_urgent:
-        return wait <= min(BACKLOG_SHARE * objective, time_left)
+    if least_urgent and delay > BACKLOG_SHARE * objective:
+        return False
     return wait <= time_left
 
 
-def return_after(wait: float, objective: float, rng: Random) -> float:
-    """Returns the seconds after which a refused request should find a shorter wait."""
-    excess = min(max(wait - objective / 2, LEAST_RETURN_SECONDS), MOST_RETURN_SECONDS)
-    return excess * rng.uniform(1 - SPREAD / 2, 1 + SPREAD / 2)
+def return_after(delay: float, objective: float, rng: Random) -> float:
+    """Returns the seconds after which a refused request should find a short enough wait.
+
+    Args:
+        delay: Expected seconds for which it would wait for others now.
+        objective: Seconds to the first token that earn the full benefit.
+        rng: Spreads those that were refused together.
+    """
+    excess = delay - BACKLOG_SHARE * objective
+    bounded = min(max(excess, LEAST_RETURN_SECONDS), MOST_RETURN_SECONDS)
+    return bounded * rng.uniform(1 - SPREAD / 2, 1 + SPREAD / 2)
--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
@@ -30,6 +30,8 @@
         unframed: True for an answer without a length that ends with its connection.
         silent: True to run a request and never answer it.
         foreign_id: True to answer under another request's id.
+        mute: True to leave questions for its load unanswered.
+        waiting: Requests that wait, as it tells.
     """
 
     status: int = 200
@@ -40,6 +42,8 @@
     unframed: bool = False
     silent: bool = False
     foreign_id: bool = False
+    mute: bool = False
+    waiting: int = 0
 
 
 @dataclass(slots=True)
@@ -61,6 +65,7 @@
 
     runs: list[Run] = field(default_factory=list)
     refused: int = 0
+    questions: int = 0
 
 
 class StandInUpstream(FakeServer):
@@ -79,8 +84,16 @@
         self.manner = Manner()
         self.seen = UpstreamState()
         super().__init__(("upstream",))
+        self.app.router.add_get("/api/report", self._report)
         self.app.router.add_route("*", "/{path:.*}", self._take)
 
+    async def _report(self, request: web.Request) -> web.Response:
+        self.seen.questions += 1
+        if self.manner.mute:
+            await asyncio.Event().wait()
+        running = sum(not run.ended for run in self.seen.runs)
+        return web.json_response({"running": running, "waiting": self.manner.waiting})
+
     async def _take(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         if request.headers.get(TARGET, self.name) != self.name:
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -10,6 +10,7 @@
 import asyncio
 import functools
 from collections.abc import AsyncIterator, Iterable
+from http import HTTPStatus
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -22,6 +23,12 @@
 CONNECT_TIMEOUT_SECONDS = 0.4
 """A living upstream accepts within milliseconds; a dark one must not cost an objective."""
 
+QUESTION_SECONDS = 0.06
+"""A request waits this long at the most for the loads of engines before it is placed without."""
+
+QUESTION_CONNECTIONS = 2
+"""Connections to one engine that are kept for questions; engines bound all connections."""
+
 
 class _StrictHandler(ResponseHandler):
     """Takes an answer without a stated length that ends in a reset for broken, not for whole."""
@@ -71,7 +78,7 @@
 class DirectClient:
     """Calls upstreams."""
 
-    __slots__ = ("_session",)
+    __slots__ = ("_questions", "_session")
 
     def __init__(self) -> None:
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
@@ -84,10 +91,34 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=AUTOMATIC_HEADERS,
         )
+        self._questions = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit_per_host=QUESTION_CONNECTIONS),
+            timeout=aiohttp.ClientTimeout(total=QUESTION_SECONDS),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
+        await self._questions.close()
+
+    async def ask(self, address: str, path: str) -> bytes:
+        """Returns the answer to a question that runs nothing, over a connection that is kept.
+
+        Args:
+            address: `ip:port` of the upstream.
+            path: What to ask for.
+
+        Raises:
+            UpstreamBroke: No good answer came in the time that a question may take.
+        """
+        try:
+            async with self._questions.get(f"http://{address}{path}") as resp:
+                if resp.status != HTTPStatus.OK:
+                    raise UpstreamBroke(f"answered {resp.status}")
+                return await resp.read()
+        except (aiohttp.ClientError, OSError) as exc:
+            raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
 
     async def send(
         self,
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -23,6 +23,7 @@
     Classified,
     DirectUpstream,
     EngineBoard,
+    EngineChoice,
     Outcome,
     Step,
     TrueTime,
@@ -128,6 +129,7 @@
 
     async def _attempts(self) -> web.StreamResponse:
         while True:
+            await self._ask_loads()
             upstream, note = self._place()
             outcome, resp = await self._attempt(upstream, note)
             if resp is not None:
@@ -138,21 +140,56 @@
                 raise self._failure(outcome)
             self._parts.metrics.retried(RETRY_REASONS[outcome])
 
+    async def _ask_loads(self) -> None:
+        """Asks the engines that are likely to take the request for their loads."""
+        board = self._parts.state.board(self._service)
+        if not isinstance(board, EngineBoard) or self._answer.begun:
+            return
+        kind = board.pause_kind(self._found.route.gap_objective)
+        upstreams = self._fresh_upstreams()
+        asked = board.to_ask(self._call, kind, self._found.urgency, upstreams, boot_time())
+        if asked:
+            await asyncio.gather(*(self._ask_load(each) for each in asked))
+
+    async def _ask_load(self, upstream: DirectUpstream) -> None:
+        parts = self._parts
+        try:
+            body = await parts.client.ask(upstream.address, parts.dialect.load_path)
+            load = parts.dialect.read_load(body, upstream.slots)
+        except (UpstreamBroke, ValueError) as exc:
+            log_event(
+                logger,
+                "load_not_told",
+                request=self._call.request_id,
+                upstream=upstream.name,
+                cause=exc,
+            )
+            return
+        parts.state.report(upstream, load)
+
+    def _fresh_upstreams(self) -> list[DirectUpstream]:
+        """Returns the upstreams that were not tried; all where none is left."""
+        known = self._parts.state.upstreams(self._service)
+        return [each for each in known if each.name not in self._tried] or known
+
     def _place(self) -> tuple[DirectUpstream, dict[str, object]]:
         """Returns the upstream of the next attempt, and what decided."""
         state, now = self._parts.state, boot_time()
-        known = state.upstreams(self._service)
-        fresh = [each for each in known if each.name not in self._tried] or known
+        fresh = self._fresh_upstreams()
         board = state.board(self._service)
-        note: dict[str, object] = {"known": len(known)}
+        note: dict[str, object] = {"known": len(fresh)}
         if isinstance(board, EngineBoard):
             kind = board.pause_kind(self._found.route.gap_objective)
             choice = board.choose(self._call, kind, self._found.urgency, fresh, now)
             upstream = choice.upstream if choice else None
             if choice is not None:
-                self._admit(choice.wait, now)
+                self._admit(choice, now)
                 board.begin(choice, self._call, now)
-                note.update(unread=choice.unread, wait=round(choice.wait, 3))
+                note.update(
+                    unread=choice.unread,
+                    delay=round(choice.delay, 3),
+                    wait=round(choice.wait, 3),
+                )
                 note["load_age"] = None if choice.load_age is None else round(choice.load_age, 2)
         else:
             upstream = board.choose(fresh, now)
@@ -165,16 +202,20 @@
         self._tried.add(upstream.name)
         return upstream, note
 
-    def _admit(self, wait: float, now: float) -> None:
+    def _admit(self, choice: EngineChoice, now: float) -> None:
         """Refuses a request that no engine can serve in time, unless its answer has begun."""
         if self._answer.begun:
             return
         state, route = self._parts.state, self._found.route
         least_urgent = self._routes.is_least_urgent(self._service, self._found.urgency)
-        if may_enter(wait, route.objective, self._deadline - now, least_urgent):
+        left = self._deadline - now
+        if may_enter(choice.delay, choice.wait, route.objective, left, least_urgent):
             return
-        message = f"the shortest wait at an engine is {wait:.2f} s, too long for this request"
-        retry_after = return_after(wait, route.objective, state.rng)
+        message = (
+            f"{choice.upstream.name} would take {choice.wait:.2f} s to the first token, "
+            f"{choice.delay:.2f} s of it behind others: too long for this request"
+        )
+        retry_after = return_after(choice.delay, route.objective, state.rng)
         raise self._give_up(RefusalReason.DEADLINE_UNREACHABLE, message, retry_after)
 
     async def _attempt(
