Count and time the calls of a direct entry to the platform

Cause: bilberryplank_platform_calls_total and bilberryplank_platform_seconds stood at 0 on a direct entry; on call could not see a slow or refusing store from metrics. Ruled out: the counters themselves (the sidecar way fills them). Change: the tables and reports of a direct entry are metered like the others; a read that waits for changes is counted and not timed. Runs: test_platform_metrics, the whole path of the adapter's tests.

--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -21,6 +21,7 @@
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
+from bilberryplank._platform_metrics import meter_direct_platform
 from bilberryplank._process import EPOCH_BYTES
 from bilberryplank._seeds import process_rng
 from bilberryplank_core.direct import (
@@ -67,7 +68,8 @@
 
     async def on_start(self) -> None:
         """Starts the parts, the one that takes work last."""
-        cfg, platform = self._settings, self._platform
+        cfg = self._settings
+        platform = meter_direct_platform(self._platform, self.metrics)
         self._roster = RosterWatch(platform.table, platform.rows, self._roster_changed, self._rng)
         self._state = DirectState(cfg, self._roster.roster, self._rng)
         self._watch = ConfigurationWatch(
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -170,11 +170,12 @@
         self._ejections.inc()
 
     def platform_called(
-        self, service: PlatformService, outcome: PlatformOutcome, seconds: float
+        self, service: PlatformService, outcome: PlatformOutcome, seconds: float | None
     ) -> None:
-        """Counts and times a call to the platform."""
+        """Counts a call to the platform, and times it unless it was to wait for a change."""
         self._platform_calls.labels(service.value, outcome.value).inc()
-        self._platform_seconds.labels(service.value).observe(seconds)
+        if seconds is not None:
+            self._platform_seconds.labels(service.value).observe(seconds)
 
     def set_configuration(self, version: int, confirmed_age: float, ignored: int = 0) -> None:
         """Sets the state of the configuration.
--- a/packages/bilberryplank/bilberryplank/_platform_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_platform_metrics.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
 from typing import TypeVar
 
 from bilberryplank._metrics import PlatformOutcome, PlatformService, ProcessMetrics
@@ -21,6 +22,7 @@
     UsageReports,
     Write,
 )
+from bilberryplank_core.direct import Changes, DirectPlatform, WatchedTable, WindowReports
 from bilberryplank_core.errors import (
     BilberryplankError,
     Conflict,
@@ -45,19 +47,25 @@
         self._service = service
         self._clock = clock
 
-    async def measure(self, call: Awaitable[T]) -> T:
-        """Returns what the call returns, or raises what it raises."""
+    async def measure(self, call: Awaitable[T], waits: bool = False) -> T:
+        """Returns what the call returns, or raises what it raises.
+
+        Args:
+            call: The call.
+            waits: True where the platform holds it until something changes: it is not timed.
+        """
         began = self._clock()
         try:
             result = await call
         except BilberryplankError as exc:
-            self._count(_outcome_of(exc), began)
+            self._count(_outcome_of(exc), began, waits)
             raise
-        self._count(PlatformOutcome.DONE, began)
+        self._count(PlatformOutcome.DONE, began, waits)
         return result
 
-    def _count(self, outcome: PlatformOutcome, began: float) -> None:
-        self._metrics.platform_called(self._service, outcome, self._clock() - began)
+    def _count(self, outcome: PlatformOutcome, began: float, waits: bool) -> None:
+        seconds = None if waits else self._clock() - began
+        self._metrics.platform_called(self._service, outcome, seconds)
 
 
 class MeteredTable(Table):
@@ -80,6 +88,38 @@
         return await self._meter.measure(self._table.commit(conditions, writes))
 
 
+class MeteredWatchedTable(MeteredTable, WatchedTable):
+    """A table that tells its changes, whose calls are counted."""
+
+    _table: WatchedTable
+
+    async def snapshot(self, table: str) -> Changes:
+        """Returns all rows of a table as of one moment."""
+        return await self._meter.measure(self._table.snapshot(table))
+
+    async def changes(self, table: str, after: int, wait: float) -> Changes:
+        """Returns what changed after a revision, waiting up to `wait` seconds for the first."""
+        return await self._meter.measure(self._table.changes(table, after, wait), waits=True)
+
+    async def forget(self, keys: Iterable[tuple[str, str]]) -> None:
+        """Removes rows, named by table and key, whatever their revision."""
+        await self._meter.measure(self._table.forget(keys))
+
+
+class MeteredWindowReports(WindowReports):
+    """Reports of usage windows, counted."""
+
+    def __init__(self, reports: WindowReports, meter: CallMeter) -> None:
+        self._reports = reports
+        self._meter = meter
+
+    async def send(
+        self, window: int, counts: dict[str, int], holder: str, fence: int, guard: Guard
+    ) -> None:
+        """Sends a report."""
+        await self._meter.measure(self._reports.send(window, counts, holder, fence, guard))
+
+
 class MeteredObjectStore(ObjectStore):
     """An object store whose calls are counted."""
 
@@ -157,6 +197,18 @@
     )
 
 
+def meter_direct_platform(
+    platform: DirectPlatform, metrics: ProcessMetrics, clock: Callable[[], float] = time.monotonic
+) -> DirectPlatform:
+    """Returns the same services with each call counted and timed."""
+    calls = CallMeter(metrics, PlatformService.TABLE, clock)
+    reports = platform.reports
+    if reports is not None:
+        meter = CallMeter(metrics, PlatformService.USAGE_REPORTS, clock)
+        reports = MeteredWindowReports(reports, meter)
+    return replace(platform, table=MeteredWatchedTable(platform.table, calls), reports=reports)
+
+
 def _outcome_of(exc: BilberryplankError) -> PlatformOutcome:
     match exc:
         case Conflict():
--- a/packages/bilberryplank/bilberryplank/tests/test_platform_metrics.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_platform_metrics.py
@@ -1,7 +1,7 @@
 import unittest
 from unittest import mock
 
-from bilberryplank._platform_metrics import meter_platform
+from bilberryplank._platform_metrics import meter_direct_platform, meter_platform
 from bilberryplank.metrics import PlatformOutcome, ProcessMetrics
 from bilberryplank.platform import Platform
 from bilberryplank_core.contracts import (
@@ -11,6 +11,7 @@
     UpstreamOrders,
     UsageReports,
 )
+from bilberryplank_core.direct import DirectPlatform, WatchedTable, WindowReports
 from bilberryplank_core.errors import (
     Conflict,
     LeaseLost,
@@ -47,6 +48,35 @@
 ]
 
 
+class MeterDirectPlatformTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.metrics = ProcessMetrics()
+        self.table = mock.create_autospec(WatchedTable, instance=True)
+        reports = mock.create_autospec(WindowReports, instance=True)
+        inner = DirectPlatform(self.table, None, reports, None, None)
+        times = iter(range(0, 1000, 1))
+        self.platform = meter_direct_platform(inner, self.metrics, lambda: next(times))
+
+    def value(self, name, **labels):
+        return self.metrics.registry.get_sample_value(f"bilberryplank_platform_{name}", labels)
+
+    async def test_calls_are_counted_and_those_that_do_not_wait_are_timed(self):
+        await self.platform.table.snapshot("t")
+        await self.platform.table.commit([], [])
+        await self.platform.table.forget([])
+        await self.platform.table.changes("t", 1, 2.0)
+        self.assertEqual(self.value("calls_total", service="table", outcome="done"), 4)
+        self.assertEqual(self.value("seconds_count", service="table"), 3)
+        await self.platform.reports.send(1, {}, "h", 1, "guard")
+        self.assertEqual(self.value("seconds_count", service="usage_reports"), 1)
+
+    async def test_an_outage_is_counted(self):
+        self.table.changes.side_effect = PlatformUnavailable("down")
+        with self.assertRaises(PlatformUnavailable):
+            await self.platform.table.changes("t", 1, 2.0)
+        self.assertEqual(self.value("calls_total", service="table", outcome="unavailable"), 1)
+
+
 class MeterPlatformTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.metrics = ProcessMetrics()
