--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_traffic_share.py
@@ -0,0 +1,65 @@
+"""What all entries have at engines, worked out from one entry's own part and from load reports.
+
+Load pattern: many entries, each with requests at few of the engines.
+"""
+
+from __future__ import annotations
+
+SHARE_WEIGHT = 0.02
+"""Weight of one report in the running share of the traffic."""
+
+FIRST_REPORTS = 5
+"""Reports that the assumption of being alone counts for, until reports have come."""
+
+MOST_ENTRIES = 64.0
+"""Bound on the share, so that a few odd reports do not turn everything away."""
+
+PRIOR_REQUESTS = 2.0
+"""Requests of its own that an entry must see at an engine to believe in as much as in the mean."""
+
+
+class TrafficShare:
+    """How many requests all entries have at engines for each of this entry's own.
+
+    Load reports count the requests of all entries; compared with its own at that moment, an entry
+    learns by how much its own backlog must be scaled. The request that brings a report is left out
+    of both: an entry hears only of engines where it has one.
+    """
+
+    __slots__ = ("_all", "_mine", "_reports")
+
+    def __init__(self) -> None:
+        self._mine = 1.0
+        self._all = 1.0
+        self._reports = FIRST_REPORTS
+
+    def note(self, mine: int, everybody: int) -> None:
+        """Takes in one report, beside the entry's own requests there."""
+        self._reports += 1
+        share = max(SHARE_WEIGHT, 1.0 / self._reports)
+        self._mine += share * (mine - 1 - self._mine)
+        self._all += share * (max(mine, everybody) - 1 - self._all)
+
+    def factor(self) -> float:
+        """Returns the requests of all entries for each of this entry's own; at least 1."""
+        if self._all <= self._mine:
+            return 1.0
+        return self._all / max(self._mine, self._all / MOST_ENTRIES)
+
+
+def all_entries(own: float, mean: float, unit: float, entries: float) -> float:
+    """Returns what all entries are likely to have at one engine, by one entry's own part.
+
+    With many entries an own part is a small sample: it says little of this engine, so the estimate
+    stays near the mean of all engines (the mean of a gamma distribution after a Poisson sample).
+
+    Args:
+        own: The entry's own part at the engine.
+        mean: The mean of its own parts over all engines.
+        unit: Size of the part that one request makes.
+        entries: Requests of all entries for each of its own.
+    """
+    if mean <= 0:
+        return entries * own
+    prior = PRIOR_REQUESTS * unit
+    return entries * mean * (prior + own) / (prior + mean)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
@@ -4,10 +4,10 @@
 from collections import Counter
 from random import Random
 
-from bilberryplank_core._engine_board import TrafficShare, all_entries
 from bilberryplank_core._engine_split import ANY_PAUSE, EngineSplit, pause_kind
 from bilberryplank_core._engine_waits import EngineWaits
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
+from bilberryplank_core._traffic_share import TrafficShare, all_entries
 from bilberryplank_core.direct import (
     CallerCall,
     DirectUpstream,
--- a/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
@@ -28,12 +28,13 @@
     """Passes TCP connections on to one address.
 
     Attributes:
+        listen: `ip:port` at which it takes connections.
         delay: Seconds by which bytes are late, each way.
     """
 
     def __init__(self, listen: str, target: str) -> None:
         self.delay = 0.0
-        self._listen = listen
+        self.listen = listen
         self._target = target
         self._state = WireState.OPEN
         self._changed = asyncio.Event()
@@ -42,7 +43,7 @@
 
     async def start(self) -> None:
         """Begins to listen."""
-        host, _, port = self._listen.rpartition(":")
+        host, _, port = self.listen.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def stop(self) -> None:
