Leave upstreams alone that say so in their answers; bound answers without end

Cause: an entry learnt only from the store's rows that an upstream leaves, and took a 503 with Retry-After for any other refusal, so it went on sending. `UpstreamAnswer.body`, `DirectClient.ask` and the splitter of events read without a bound.

Ruled out: a bound on every answer, as it would cut sound long ones. A long plain answer is passed on as it comes instead; of bytes without end only what fits into 256 KiB is held for each request.

Change: `Roster.heard_leaving` remembers a start of an upstream that said it leaves (in any answer, load questions and refusals included) against older rows; a new start is used again. `UpstreamHealth.rest` keeps an upstream out for as long as it asked, whatever its earlier requests bring, then tries it singly; if all rest, callers hear when the first is back. Loads that cannot be true (negative, more than an upstream has connections) change nothing and are logged.

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_world.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_world.py
@@ -171,6 +171,11 @@
     waiting: int
     slots: int
 
+    def is_plausible(self, most: int | None) -> bool:
+        """Returns True where an upstream that holds at most `most` requests can have this load."""
+        counts = (self.running, self.waiting)
+        return min(counts) >= 0 and (most is None or sum(counts) <= most)
+
 
 @dataclass(slots=True, frozen=True)
 class AnswerHead:
@@ -182,6 +187,9 @@
         refused: True where the upstream states that the request never ran there.
         signed: True where the answer carries the upstream's signature.
         load: Load at the upstream; None where it does not say.
+        leaving: True where the upstream says that it takes no new work from now on.
+        rest: Seconds for which the upstream wants nothing from this entry; NaN where what it says
+            cannot be read, None where it says nothing.
     """
 
     status: int
@@ -189,3 +197,5 @@
     refused: bool
     signed: bool
     load: UpstreamLoad | None = None
+    leaving: bool = False
+    rest: float | None = None
--- a/packages/bilberryplank-core/bilberryplank_core/_roster.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_roster.py
@@ -1,16 +1,15 @@
 """Which upstreams may get new work, from rows of a store that may be away for a while.
 
-An upstream that says it leaves gets no new work at once. One whose row is gone is taken as gone,
-unless rows may have lapsed while the store was away: then it stays for a grace time after the
-store's return, in which a living upstream writes its row again.
-
-Load pattern: releases and crashes of upstreams, and outages of the store beside them.
+An upstream that says it leaves, in its row or in an answer, gets no new work at once; an older row
+of the same start does not bring it back. One whose row is gone is taken as gone, unless rows may
+have lapsed while the store was away: then it stays for a grace time after the return of the store,
+in which a living upstream writes its row again.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bilberryplank_core._direct_world import DirectUpstream
 
@@ -18,6 +17,10 @@
 """A living upstream writes its row again within about this long after the store's return."""
 
 
+MOST_LEAVERS = 1024
+"""Starts of upstreams that are remembered as leaving; the oldest are forgotten beyond that."""
+
+
 @dataclass(slots=True, frozen=True)
 class RosterChange:
     """What an update changed."""
@@ -33,11 +36,12 @@
 class Roster:
     """Upstreams by name."""
 
-    __slots__ = ("_grace_until", "_lapsed", "_upstreams")
+    __slots__ = ("_grace_until", "_lapsed", "_leavers", "_upstreams")
 
     def __init__(self) -> None:
         self._upstreams: dict[str, DirectUpstream] = {}
         self._lapsed: set[str] = set()
+        self._leavers: dict[str, int | None] = {}
         self._grace_until = float("-inf")
 
     @property
@@ -53,6 +57,22 @@
             if each.service == service and not each.leaving
         ]
 
+    def heard_leaving(self, upstream: DirectUpstream) -> RosterChange:
+        """Takes in that an upstream said in an answer that it leaves.
+
+        Args:
+            upstream: The upstream as it was when it was asked; it may have started anew since.
+        """
+        known = self._upstreams.get(upstream.name)
+        if known is None or known.leaving or known.started_at != upstream.started_at:
+            return RosterChange()
+        self._leavers[known.name] = known.started_at
+        if len(self._leavers) > MOST_LEAVERS:
+            del self._leavers[next(iter(self._leavers))]
+        leaving = replace(known, leaving=True)
+        self._upstreams[known.name] = leaving
+        return RosterChange(leaving=(leaving,))
+
     def store_returned(self, now: float) -> None:
         """Takes in that the store answers again after it was away."""
         self._grace_until = now + OUTAGE_GRACE_SECONDS
@@ -84,6 +104,7 @@
         for name, upstream in found.items():
             before = self._upstreams.get(name)
             self._lapsed.discard(name)
+            upstream = self._remembered(upstream)
             self._upstreams[name] = upstream
             if before is None or before.started_at != upstream.started_at:
                 joined.append(upstream)
@@ -98,5 +119,17 @@
             else:
                 gone.append(self._upstreams.pop(name))
                 self._lapsed.discard(name)
+                if upstream.started_at is None:
+                    # Nothing tells a later start under this name from the one that left.
+                    self._leavers.pop(name, None)
         late = self.expire(now)
         return RosterChange(tuple(joined), tuple(leaving), (*gone, *late.gone))
+
+    def _remembered(self, upstream: DirectUpstream) -> DirectUpstream:
+        """Returns an upstream of a row, leaving where this start of it said so itself."""
+        if upstream.name not in self._leavers:
+            return upstream
+        if self._leavers[upstream.name] != upstream.started_at:
+            del self._leavers[upstream.name]
+            return upstream
+        return replace(upstream, leaving=True)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_attempts.py
@@ -2,6 +2,7 @@
 import unittest
 from random import Random
 
+from bilberryplank_core._upstream_health import MAX_REST_SECONDS
 from bilberryplank_core.direct import (
     AnswerHead,
     AttemptLog,
@@ -128,3 +129,27 @@
             health.record("u", Outcome.NOT_RUN, 0.0)
         self.assertTrue(health.may_use("u", 0.0))
         self.assertEqual(health.failure_share("u"), 0.0)
+
+    def test_one_that_asks_for_rest_gets_nothing_until_it_is_over_then_one_request(self):
+        """Load pattern: an upstream too busy to refuse more; its earlier answers still come in."""
+        health = UpstreamHealth()
+        self.assertEqual(health.rest("u", 2.0, 0.0), 2.0)
+        health.record("u", Outcome.ANSWERED, 0.5)
+        self.assertFalse(health.may_use("u", 1.9))
+        self.assertEqual(health.rest_left(["u"], 0.5), 1.5)
+        self.assertIsNone(health.rest_left(["u", "other"], 0.5))
+        self.assertTrue(health.may_use("u", 2.0))
+        health.begin("u", 2.0)
+        self.assertFalse(health.may_use("u", 2.1))
+        health.record("u", Outcome.ANSWERED, 2.2)
+        self.assertTrue(health.may_use("u", 2.2))
+
+    def test_a_rest_is_never_shortened_and_nonsense_is_none(self):
+        nan = float("nan")
+        for asked, granted in ((-1.0, 0.0), (0.0, 0.0), (nan, 0.0), (1e9, MAX_REST_SECONDS)):
+            with self.subTest(asked):
+                health = UpstreamHealth()
+                self.assertEqual(health.rest("u", asked, 0.0), granted)
+                self.assertEqual(health.may_use("u", 0.1), not granted)
+        health.rest("u", 0.5, 0.0)
+        self.assertFalse(health.may_use("u", 1.0))
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_roster.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_roster.py
@@ -44,3 +44,35 @@
     def test_a_new_start_under_the_same_name_counts_as_joined(self):
         change = self.roster.update([replace(A, started_at=2)], [], 1.0)
         self.assertEqual([each.name for each in change.joined], ["a"])
+
+    def test_one_that_says_it_leaves_stays_out_until_it_starts_anew(self):
+        """Load pattern: a release; answers tell it before the rows do."""
+        change = self.roster.heard_leaving(A)
+        self.assertEqual([each.name for each in change.leaving], ["a"])
+        self.assertFalse(self.roster.heard_leaving(A))
+        cases = (
+            ("an older row", lambda: self.roster.update([replace(A, zone="y")], [], 1.0), {"b"}),
+            ("all rows again", lambda: self.roster.replace([A, B], 2.0), {"b"}),
+            ("the row is gone", lambda: self.roster.update([], ["a"], 3.0), {"b"}),
+            ("and back", lambda: self.roster.update([A], [], 4.0), {"b"}),
+            ("a new start", lambda: self.roster.update([replace(A, started_at=2)], [], 5.0), None),
+        )
+        for name, happens, usable in cases:
+            with self.subTest(name):
+                happens()
+                self.assertEqual(self.names(), usable or {"a", "b"})
+
+    def test_the_word_of_an_earlier_start_does_not_hold_for_the_next(self):
+        self.roster.update([replace(A, started_at=2)], [], 1.0)
+        self.assertFalse(self.roster.heard_leaving(A))
+        self.assertEqual(self.names(), {"a", "b"})
+
+    def test_without_a_time_of_start_a_name_that_comes_back_is_a_new_start(self):
+        unknown = replace(A, started_at=None)
+        self.roster.update([unknown], [], 1.0)
+        self.roster.heard_leaving(unknown)
+        self.roster.update([unknown], [], 2.0)
+        self.assertEqual(self.names(), {"b"})
+        self.roster.update([], ["a"], 3.0)
+        self.roster.update([unknown], [], 4.0)
+        self.assertEqual(self.names(), {"a", "b"})
--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
@@ -15,6 +15,8 @@
 TARGET = "X-Bilberryplank-Target-Instance"
 NEVER_RAN = "X-Bilberryplank-Not-Executed"
 LOAD = "X-Bilberryplank-Server-Load"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 
 
 @dataclass(slots=True)
@@ -24,6 +26,9 @@
     Attributes:
         status: Status of its answers.
         refuses: True to refuse without running.
+        rest: `Retry-After` of its refusals; None for none.
+        leaves: True to say in each answer that it leaves.
+        body: Bytes of an answer in one piece; None for a short text.
         events: Events of a stream; 0 for an answer in one piece.
         pause: Seconds between events.
         breaks_after: Events after which it resets the connection; None for never.
@@ -36,6 +41,9 @@
 
     status: int = 200
     refuses: bool = False
+    rest: str | None = None
+    leaves: bool = False
+    body: bytes | None = None
     events: int = 0
     pause: float = 0.0
     breaks_after: int | None = None
@@ -92,7 +100,11 @@
         if self.manner.mute:
             await asyncio.Event().wait()
         running = sum(not run.ended for run in self.seen.runs)
-        return web.json_response({"running": running, "waiting": self.manner.waiting})
+        report = {"running": running, "waiting": self.manner.waiting}
+        return web.json_response(report, headers=self._leaving())
+
+    def _leaving(self) -> dict[str, str]:
+        return {LEAVING: "1"} if self.manner.leaves else {}
 
     async def _take(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
@@ -100,7 +112,8 @@
             return web.Response(status=421)
         if self.manner.refuses:
             self.seen.refused += 1
-            return web.Response(status=503, headers={NEVER_RAN: "1"})
+            rest = {} if self.manner.rest is None else {RETRY_AFTER: self.manner.rest}
+            return web.Response(status=503, headers={NEVER_RAN: "1", **rest, **self._leaving()})
         request_id = request.headers.get(ID, "")
         run = Run(
             request_id,
@@ -121,11 +134,11 @@
         if manner.silent:
             await asyncio.Event().wait()
         shown_id = "another" if manner.foreign_id else run.request_id
-        fields = {ID: shown_id, SIGNATURE: f"sig-{self.name}", LOAD: "1,0,4"}
+        fields = {ID: shown_id, SIGNATURE: f"sig-{self.name}", LOAD: "1,0,4", **self._leaving()}
         if not manner.events:
-            return web.Response(
-                status=manner.status, headers=fields, text=f"{run.request_id} from {self.name}"
-            )
+            text = f"{run.request_id} from {self.name}".encode()
+            body = text if manner.body is None else manner.body
+            return web.Response(status=manner.status, headers=fields, body=body)
         resp = web.StreamResponse(headers={**fields, "Content-Type": "text/event-stream"})
         if manner.unframed:
             resp.force_close()
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -10,7 +10,7 @@
 import asyncio
 import functools
 from collections.abc import AsyncIterator, Iterable
-from http import HTTPStatus
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -30,6 +30,19 @@
 """Connections to one engine that are kept for questions; engines bound all connections."""
 
 
+MAX_REPLY_BYTES = 256 * 1024
+"""Longest reply to a question: a load report names each request at the engine in some 100 bytes."""
+
+
+@dataclass(slots=True, frozen=True)
+class QuestionReply:
+    """The whole answer to a question that runs nothing."""
+
+    status: int
+    fields: CIMultiDictProxy[str]
+    body: bytes
+
+
 class _StrictHandler(ResponseHandler):
     """Takes an answer without a stated length that ends in a reset for broken, not for whole."""
 
@@ -66,9 +79,18 @@
         except (aiohttp.ClientError, ConnectionError) as exc:
             raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
 
-    async def body(self) -> bytes:
-        """Returns the whole body; raises as `pieces`."""
-        return b"".join([data async for data in self.pieces()])
+    async def body(self, limit: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            UpstreamBroke: The answer ended before it was whole, or has more than `limit` bytes.
+        """
+        held = bytearray()
+        async for data in self.pieces():
+            held += data
+            if len(held) > limit:
+                raise UpstreamBroke(f"the answer has more than {limit} bytes")
+        return bytes(held)
 
     def close(self) -> None:
         """Ends the connection, whether or not the answer is whole."""
@@ -102,7 +124,7 @@
         await self._session.close()
         await self._questions.close()
 
-    async def ask(self, address: str, path: str) -> bytes:
+    async def ask(self, address: str, path: str) -> QuestionReply:
         """Returns the answer to a question that runs nothing, over a connection that is kept.
 
         Args:
@@ -110,13 +132,12 @@
             path: What to ask for.
 
         Raises:
-            UpstreamBroke: No good answer came in the time that a question may take.
+            UpstreamBroke: No whole answer came in the time that a question may take.
         """
         try:
             async with self._questions.get(f"http://{address}{path}") as resp:
-                if resp.status != HTTPStatus.OK:
-                    raise UpstreamBroke(f"answered {resp.status}")
-                return await resp.read()
+                body = await UpstreamAnswer(resp).body(MAX_REPLY_BYTES)
+                return QuestionReply(resp.status, resp.headers, body)
         except (aiohttp.ClientError, OSError) as exc:
             raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
 
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from aiohttp import web
 from loguru import logger
@@ -36,7 +37,7 @@
     return_after,
 )
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
-from bilberryplank_core.events import EventSplitter
+from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter
 from bilberryplank_core.messages import Headers
 
 LATE_ANSWER_SECONDS = 0.05
@@ -48,6 +49,9 @@
 RETURN_SECONDS = 0.5
 """When to come back if no upstream could take a request."""
 
+MAX_HELD_BYTES = 256 * 1024
+"""A longer answer is passed on as it comes: many at once must not fill a small host's memory."""
+
 RETRY_REASONS = {
     Outcome.NOT_REACHED: RetryReason.LINK_FAILED,
     Outcome.NOT_RUN: RetryReason.NOT_RUN,
@@ -154,8 +158,12 @@
     async def _ask_load(self, upstream: DirectUpstream) -> None:
         parts = self._parts
         try:
-            body = await parts.client.ask(upstream.address, parts.dialect.load_path)
-            load = parts.dialect.read_load(body, upstream.slots)
+            reply = await parts.client.ask(upstream.address, parts.dialect.load_path)
+            head = parts.dialect.read_answer(reply.status, reply.fields)
+            parts.state.heard(upstream, head, self._call.request_id)
+            if reply.status != HTTPStatus.OK:
+                raise UpstreamBroke(f"answered {reply.status}")
+            load = parts.dialect.read_load(reply.body, upstream.slots)
         except (UpstreamBroke, ValueError) as exc:
             log_event(
                 logger,
@@ -196,12 +204,21 @@
             if upstream is not None:
                 board.begin(upstream.name)
         if upstream is None:
-            raise self._give_up(RefusalReason.NO_UPSTREAM, "no upstream can take the request")
+            raise self._no_upstream()
         state.health.begin(upstream.name, now)
         self._parts.metrics.set_load(0, state.in_flight())
         self._tried.add(upstream.name)
         return upstream, note
 
+    def _no_upstream(self) -> Exception:
+        """Returns the end of a request that no upstream may get now."""
+        rest = self._parts.state.rest_left(self._service)
+        if rest is None:
+            return self._give_up(RefusalReason.NO_UPSTREAM, "no upstream can take the request")
+        message = f"all upstreams asked to be left alone, the first for another {rest:.2f} s"
+        spread = self._parts.state.rng.uniform(0, RETURN_SECONDS)
+        return self._give_up(RefusalReason.NO_UPSTREAM, message, rest + spread)
+
     def _admit(self, choice: EngineChoice, now: float) -> None:
         """Refuses a request that no engine can serve in time, unless its answer has begun."""
         if self._answer.begun:
@@ -271,7 +288,7 @@
         self, upstream: DirectUpstream, answer: UpstreamAnswer
     ) -> tuple[Outcome, web.StreamResponse | None]:
         head = self._parts.dialect.read_answer(answer.status, answer.fields)
-        self._parts.state.report(upstream, head.load)
+        self._parts.state.heard(upstream, head, self._call.request_id)
         outcome = judge_head(head, self._call.request_id)
         if outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN):
             self._log_failed(upstream, outcome, f"answered {answer.status}")
@@ -280,14 +297,31 @@
             return outcome, await self._stream(upstream, answer)
         if self._answer.begun:
             return Outcome.UNKNOWN, None
-        body = await answer.body()
+        if outcome is Outcome.ANSWERED:
+            return outcome, await self._whole(upstream, answer)
+        body = await answer.body(MAX_HELD_BYTES)
         self._count()
         fields = self._parts.dialect.answer_fields(answer.fields.items())
-        if outcome is Outcome.FAILED:
-            self._failed = (answer.status, fields, body)
-            self._log_failed(upstream, outcome, f"answered {answer.status}")
-            return outcome, None
-        return outcome, self._answer.whole(answer.status, fields, body, upstream.name)
+        self._failed = (answer.status, fields, body)
+        self._log_failed(upstream, outcome, f"answered {answer.status}")
+        return outcome, None
+
+    async def _whole(self, upstream: DirectUpstream, answer: UpstreamAnswer) -> web.StreamResponse:
+        """Sends an answer in one piece, or a long one as it comes, so that little is held here."""
+        fields = self._parts.dialect.answer_fields(answer.fields.items())
+        held = bytearray()
+        async for data in answer.pieces():
+            held += data
+            if len(held) > MAX_HELD_BYTES:
+                self._count()
+                await self._answer.begin(answer.status, fields)
+                await self._answer.piece(bytes(held))
+                held.clear()
+        self._count()
+        if not self._answer.begun:
+            return self._answer.whole(answer.status, fields, bytes(held), upstream.name)
+        await self._answer.piece(bytes(held))
+        return await self._answer.finish(upstream.name)
 
     async def _stream(self, upstream: DirectUpstream, answer: UpstreamAnswer) -> web.StreamResponse:
         fields = self._parts.dialect.answer_fields(answer.fields.items())
@@ -300,6 +334,8 @@
                 await self._answer.piece(piece)
                 if splitter is not None:
                     self._note_event(piece)
+            if splitter is not None and splitter.overflowed:
+                raise UpstreamBroke(f"an event has more than {MAX_EVENT_BYTES} bytes")
         if splitter is not None and splitter.held:
             raise UpstreamBroke("the stream ended within an event")
         await self._answer.begin(answer.status, fields)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -9,6 +9,7 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
 from bilberryplank_core.direct import (
+    AnswerHead,
     Confirmation,
     DirectConfiguration,
     DirectUpstream,
@@ -94,10 +95,57 @@
                 request=request_id,
             )
 
+    def heard(self, upstream: DirectUpstream, head: AnswerHead, request_id: str) -> None:
+        """Takes in what the head of an upstream's answer says of the upstream itself."""
+        self.report(upstream, head.load)
+        if head.leaving and self._roster.heard_leaving(upstream):
+            log_event(
+                logger,
+                "upstream_leaving",
+                upstream=upstream.name,
+                service=upstream.service,
+                started_at=upstream.started_at,
+                request=request_id,
+                told_by="answer",
+            )
+        if head.rest is None:
+            return
+        granted = self.health.rest(upstream.name, head.rest, boot_time())
+        log_event(
+            logger,
+            "upstream_rests",
+            level="INFO" if granted == head.rest else "WARNING",
+            upstream=upstream.name,
+            asked=head.rest,
+            seconds=granted,
+            request=request_id,
+        )
+
+    def rest_left(self, service: str) -> float | None:
+        """Returns the seconds until an upstream may be used, where all of a service rest."""
+        names = [each.name for each in self.upstreams(service)]
+        return self.health.rest_left(names, boot_time())
+
     def report(self, upstream: DirectUpstream, load: UpstreamLoad | None) -> None:
-        """Takes in a load that an upstream told."""
-        if load is not None:
-            self.board(upstream.service).report(upstream.name, load, boot_time())
+        """Takes in a load that an upstream told; one that cannot be true changes nothing."""
+        if load is None:
+            return
+        if not load.is_plausible(self._most_requests(upstream.service)):
+            log_event(
+                logger,
+                "load_implausible",
+                level="WARNING",
+                upstream=upstream.name,
+                running=load.running,
+                waiting=load.waiting,
+            )
+            return
+        self.board(upstream.service).report(upstream.name, load, boot_time())
+
+    def _most_requests(self, service: str) -> int | None:
+        """Returns the requests that an upstream can hold, as each has a connection of its own."""
+        known = self.routes.configuration.services.get(service) if self.routes else None
+        return known.max_connections if known else None
 
     def in_flight(self) -> int:
         """Returns the requests of this entry that hold a place at an upstream."""
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
@@ -1,6 +1,7 @@
 """What the end of a connection tells about an answer."""
 
 import asyncio
+import resource
 import socket
 import struct
 import unittest
@@ -9,10 +10,10 @@
 from bilberryplank._upstream_call import UpstreamBroke, UpstreamNotReached
 
 
-class DirectClientTest(unittest.IsolatedAsyncioTestCase):
+class RawUpstreamCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.client = DirectClient()
-        self.answer, self.resets = b"", False
+        self.answer, self.endless, self.resets = b"", b"", False
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
@@ -23,6 +24,9 @@
     async def serve(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         writer.write(self.answer)
+        while self.endless:
+            writer.write(self.endless)
+            await writer.drain()
         await writer.drain()
         await asyncio.sleep(0.05)
         if self.resets:
@@ -34,10 +38,12 @@
     async def ask(self):
         answer = await self.client.send(self.address, "GET", "/x?y=%2F", [("A", "b")], b"")
         try:
-            return answer.status, await answer.body()
+            return answer.status, await answer.body(1000)
         finally:
             answer.close()
 
+
+class DirectClientTest(RawUpstreamCase):
     async def test_an_answer_without_a_length_ends_with_its_connection(self):
         self.answer = b"HTTP/1.1 200 OK\r\n\r\nwhole"
         self.assertEqual(await self.ask(), (200, b"whole"))
@@ -68,3 +74,34 @@
         await self.server.wait_closed()
         with self.assertRaises(UpstreamNotReached):
             await self.ask()
+
+
+class BytesWithoutEndTest(RawUpstreamCase):
+    """Load pattern: upstreams that send what is no answer until the connection is closed."""
+
+    LIMIT_SECONDS = 1.5
+    MOST_GROWTH_BYTES = 32 * 1024 * 1024
+
+    async def test_no_part_of_an_answer_may_go_on_for_ever(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "status line": (b"HTTP/1.1 200 ", b"x" * 4096),
+            "header line": (head + b"A: ", b"x" * 4096),
+            "headers": (head, b"A: " + b"x" * 1000 + b"\r\n"),
+            "informational": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            "body": (head + b"\r\n", b"x" * 4096),
+            "chunks": (chunked, b"400\r\n" + b"x" * 1024 + b"\r\n"),
+            "chunk size": (chunked, b"0" * 4096),
+            "chunk extension": (chunked + b"5;", b"x" * 4096),
+            "trailers": (chunked + b"0\r\n", b"A: " + b"x" * 1000 + b"\r\n"),
+            "garbage": (b"", b"\xff" * 4096),
+        }
+        for name, (self.answer, self.endless) in cases.items():
+            with self.subTest(name):
+                before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+                with self.assertRaises((UpstreamBroke, TimeoutError)):
+                    async with asyncio.timeout(self.LIMIT_SECONDS):
+                        await self.ask()
+                after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+                self.assertLess((after - before) * 1024, self.MOST_GROWTH_BYTES)
