Learn how fast engines read and answer instead of knowing one kind of them

Cause: reading speed, the step of an engine that reads, the time of a token and the cost of a crowd were constants of one site's sheet.

Change: `EnginePace` follows quantiles in the logarithm: reading from pairs of first tokens of one urgency, token and reading step from pauses, turns from the sizes of prompts sent. `EngineSplit` divides between patient and hasty streams, by pause and by first token; what is less urgent delays by one turn at most. A fleet's share of the traffic is bounded at 1,024 entries (was 64).

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -21,16 +21,14 @@
     EngineShape,
     UpstreamLoad,
 )
-from bilberryplank_core._engine_split import EngineSplit, pause_kind
+from bilberryplank_core._engine_pace import EnginePace, Patience
+from bilberryplank_core._engine_split import EngineSplit
 from bilberryplank_core._engine_waits import EngineWaits, Urgency
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._ranking import weight
 from bilberryplank_core._traffic_share import TrafficShare, all_entries
 from bilberryplank_core._upstream_health import UpstreamHealth
 
-READING_TOKENS_PER_SECOND = 60_000.0
-"""Prompt tokens that an engine reads in a second, from the users' sheet of their engines."""
-
 REPORT_SECONDS = 1.0
 """A reported load counts less with its age and nothing after this long."""
 
@@ -53,12 +51,12 @@
 OTHER_ZONE_SECONDS = 0.01
 """Cost of an engine in another zone: bytes between zones are billed."""
 
-REREAD_SECONDS_PER_TOKEN = 120e-6
-"""Wait worth accepting for a shared token that is not read again: its reading, and the delay of all
-others that wait there, several times over under load."""
+REREAD_WEIGHT = 7.0
+"""Wait worth accepting for a shared token that is not read again, in times of its reading: it also
+delays all others that wait there, several times over under load."""
 
-CROWD_SECONDS = 0.001
-"""Cost of each request that runs at an engine: it slows the tokens of all others."""
+CROWD_TOKENS = 0.2
+"""Cost of each request that runs at an engine, in times of a token: it slows all others."""
 
 FAILURE_SECONDS = 1.0
 """Cost of an engine that fails every request."""
@@ -67,8 +65,35 @@
 @dataclass(slots=True)
 class _Sent:
     upstream: str
+    urgency: Urgency
     unread: int
-    started: bool = False
+    own: int
+    sent_at: float
+    event_at: float | None = None
+
+    @property
+    def started(self) -> bool:
+        return self.event_at is not None
+
+
+@dataclass(slots=True)
+class _OwnPart:
+    """What this entry has at one engine: requests, and tokens before and behind a new request."""
+
+    requests: int = 0
+    waiting: int = 0
+    ahead: int = 0
+    behind: int = 0
+
+    def add(self, sent: _Sent, urgency: Urgency) -> None:
+        self.requests += 1
+        if sent.started:
+            return
+        self.waiting += 1
+        if sent.urgency <= urgency:
+            self.ahead += sent.unread
+        else:
+            self.behind += sent.unread
 
 
 @dataclass(slots=True, frozen=True)
@@ -90,7 +115,7 @@
 
     Attributes:
         upstream: The engine.
-        kind: Kind of the request's stream.
+        patience: What the request's stream bears.
         urgency: Urgency of the request.
         unread: Tokens of the prompt that it has to read.
         delay: Expected seconds for which it waits for others.
@@ -99,7 +124,7 @@
     """
 
     upstream: DirectUpstream
-    kind: float
+    patience: Patience
     urgency: Urgency
     unread: int
     delay: float
@@ -122,6 +147,7 @@
         "_health",
         "_least_urgent",
         "_loads",
+        "_pace",
         "_reading",
         "_share",
         "_rng",
@@ -143,12 +169,14 @@
         self._least_urgent: Urgency = (0, 0)
         self._reading = 0.0
         self._share = TrafficShare()
-        self._split = EngineSplit(shape)
+        self._pace = EnginePace(shape.stride)
+        self._split = EngineSplit(shape.slots, self._pace)
         self._waits = EngineWaits()
 
-    def pause_kind(self, gap_objective: float) -> float:
-        """Returns the kind of a stream, by the pause in seconds that it bears."""
-        return pause_kind(gap_objective, self._shape.stride)
+    @property
+    def pace(self) -> EnginePace:
+        """Speeds of the engines, as learnt so far."""
+        return self._pace
 
     @property
     def in_flight(self) -> int:
@@ -158,7 +186,7 @@
     def choose(
         self,
         call: CallerCall,
-        kind: float,
+        patience: Patience,
         urgency: Urgency,
         upstreams: Sequence[DirectUpstream],
         now: float,
@@ -167,18 +195,18 @@
 
         Args:
             call: The request.
-            kind: Kind of its stream, from `pause_kind`.
+            patience: What its stream bears.
             urgency: Its urgency, by which engines order what waits.
             upstreams: Engines that may get new work.
             now: Seconds on the boot clock.
         """
-        weighed = self._weigh(call, kind, urgency, upstreams, now)
+        weighed = self._weigh(call, patience, urgency, upstreams, now)
         return min(weighed, key=lambda each: each.cost).choice if weighed else None
 
     def to_ask(
         self,
         call: CallerCall,
-        kind: float,
+        patience: Patience,
         urgency: Urgency,
         upstreams: Sequence[DirectUpstream],
         now: float,
@@ -192,7 +220,7 @@
         self._least_urgent = max(self._least_urgent, urgency)
         if call.prompt_tokens < LEAST_ASKED_TOKENS or urgency < self._least_urgent:
             return []
-        weighed = self._weigh(call, kind, urgency, upstreams, now)
+        weighed = self._weigh(call, patience, urgency, upstreams, now)
         homes = nsmallest(HOMES, weighed, key=lambda each: each.home_rank)
         cheapest = sorted(weighed, key=lambda each: each.cost)
         candidates = dict.fromkeys(each.choice.upstream for each in (*homes, *cheapest))
@@ -205,7 +233,7 @@
     def _weigh(
         self,
         call: CallerCall,
-        kind: float,
+        patience: Patience,
         urgency: Urgency,
         upstreams: Sequence[DirectUpstream],
         now: float,
@@ -215,7 +243,7 @@
         if not usable:
             return []
         # Divided before those held out are left out, so that the others keep their kinds.
-        part = self._split.part(kind, upstreams, now)
+        part = self._split.part(patience, upstreams, now)
         usable = [each for each in usable if each in part] or usable
         self._rng.shuffle(usable)
         keys = prefix_keys(call.model, call.prompt)
@@ -225,16 +253,17 @@
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
         names = [each.name for each in usable]
         delays = self._waits.delays(names, urgency, now)
-        backlogs = self._backlogs(names)
+        backlogs = self._backlogs(names, urgency)
+        reading, crowd = self._pace.reading, CROWD_TOKENS * self._pace.token
         found = []
         for each in usable:
             unread = max(0, call.prompt_tokens - self._cache(each.name).kept_tokens(keys))
-            delay = max(backlogs[each.name].unread / READING_TOKENS_PER_SECOND, delays[each.name])
+            delay = max(backlogs[each.name].unread * reading, delays[each.name])
             delay, running, age = self._told(
                 each.name, delay, backlogs[each.name].requests, urgency, now
             )
-            wait = delay + unread / READING_TOKENS_PER_SECOND + running * CROWD_SECONDS
-            choice = EngineChoice(each, kind, urgency, unread, delay, wait, age)
+            wait = delay + unread * reading + running * crowd
+            choice = EngineChoice(each, patience, urgency, unread, delay, wait, age)
             cost = wait + self._extra(each, rank[each.name], shared_tokens)
             found.append(_Weighed(choice, cost, rank[each.name]))
         return found
@@ -243,20 +272,29 @@
         """Takes in that a request goes to an engine."""
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
-        self._sent[call.request_id] = _Sent(name, choice.unread)
-        reading = choice.unread / READING_TOKENS_PER_SECOND
+        own = min(choice.unread, call.prompt[-1].tokens) if call.prompt else 0
+        self._sent[call.request_id] = _Sent(name, choice.urgency, choice.unread, own, now)
+        self._pace.sent(choice.unread)
+        reading = choice.unread * self._pace.reading
         if choice.urgency >= self._least_urgent:
             share = READING_WEIGHT if self._reading else 1.0
             self._reading += share * (reading - self._reading)
         self._waits.sent(name, call.request_id, reading, choice.urgency, now)
-        self._split.observe(choice.kind, reading, _answer_tokens(call), now)
+        self._split.observe(choice.patience, reading, _answer_tokens(call), now)
 
-    def first_token(self, request_id: str, now: float) -> None:
-        """Takes in that a request began to run."""
+    def events(self, request_id: str, count: int, now: float) -> None:
+        """Takes in that events of a stream came; the first shows that the request began to run."""
         sent = self._sent.get(request_id)
-        if sent is not None and not sent.started:
-            sent.started = True
-            self._waits.started(sent.upstream, request_id, now)
+        if sent is None:
+            return
+        if sent.event_at is not None:
+            if count:
+                self._pace.pause(now - sent.event_at, count)
+                sent.event_at = now
+            return
+        sent.event_at = now
+        self._waits.started(sent.upstream, request_id, now)
+        self._pace.first_token(sent.urgency, sent.unread, sent.own, now - sent.sent_at, now)
 
     def end(self, request_id: str) -> None:
         """Takes in that a request left its engine."""
@@ -277,26 +315,30 @@
             known.pop(name, None)
         self._waits.forget(name)
 
-    def _backlogs(self, engines: Sequence[str]) -> dict[str, _Backlog]:
-        """Returns what all entries are likely to have at each engine."""
-        own = {name: [0, 0, 0] for name in engines}
+    def _backlogs(self, engines: Sequence[str], urgency: Urgency) -> dict[str, _Backlog]:
+        """Returns what all entries are likely to have at each engine.
+
+        What is less urgent than a request lets it go first, but for the prompt that is being read.
+        """
+        own = {name: _OwnPart() for name in engines}
         for sent in self._sent.values():
             if sent.upstream in own:
-                counts = own[sent.upstream]
-                counts[0] += 1
-                if not sent.started:
-                    counts[1] += 1
-                    counts[2] += sent.unread
-        requests, waiting, unread = (sum(each) for each in zip(*own.values(), strict=True))
-        entries, count = self._share.factor(), len(own)
-        unit = unread / waiting if waiting else 0.0
-        return {
-            name: _Backlog(
-                all_entries(counts[0], requests / count, 1.0, entries),
-                all_entries(counts[2], unread / count, unit, entries),
+                own[sent.upstream].add(sent, urgency)
+        count, entries = len(own), self._share.factor()
+        requests = sum(each.requests for each in own.values())
+        waiting = sum(each.waiting for each in own.values())
+        ahead = sum(each.ahead for each in own.values())
+        behind = sum(each.behind for each in own.values())
+        unit = (ahead + behind) / waiting if waiting else 0.0
+        found = {}
+        for name, each in own.items():
+            first = all_entries(each.ahead, ahead / count, unit, entries)
+            then = all_entries(each.behind, behind / count, unit, entries)
+            found[name] = _Backlog(
+                all_entries(each.requests, requests / count, 1.0, entries),
+                first + min(then, self._pace.turn_tokens),
             )
-            for name, counts in own.items()
-        }
+        return found
 
     def _told(
         self, name: str, delay: float, running: float, urgency: Urgency, now: float
@@ -314,7 +356,8 @@
 
     def _extra(self, upstream: DirectUpstream, home_rank: int, shared_tokens: int) -> float:
         away = 0.0 if upstream.zone == self._zone else OTHER_ZONE_SECONDS
-        strange = shared_tokens * REREAD_SECONDS_PER_TOKEN * STRANGE_SHARES.get(home_rank, 1.0)
+        reread = shared_tokens * REREAD_WEIGHT * self._pace.reading
+        strange = reread * STRANGE_SHARES.get(home_rank, 1.0)
         return away + strange + FAILURE_SECONDS * self._health.failure_share(upstream.name)
 
     def _cache(self, name: str) -> PromptCache:
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -0,0 +1,207 @@
+"""How fast the engines of a service read prompts and make tokens, learnt from what requests met.
+
+Nobody tells the speed of an engine, and services run engines of all kinds, so it is inferred:
+
+- Reading: of two requests of one urgency, sent within a few seconds, the one with more to read gets
+  its first token later. How much later for each token more is the reading time; what both waited
+  for others cancels out in the median of many pairs (the slope estimator of Theil and Sen). A
+  regression over all urgencies would take the longer wait of less urgent requests for reading.
+- Answering: the median pause between events, for each token of an event.
+- Steps that read: an upper quantile of these pauses, as an engine that reads prompts makes each
+  token together with a chunk of prompt.
+- Turns: an engine ends the prompt that it reads before it begins a more urgent one. What is left of
+  it, on average, follows from the sizes of the prompts that were sent.
+
+Each figure follows a quantile by small steps in its logarithm, so a single odd sample moves it by
+no more than one step. The first steps are larger: the assumed figures are only a start.
+
+Load pattern: any mix of prompts, on engines that nobody has described, some of them slow.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+from bilberryplank_core._engine_waits import Urgency
+
+FIRST_READING_SECONDS = 1 / 80_000
+"""Reading time of a token assumed until requests tell it: the middle of present-day engines."""
+
+FIRST_TOKEN_SECONDS = 0.005
+"""Time of a token of an answer assumed until pauses tell it."""
+
+FIRST_READING_STEP_SECONDS = 0.045
+"""Time of a step that reads assumed until pauses tell it; patient streams are kept apart first."""
+
+READING_STEP_QUANTILE = 0.95
+"""Pauses above the rest are those of steps that read; a few are those of faults."""
+
+PAIR_SECONDS = 4.0
+"""Only requests this near in time are compared: waits change with the load."""
+
+PAIRS = 4
+"""Earlier requests that each first token is compared with."""
+
+LEAST_PAIR_TOKENS = 1_000
+"""Prompts that differ by less tell nothing: the difference is lost among the waits."""
+
+FULL_PAIR_TOKENS = 8_000
+"""A pair that differs by this much counts in full."""
+
+KEPT_SHARE = 0.5
+"""A request counts only where this share of what it has to read is its own: whether shared parts
+are kept at the engine, an entry only guesses."""
+
+TURN_WEIGHT = 0.02
+"""Weight of one prompt in the running sizes of prompts: some fifty count."""
+
+MARGIN = 1.2
+"""A stream bears an engine that reads where its bounds are this many times what it meets there."""
+
+FIRST_STEP, LAST_STEP, STEP_SAMPLES = 0.3, 0.02, 20
+"""Step of a tracked quantile in its logarithm, falling from the first to the last as samples come;
+after `STEP_SAMPLES` samples it has halved."""
+
+
+class QuantileTracker:
+    """Follows a quantile of positive samples.
+
+    Args:
+        start: Value before the first sample.
+        quantile: Which quantile, 0 to 1.
+    """
+
+    __slots__ = ("_logarithm", "_quantile", "_samples")
+
+    def __init__(self, start: float, quantile: float) -> None:
+        self._logarithm = math.log(start)
+        self._quantile = quantile
+        self._samples = 0.0
+
+    @property
+    def value(self) -> float:
+        """The quantile."""
+        return math.exp(self._logarithm)
+
+    def add(self, sample: float, weight: float = 1.0) -> None:
+        """Takes in a sample; a weight below 1 shortens the step."""
+        self._samples += weight
+        step = max(LAST_STEP, FIRST_STEP / (1 + self._samples / STEP_SAMPLES)) * weight
+        below = 1.0 if sample < self.value else 0.0
+        self._logarithm += step * (self._quantile - below)
+
+
+@dataclass(slots=True, frozen=True)
+class Patience:
+    """What a stream bears, in seconds; 0 for any.
+
+    Attributes:
+        pause: Longest pause between two events.
+        first: Longest time to the first event.
+    """
+
+    pause: float = 0.0
+    first: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class _FirstToken:
+    unread: int
+    seconds: float
+    at: float
+
+
+class EnginePace:
+    """Speeds of the engines of one service, as one entry learns them.
+
+    Args:
+        stride: Tokens in one event of a stream.
+    """
+
+    __slots__ = (
+        "_first_tokens",
+        "_prompt",
+        "_prompt_squared",
+        "_reading",
+        "_reading_step",
+        "_stride",
+        "_token",
+    )
+
+    def __init__(self, stride: int) -> None:
+        self._stride = max(1, stride)
+        self._reading = QuantileTracker(FIRST_READING_SECONDS, 0.5)
+        self._token = QuantileTracker(FIRST_TOKEN_SECONDS, 0.5)
+        self._reading_step = QuantileTracker(FIRST_READING_STEP_SECONDS, READING_STEP_QUANTILE)
+        self._first_tokens: dict[Urgency, deque[_FirstToken]] = {}
+        self._prompt = 0.0
+        self._prompt_squared = 0.0
+
+    @property
+    def reading(self) -> float:
+        """Seconds for which an engine reads one token of a prompt."""
+        return self._reading.value
+
+    @property
+    def token(self) -> float:
+        """Seconds that a token of an answer usually takes."""
+        return self._token.value
+
+    @property
+    def reading_step(self) -> float:
+        """Seconds that a token of an answer takes at an engine that reads without a break."""
+        return max(self._reading_step.value, self.token)
+
+    @property
+    def reading_pause(self) -> float:
+        """Seconds between two events at an engine that reads without a break."""
+        return self.reading_step * self._stride
+
+    @property
+    def turn_tokens(self) -> float:
+        """Tokens that are left on average of the prompt that an engine reads when another comes."""
+        return self._prompt_squared / (2 * self._prompt) if self._prompt else 0.0
+
+    def bears_reading(self, patience: Patience) -> bool:
+        """Returns True where a stream is in time at an engine that reads without a break."""
+        pause, first = patience.pause, patience.first
+        pauses_fit = pause <= 0 or pause > MARGIN * self.reading_pause
+        # A stream comes in the middle of a prompt on average, but sometimes at its start.
+        longest_turn = 2 * self.turn_tokens * self.reading
+        return pauses_fit and (first <= 0 or first > MARGIN * longest_turn)
+
+    def sent(self, unread: int) -> None:
+        """Takes in that a request was sent of which an engine has to read so many tokens."""
+        weight = TURN_WEIGHT if self._prompt else 1.0
+        self._prompt += weight * (unread - self._prompt)
+        self._prompt_squared += weight * (unread * unread - self._prompt_squared)
+
+    def first_token(
+        self, urgency: Urgency, unread: int, own: int, seconds: float, now: float
+    ) -> None:
+        """Takes in that the first token of a request came.
+
+        Args:
+            urgency: Its urgency.
+            unread: Tokens of its prompt that the engine had to read, as far as known.
+            own: Those of them that no other request shares.
+            seconds: Time from its sending to the first token.
+            now: Seconds on the boot clock.
+        """
+        if own < KEPT_SHARE * unread:
+            return
+        earlier = self._first_tokens.setdefault(urgency, deque(maxlen=PAIRS))
+        for other in earlier:
+            more = unread - other.unread
+            if abs(more) >= LEAST_PAIR_TOKENS and now - other.at <= PAIR_SECONDS:
+                slope = (seconds - other.seconds) / more
+                self._reading.add(slope, min(1.0, abs(more) / FULL_PAIR_TOKENS))
+        earlier.append(_FirstToken(unread, seconds, now))
+
+    def pause(self, seconds: float, events: int) -> None:
+        """Takes in that so many events came after a pause."""
+        per_token = seconds / (events * self._stride)
+        self._token.add(per_token)
+        self._reading_step.add(per_token)
--- a/packages/bilberryplank-core/bilberryplank_core/_traffic_share.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_traffic_share.py
@@ -11,7 +11,7 @@
 FIRST_REPORTS = 5
 """Reports that the assumption of being alone counts for, until reports have come."""
 
-MOST_ENTRIES = 64.0
+MOST_ENTRIES = 1024.0
 """Bound on the share, so that a few odd reports do not turn everything away."""
 
 PRIOR_REQUESTS = 2.0
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -27,6 +27,7 @@
 )
 from bilberryplank_core._engine_admission import may_enter, return_after
 from bilberryplank_core._engine_board import EngineBoard, EngineChoice
+from bilberryplank_core._engine_pace import EnginePace, Patience
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
 from bilberryplank_core._upstream_health import UpstreamHealth
@@ -56,10 +57,12 @@
     "DirectUpstream",
     "EngineBoard",
     "EngineChoice",
+    "EnginePace",
     "EngineShape",
     "HistoryGone",
     "Organisation",
     "Outcome",
+    "Patience",
     "PromptPart",
     "RepeatRule",
     "Roster",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/engine_fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/engine_fleet.py
@@ -10,6 +10,7 @@
     DirectUpstream,
     EngineBoard,
     EngineShape,
+    Patience,
     PromptPart,
     UpstreamHealth,
     UpstreamLoad,
@@ -17,7 +18,7 @@
 )
 
 SHAPE = EngineShape(64, 600_000, 6)
-TOKENS_PER_SECOND = 61_200.0
+RATE = 61_200.0
 TOKEN_SECONDS = 0.005
 
 
@@ -72,9 +73,11 @@
         seed: Seed of all chances.
         burst: Returns the factor of a kind's rate, by its name and the time.
         asks: False to ask no engine for its load.
+        rate: Tokens of a prompt that an engine reads in a second.
     """
 
-    def __init__(self, entries, engines, streams, refuses, seed, burst, asks=True):
+    def __init__(self, entries, engines, streams, refuses, seed, burst, asks=True, rate=RATE):
+        self.rate = rate
         self.rng = Random(seed)
         self.streams = streams
         self.refuses = refuses
@@ -121,15 +124,15 @@
         self.asked[stream.name] += 1
         board = self.rng.choice(self.boards)
         call = self._call(stream)
-        kind = board.pause_kind(stream.gap)
         urgency = (0, stream.rank)
+        patience = Patience(stream.gap, stream.objective)
         if self.asks:
-            for each in board.to_ask(call, kind, urgency, self.upstreams, now):
+            for each in board.to_ask(call, patience, urgency, self.upstreams, now):
                 engine = self.engines[each.name]
                 load = UpstreamLoad(engine.running, len(engine.waiting), SHAPE.slots)
                 board.report(each.name, load, now)
                 self.asked_loads += 1
-        choice = board.choose(call, kind, urgency, self.upstreams, now)
+        choice = board.choose(call, patience, urgency, self.upstreams, now)
         if self.refuses and not may_enter(
             choice.delay, choice.wait, stream.objective, stream.limit, stream.least_urgent
         ):
@@ -168,7 +171,7 @@
             engine.tokens_read += unread
             engine.reading = run
             engine.running += 1
-            self._later(now + unread / TOKENS_PER_SECOND, self._started, engine)
+            self._later(now + unread / self.rate, self._started, engine)
 
     def _started(self, now, engine):
         run, engine.reading = engine.reading, None
@@ -177,7 +180,7 @@
         self.in_time[name] += now - run.sent_at <= run.stream.objective
         load = UpstreamLoad(engine.running, len(engine.waiting), SHAPE.slots)
         run.entry.report(engine.upstream.name, load, now)
-        run.entry.first_token(run.call.request_id, now)
+        run.entry.events(run.call.request_id, 1, now)
         answering = run.stream.answer * TOKEN_SECONDS
         self._later(now + answering, self._ended, (engine, run))
         self._read_next(now, engine)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
@@ -4,7 +4,8 @@
 from collections import Counter
 from random import Random
 
-from bilberryplank_core._engine_split import ANY_PAUSE, EngineSplit, pause_kind
+from bilberryplank_core._engine_pace import EnginePace, Patience
+from bilberryplank_core._engine_split import EngineSplit
 from bilberryplank_core._engine_waits import EngineWaits
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._traffic_share import TrafficShare, all_entries
@@ -26,6 +27,7 @@
 SHAPE = EngineShape(64, 647_156, 5)
 RATE = 60_000.0
 URGENT, LEAST = (0, 0), (0, 2)
+PATIENT, HASTY = Patience(), Patience(pause=0.2)
 
 
 def call(number, shared="p", shared_tokens=13_000, own=3_700):
@@ -56,13 +58,13 @@
 
 
 class EngineBoardTest(unittest.TestCase):
-    def place(self, boards, calls, kind=ANY_PAUSE):
+    def place(self, boards, calls, kind=PATIENT):
         placed = {}
         for number, each in enumerate(calls):
             one = boards[number % len(boards)]
             choice = one.choose(each, kind, LEAST, ENGINES, number * 0.1)
             one.begin(choice, each, number * 0.1)
-            one.first_token(each.request_id, number * 0.1)
+            one.events(each.request_id, 1, number * 0.1)
             one.end(each.request_id)
             placed[each.request_id] = choice.upstream.name
         return placed
@@ -76,91 +78,101 @@
 
     def test_a_long_wait_at_home_sends_a_request_elsewhere(self):
         one = board()
-        first = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
+        first = one.choose(call(0), PATIENT, LEAST, ENGINES, 0.0)
         for number in range(12):
             one.begin(first, call(number, own=30_000), 0.0)
-        other = one.choose(call(99), ANY_PAUSE, LEAST, ENGINES, 0.0)
+        other = one.choose(call(99), PATIENT, LEAST, ENGINES, 0.0)
         self.assertNotEqual(other.upstream.name, first.upstream.name)
 
     def test_reports_tell_how_much_of_the_backlog_is_other_entries(self):
         waits = []
         for reports in (0, 100):
             one = board()
-            one.to_ask(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
-            choice = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
+            one.to_ask(call(0), PATIENT, LEAST, ENGINES, 0.0)
+            choice = one.choose(call(0), PATIENT, URGENT, ENGINES, 0.0)
             one.begin(choice, call(0), 0.0)
             for _ in range(reports):
                 one.report(choice.upstream.name, UpstreamLoad(4, 1, 64), 0.0)
             only_home = [choice.upstream]
-            waits.append(one.choose(call(1), ANY_PAUSE, URGENT, only_home, 0.0).wait)
+            waits.append(one.choose(call(1), PATIENT, URGENT, only_home, 0.0).wait)
         self.assertGreater(waits[1], 3 * waits[0])
 
     def test_a_request_without_its_first_token_shows_the_wait_at_its_engine(self):
         one = board()
-        home = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
+        home = one.choose(call(0), PATIENT, LEAST, ENGINES, 0.0)
         one.begin(home, call(0), 0.0)
         self.assertNotEqual(
-            one.choose(call(1), ANY_PAUSE, LEAST, ENGINES, 3.0).upstream, home.upstream
+            one.choose(call(1), PATIENT, LEAST, ENGINES, 3.0).upstream, home.upstream
         )
-        one.first_token("r0", 3.0)
+        one.events("r0", 1, 3.0)
         self.assertNotEqual(
-            one.choose(call(1), ANY_PAUSE, LEAST, ENGINES, 3.1).upstream, home.upstream
-        )
-        self.assertEqual(
-            one.choose(call(1), ANY_PAUSE, LEAST, ENGINES, 6.0).upstream, home.upstream
+            one.choose(call(1), PATIENT, LEAST, ENGINES, 3.1).upstream, home.upstream
         )
+        self.assertEqual(one.choose(call(1), PATIENT, LEAST, ENGINES, 6.0).upstream, home.upstream)
 
     def test_an_engine_that_is_held_out_gets_nothing(self):
         health = UpstreamHealth()
         one = EngineBoard("z", SHAPE, health, Random(1))
         for engine in ENGINES[1:]:
             health.record(engine.name, Outcome.NOT_REACHED, 0.0)
-        self.assertEqual(one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.1).upstream.name, "e0")
+        self.assertEqual(one.choose(call(0), PATIENT, LEAST, ENGINES, 0.1).upstream.name, "e0")
         health.record("e0", Outcome.NOT_REACHED, 0.1)
-        self.assertIsNone(one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.2))
+        self.assertIsNone(one.choose(call(0), PATIENT, LEAST, ENGINES, 0.2))
 
     def test_the_homes_of_a_long_prompt_and_the_best_engine_are_asked_once_in_a_while(self):
         one = board()
-        home = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0).upstream
-        asked = one.to_ask(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
+        home = one.choose(call(0), PATIENT, LEAST, ENGINES, 0.0).upstream
+        asked = one.to_ask(call(0), PATIENT, LEAST, ENGINES, 0.0)
         self.assertIn(home, asked)
         self.assertEqual(len(asked), 3)
         for engine in asked:
             one.report(engine.name, UpstreamLoad(0, 0, 64), 0.0)
-        self.assertEqual(one.to_ask(call(0), ANY_PAUSE, LEAST, asked, 0.05), [])
-        self.assertEqual(len(one.to_ask(call(0), ANY_PAUSE, LEAST, asked, 0.2)), 3)
+        self.assertEqual(one.to_ask(call(0), PATIENT, LEAST, asked, 0.05), [])
+        self.assertEqual(len(one.to_ask(call(0), PATIENT, LEAST, asked, 0.2)), 3)
 
     def test_short_prompts_and_urgent_ones_ask_nothing(self):
         one = board()
         short = call(1, shared_tokens=300, own=700)
-        self.assertEqual(one.to_ask(short, ANY_PAUSE, LEAST, ENGINES, 0.0), [])
-        self.assertEqual(one.to_ask(call(2), ANY_PAUSE, URGENT, ENGINES, 0.0), [])
+        self.assertEqual(one.to_ask(short, PATIENT, LEAST, ENGINES, 0.0), [])
+        self.assertEqual(one.to_ask(call(2), PATIENT, URGENT, ENGINES, 0.0), [])
 
     def test_what_an_engine_tells_of_its_queue_decides_for_a_moment(self):
         one = board()
-        home = one.choose(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
-        one.to_ask(call(0), ANY_PAUSE, LEAST, ENGINES, 0.0)
+        home = one.choose(call(0), PATIENT, LEAST, ENGINES, 0.0)
+        one.to_ask(call(0), PATIENT, LEAST, ENGINES, 0.0)
         for number in range(40):
             one.begin(home, call(number), 0.0)
             one.end(f"r{number}")
         one.report(home.upstream.name, UpstreamLoad(8, 30, 64), 1.0)
         self.assertNotEqual(
-            one.choose(call(99), ANY_PAUSE, LEAST, ENGINES, 1.0).upstream, home.upstream
-        )
-        self.assertEqual(
-            one.choose(call(99), ANY_PAUSE, LEAST, ENGINES, 2.5).upstream, home.upstream
+            one.choose(call(99), PATIENT, LEAST, ENGINES, 1.0).upstream, home.upstream
         )
+        self.assertEqual(one.choose(call(99), PATIENT, LEAST, ENGINES, 2.5).upstream, home.upstream)
 
     def test_all_places_are_given_back(self):
         one = board()
         for number in range(20):
-            choice = one.choose(call(number), ANY_PAUSE, LEAST, ENGINES, 0.0)
+            choice = one.choose(call(number), PATIENT, LEAST, ENGINES, 0.0)
             one.begin(choice, call(number), 0.0)
         self.assertEqual(one.in_flight, 20)
         for number in range(20):
             one.end(f"r{number}")
         self.assertEqual(one.in_flight, 0)
 
+    def test_what_is_less_urgent_delays_by_the_prompt_that_is_read_at_most(self):
+        """Load pattern: a backlog of long prompts, which an engine lets the urgent overtake."""
+        delays = {}
+        for urgency in (URGENT, LEAST):
+            one = board()
+            home = one.choose(call(0), PATIENT, LEAST, ENGINES, 0.0)
+            for number in range(10):
+                one.begin(home, call(number), 0.0)
+            new = call(99, shared="q", shared_tokens=100, own=500)
+            choice = one.choose(new, PATIENT, urgency, [home.upstream], 0.0)
+            delays[urgency] = choice.delay
+        self.assertLess(delays[URGENT], 0.15 * delays[LEAST])
+        self.assertGreater(delays[URGENT], 0.02)
+
 
 class TrafficShareTest(unittest.TestCase):
     """Load pattern: many entries, each with a request at few of the engines."""
@@ -193,16 +205,16 @@
             burst = 10 < now < 19 or 35 < now < 40
             long = rng.random() < (0.45 if burst else 0.25)
             tokens = rng.lognormvariate(8.2, 0.9) if long else rng.lognormvariate(7.0, 0.6)
-            split.observe(ANY_PAUSE if long else 0.2, tokens / RATE, 100, now)
+            split.observe(PATIENT if long else HASTY, tokens / RATE, 100, now)
             yield now
 
     def test_kinds_never_share_an_engine_and_each_has_one(self):
-        split = EngineSplit(SHAPE)
-        for kind in (ANY_PAUSE, 0.2):
+        split = EngineSplit(SHAPE.slots, EnginePace(SHAPE.stride))
+        for kind in (PATIENT, HASTY):
             split.observe(kind, 0.5, 100, 0.0)
         for now in self.replay(split, 3):
-            patient = {each.name for each in split.part(ANY_PAUSE, ENGINES, now)}
-            hasty = {each.name for each in split.part(0.2, ENGINES, now)}
+            patient = {each.name for each in split.part(PATIENT, ENGINES, now)}
+            hasty = {each.name for each in split.part(HASTY, ENGINES, now)}
             self.assertTrue(patient and hasty)
             self.assertEqual(patient & hasty, set())
             self.assertEqual(len(patient | hasty), len(ENGINES))
@@ -210,54 +222,82 @@
     def test_the_first_requests_of_many_entries_do_not_all_go_to_one_engine(self):
         """Load pattern: entries that just started; a short prompt comes first at half of them."""
         parts = []
-        for first in (ANY_PAUSE, 0.2):
-            split = EngineSplit(SHAPE)
+        for first in (PATIENT, HASTY):
+            split = EngineSplit(SHAPE.slots, EnginePace(SHAPE.stride))
             split.observe(first, 0.02, 100, 0.0)
-            parts.append(len(split.part(ANY_PAUSE, ENGINES, 0.1)))
+            parts.append(len(split.part(PATIENT, ENGINES, 0.1)))
         self.assertEqual(parts, [len(ENGINES)] * 2)
         for number in range(20):
-            split.observe(0.2, 0.02, 100, number * 0.1)
-            split.observe(ANY_PAUSE, 0.2, 100, number * 0.1)
-        self.assertLess(len(split.part(0.2, ENGINES, 2.0)), len(ENGINES))
+            split.observe(HASTY, 0.02, 100, number * 0.1)
+            split.observe(PATIENT, 0.2, 100, number * 0.1)
+        self.assertLess(len(split.part(HASTY, ENGINES, 2.0)), len(ENGINES))
 
     def test_parts_seldom_move(self):
-        split = EngineSplit(SHAPE)
-        sizes = [len(split.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(split, 4)]
+        split = EngineSplit(SHAPE.slots, EnginePace(SHAPE.stride))
+        sizes = [len(split.part(PATIENT, ENGINES, now)) for now in self.replay(split, 4)]
         moves = sum(before != after for before, after in zip(sizes, sizes[1:], strict=False))
         self.assertLess(moves, 12)
 
     def test_entries_that_see_other_parts_of_the_traffic_mostly_agree(self):
-        one, two = EngineSplit(SHAPE), EngineSplit(SHAPE)
+        one, two = EngineSplit(SHAPE.slots, EnginePace(SHAPE.stride)), EngineSplit(
+            SHAPE.slots, EnginePace(SHAPE.stride)
+        )
         sizes = zip(
-            (len(one.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(one, 5)),
-            (len(two.part(ANY_PAUSE, ENGINES, now)) for now in self.replay(two, 6)),
+            (len(one.part(PATIENT, ENGINES, now)) for now in self.replay(one, 5)),
+            (len(two.part(PATIENT, ENGINES, now)) for now in self.replay(two, 6)),
             strict=False,
         )
         apart = Counter(abs(first - second) for first, second in sizes)
         self.assertGreater((apart[0] + apart[1]) / apart.total(), 0.9)
 
     def test_a_service_with_fewer_engines_than_kinds_shares_them(self):
-        split = EngineSplit(SHAPE)
-        for kind in (ANY_PAUSE, 0.3, 0.2):
+        split = EngineSplit(SHAPE.slots, EnginePace(SHAPE.stride))
+        for kind in (PATIENT, HASTY):
             split.observe(kind, 1.0, 100, 0.0)
-        self.assertEqual(len(split.part(0.2, ENGINES[:2], 0.0)), 2)
+        self.assertEqual(len(split.part(HASTY, ENGINES[:1], 0.0)), 1)
+        self.assertEqual(len(split.part(PATIENT, ENGINES[:1], 0.0)), 1)
+        self.assertEqual(len(split.part(HASTY, ENGINES[:2], 0.0)), 1)
 
     def test_streams_that_need_slots_more_than_reading_get_engines(self):
         """Load pattern: a burst of prompts that are kept already, with long answers."""
         sizes = []
         for answer_tokens in (10, 1000):
-            split = EngineSplit(SHAPE)
+            split = EngineSplit(SHAPE.slots, EnginePace(SHAPE.stride))
             for number in range(100):
-                split.observe(ANY_PAUSE, 0.05, 100, number * 0.1)
-                split.observe(0.2, 0.001, answer_tokens, number * 0.1)
-            sizes.append(len(split.part(0.2, ENGINES, 10.0)))
+                split.observe(PATIENT, 0.05, 100, number * 0.1)
+                split.observe(HASTY, 0.001, answer_tokens, number * 0.1)
+            sizes.append(len(split.part(HASTY, ENGINES, 10.0)))
         self.assertEqual(sizes[0], 1)
         self.assertGreater(sizes[1], 2)
 
-    def test_kinds_of_streams(self):
-        cases = ((0.8, 5, ANY_PAUSE), (0.0, 5, ANY_PAUSE), (0.3, 5, ANY_PAUSE), (0.2, 5, 0.2))
-        for gap, stride, kind in cases:
-            self.assertEqual(pause_kind(gap, stride), kind)
+    def test_which_streams_are_hasty(self):
+        pace = EnginePace(5)
+        for _ in range(100):
+            pace.sent(10_000)
+        turn = 10_000 * pace.reading
+        cases = (
+            (Patience(0.8, 2.0), True),
+            (Patience(), True),
+            (Patience(0.3, 0.3), True),
+            (Patience(0.2, 2.0), False),
+            (Patience(0.8, 1.1 * turn), False),
+            (Patience(0.8, 1.3 * turn), True),
+        )
+        for patience, patient in cases:
+            with self.subTest(patience):
+                self.assertEqual(pace.bears_reading(patience), patient)
+
+    def test_streams_share_engines_that_turn_out_to_pause_for_less(self):
+        """Load pattern: engines that read in short steps, which nobody has said."""
+        pace = EnginePace(SHAPE.stride)
+        split = EngineSplit(SHAPE.slots, pace)
+        for number in range(100):
+            split.observe(PATIENT, 0.1, 100, number * 0.1)
+            split.observe(HASTY, 0.05, 100, number * 0.1)
+        self.assertLess(len(split.part(HASTY, ENGINES, 10.0)), len(ENGINES))
+        for _ in range(200):
+            pace.pause(0.06, 1)
+        self.assertEqual(len(split.part(HASTY, ENGINES, 10.0)), len(ENGINES))
 
 
 class ServiceBoardTest(unittest.TestCase):
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -26,6 +26,7 @@
     EngineBoard,
     EngineChoice,
     Outcome,
+    Patience,
     Step,
     TrueTime,
     UpstreamDialect,
@@ -52,6 +53,8 @@
 MAX_HELD_BYTES = 256 * 1024
 """A longer answer is passed on as it comes: many at once must not fill a small host's memory."""
 
+EVENT_END = b"\n\n"
+
 RETRY_REASONS = {
     Outcome.NOT_REACHED: RetryReason.LINK_FAILED,
     Outcome.NOT_RUN: RetryReason.NOT_RUN,
@@ -100,6 +103,7 @@
         self._call = call
         self._found = found
         self._arrived = arrived
+        self._patience = Patience(found.route.gap_objective, found.route.objective)
         self._answer = Delivery(request, call.request_id, arrived, closes)
         assert parts.state.routes is not None
         self._routes = parts.state.routes
@@ -149,9 +153,8 @@
         board = self._parts.state.board(self._service)
         if not isinstance(board, EngineBoard) or self._answer.begun:
             return
-        kind = board.pause_kind(self._found.route.gap_objective)
-        upstreams = self._fresh_upstreams()
-        asked = board.to_ask(self._call, kind, self._found.urgency, upstreams, boot_time())
+        urgency, upstreams = self._found.urgency, self._fresh_upstreams()
+        asked = board.to_ask(self._call, self._patience, urgency, upstreams, boot_time())
         if asked:
             await asyncio.gather(*(self._ask_load(each) for each in asked))
 
@@ -187,8 +190,7 @@
         board = state.board(self._service)
         note: dict[str, object] = {"known": len(fresh)}
         if isinstance(board, EngineBoard):
-            kind = board.pause_kind(self._found.route.gap_objective)
-            choice = board.choose(self._call, kind, self._found.urgency, fresh, now)
+            choice = board.choose(self._call, self._patience, self._found.urgency, fresh, now)
             upstream = choice.upstream if choice else None
             if choice is not None:
                 self._admit(choice, now)
@@ -327,7 +329,7 @@
         fields = self._parts.dialect.answer_fields(answer.fields.items())
         splitter = EventSplitter() if self._resumable else None
         async for data in answer.pieces():
-            self._first_token()
+            self._events(data.count(EVENT_END))
             self._answer.pace.event(boot_time())
             for piece in [data] if splitter is None else splitter.feed(data):
                 await self._answer.begin(answer.status, fields)
@@ -353,14 +355,14 @@
     def _may_resume(self) -> bool:
         return self._resumable and self._last_event is not None
 
-    def _first_token(self) -> None:
+    def _events(self, count: int) -> None:
         if self._answer.pace.first is None:
             waited = boot_time() - self._arrived
             self._parts.metrics.first_token(self._found.route.name, waited)
         self._count()
         board = self._parts.state.board(self._service)
         if isinstance(board, EngineBoard):
-            board.first_token(self._call.request_id, boot_time())
+            board.events(self._call.request_id, count, boot_time())
 
     def _count(self) -> None:
         """Counts the request as begun, once, in the window of true time."""
