Count the entries of the fleet, and let their number bound how often each calls the store

Cause: each entry stored its usage counts four times a window and looked at the reporter's lease every 3.5 to 4.2 s, however many there were: 0.8 and 0.26 calls a second of some 2 an entry. The allowance for further attempts was divided by 16 in advance: too shy for 4 entries, too bold for 27 or 68.

Ruled out: the number from load reports (`TrafficShare` weighs traffic, not entries); a longer period for all contenders (a takeover needs two looks a lease apart, so it would take two periods).

Change: each entry writes a row of itself once a minute and reads all of them. Six entries, ranked by rendezvous hashing, contend for the lease; the others look eight times as seldom. Counts are stored as often as a killed entry's loss allows (`usage_off`): each 1.25 s with 5 entries, once a window with 20 and more. The allowance is divided by the number of entries. A read of the upstreams waits in proportion to `drain_ms` (2.8 s at 2 s, as before).

--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -0,0 +1,79 @@
+"""Which entries there are, from rows that each writes of itself, and what their number decides.
+
+The number bounds what entries do without speaking to each other: how often each stores its counts,
+which share of a common allowance it takes, and which few of them contend for a lease. A name too
+many or too few for a minute changes rates a little and nothing else, so the rows are read seldom.
+
+Load pattern: from three to a thousand entries on one store, whose calls are billed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from bilberryplank_core._ranking import is_ranked
+
+LIFETIME_SECONDS = 200.0
+"""An entry whose row is older is taken as gone: three writes of it were missed."""
+
+CONTENDERS = 6
+"""Entries that contend for a lease all the time. Of so many one lives and reaches the store, unless
+most of the fleet is gone; the others look now and then for that."""
+
+RESERVE_FACTOR = 8.0
+"""How much longer than contenders the other entries wait between two looks at a lease."""
+
+
+class FleetMembers:
+    """Names of the entries that wrote of themselves lately.
+
+    Args:
+        name: Name of this entry, always one of them.
+    """
+
+    __slots__ = ("_name", "_names")
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._names: frozenset[str] = frozenset()
+
+    @property
+    def size(self) -> int | None:
+        """Number of entries; None before the rows were read."""
+        return len(self._names) or None
+
+    def take(self, rows: Mapping[str, Any], now: float) -> list[str]:
+        """Takes in all rows and returns the keys of those that nobody writes any more.
+
+        Args:
+            rows: Values by the name of the entry that wrote them.
+            now: Seconds on the store's clock.
+        """
+        alive = {name for name, value in rows.items() if _is_fresh(value, now)}
+        self._names = frozenset({*alive, self._name})
+        return sorted(set(rows) - self._names)
+
+    def contends(self, lease: str) -> bool:
+        """Returns True where this entry is one of the few that contend for a lease."""
+        return is_ranked(lease, self._name, self._names, CONTENDERS)
+
+    def flush_interval(self, least: float, window: float, tolerance: float) -> float:
+        """Returns the seconds between two flushes of usage counts.
+
+        A killed entry loses its counts since the last flush. That is a share of the interval in the
+        window, divided by the entries, and must stay within what a report may be off.
+
+        Args:
+            least: Shortest interval; used while the fleet's size is not known.
+            window: Length of a window in seconds.
+            tolerance: Share by which a report may be off.
+        """
+        if self.size is None:
+            return least
+        return min(window, max(least, tolerance * self.size * window))
+
+
+def _is_fresh(value: Any, now: float) -> bool:
+    written = value.get("at") if isinstance(value, dict) else None
+    return isinstance(written, (int, float)) and now - written < LIFETIME_SECONDS
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -105,6 +105,7 @@
         lease_duration: Length of a lease.
         lease_margin: A holder stops this much earlier, a contender waits this much longer.
         lease_candidates: Processes that contend for a lease.
+        leaving_limit: A leaving upstream gets no new work after this long.
         stale_limit: Without a confirmed configuration for this long, a host refuses requests.
         usage_window: Length of a usage window.
         usage_flush_interval: Usage records are stored this often.
@@ -213,13 +214,13 @@
         retry_ratio: Further attempts for each request.
         window: Length in seconds of the window in which they are counted.
         allowance: Attempts in a window beside those.
-        entries: Entries among which the allowance is divided, at the most.
+        entries: Entries among which the allowance is divided until their number is known.
     """
 
     retry_ratio: float = 0.2
     window: float = 10.0
     allowance: float = 40.0
-    entries: int = 16
+    entries: int = 64
 
 
 @dataclass(slots=True, frozen=True)
@@ -235,9 +236,12 @@
         lame_duck: Seconds after SIGTERM in which new connections are still taken.
         drain_timeout: Seconds that running requests get after that.
         sure_limit: With a configuration confirmed within this long, refusals are for good.
+        leaving_limit: A leaving upstream gets no new work after this long.
         stale_limit: Without a confirmed configuration for this long, requests are refused.
         usage_window: Length of a usage window.
-        usage_flush_interval: Counts are stored this often; a process that dies loses no more.
+        usage_flush_interval: Counts of a small fleet are stored this often; a process that dies
+            loses no more.
+        usage_tolerance: Share by which the figures of a window may be off, 0 to 1.
         usage_deadline: A window is reported within this long after its end.
         lease_duration: Length of the reporter's lease.
         lease_margin: A holder stops this much earlier, a contender waits this much longer.
@@ -252,8 +256,10 @@
     drain_timeout: float = 4.0
     sure_limit: float = 2.5
     stale_limit: float = 4.5
+    leaving_limit: float = 2.0
     usage_window: float = 5.0
     usage_flush_interval: float = 1.25
+    usage_tolerance: float = 0.05
     usage_deadline: float = 10.0
     lease_duration: float = 6.0
     lease_margin: float = 1.0
--- a/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
@@ -34,6 +34,7 @@
         "retry_ratio",
         "attainment_target",
         "low_use",
+        "usage_tolerance",
     }
 )
 _NAMES = frozenset({"name", "zone", "upstream"})
--- a/packages/bilberryplank-core/bilberryplank_core/_window_retry_budget.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_retry_budget.py
@@ -1,8 +1,8 @@
 """Budget of further attempts that holds over all entries without a message between them.
 
 A service may get, in any window, further attempts up to a share of its requests plus a fixed
-allowance. Each entry earns the share from its own requests, and takes a part of the allowance that
-stays within it however many entries there are up to a stated number.
+allowance. Each entry earns the share from its own requests, and takes the part of the allowance
+that falls to it by the number of entries.
 
 Load pattern: all upstreams of a service fail part of their requests at once.
 """
@@ -33,6 +33,10 @@
         self._requests: deque[float] = deque()
         self._spent: deque[float] = deque()
 
+    def set_allowance(self, allowance: float) -> None:
+        """Takes in another allowance; what was spent stays spent."""
+        self._allowance = allowance
+
     def request(self, now: float) -> None:
         """Counts a request of a caller."""
         self._requests.append(now)
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -28,6 +28,7 @@
 from bilberryplank_core._engine_admission import may_enter, return_after
 from bilberryplank_core._engine_board import EngineBoard, EngineChoice
 from bilberryplank_core._engine_pace import EnginePace, Patience
+from bilberryplank_core._fleet_members import RESERVE_FACTOR, FleetMembers
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
 from bilberryplank_core._upstream_health import UpstreamHealth
@@ -59,11 +60,13 @@
     "EngineChoice",
     "EnginePace",
     "EngineShape",
+    "FleetMembers",
     "HistoryGone",
     "Organisation",
     "Outcome",
     "Patience",
     "PromptPart",
+    "RESERVE_FACTOR",
     "RepeatRule",
     "Roster",
     "RosterChange",
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -15,6 +15,7 @@
 from bilberryplank._decisions import DecisionJournal
 from bilberryplank._direct_client import DirectClient
 from bilberryplank._direct_feeds import ConfigurationWatch, RosterWatch
+from bilberryplank._direct_members import MembersKeeper
 from bilberryplank._direct_requests import DirectRequests
 from bilberryplank._direct_state import DirectState
 from bilberryplank._direct_usage import TrueTimeKeeper, UsageReporter, UsageStore
@@ -70,7 +71,9 @@
         """Starts the parts, the one that takes work last."""
         cfg = self._settings
         platform = meter_direct_platform(self._platform, self.metrics)
-        self._roster = RosterWatch(platform.table, platform.rows, self._roster_changed, self._rng)
+        self._roster = RosterWatch(
+            platform.table, platform.rows, self._roster_changed, self._rng, cfg.leaving_limit
+        )
         self._state = DirectState(cfg, self._roster.roster, self._rng)
         self._watch = ConfigurationWatch(
             platform.table,
@@ -83,8 +86,17 @@
         self._client = DirectClient()
         counts, true_time = WindowCounts(cfg.usage_window), platform.true_time
         writer = f"{cfg.name}/{self.epoch}"
-        interval = cfg.usage_flush_interval
-        self._usage = UsageStore(writer, platform.table, counts, true_time, interval, self._rng)
+        self._usage = UsageStore(
+            writer, platform.table, counts, true_time, self._flush_interval, self._rng
+        )
+        self._members = MembersKeeper(
+            cfg.name,
+            platform.table,
+            true_time,
+            self._state.members,
+            self._state.members_changed,
+            self._rng,
+        )
         self._requests = DirectRequests(
             self._state,
             self._client,
@@ -105,11 +117,18 @@
             further_addresses=(cfg.metrics_listen,),
         )
         keeper = TrueTimeKeeper(platform.table, true_time)
-        for part in (self._operations, self._watch, self._roster, keeper, self._usage):
+        parts = (self._operations, self._watch, self._roster, keeper, self._members, self._usage)
+        for part in parts:
             await self._start_part(part)
         if platform.reports is not None:
             self._reporter = UsageReporter(
-                cfg, cfg.name, platform.table, platform.reports, true_time, self._rng
+                cfg,
+                cfg.name,
+                platform.table,
+                platform.reports,
+                true_time,
+                self._state.members,
+                self._rng,
             )
             await self._start_part(self._reporter)
         await self._start_part(self._server)
@@ -126,6 +145,7 @@
         self._requests.draining = True
         if self._reporter is not None:
             self.add_future(self._reporter.retire())
+        self.add_future(self._members.withdraw())
         await asyncio.sleep(cfg.lame_duck)
         self._server.stop_listening()
         self._requests.closed = True
@@ -159,6 +179,12 @@
             running=self._requests.in_flight,
         )
 
+    def _flush_interval(self) -> float:
+        cfg = self._settings
+        return self._state.members.flush_interval(
+            cfg.usage_flush_interval, cfg.usage_window, cfg.usage_tolerance
+        )
+
     async def _keep_readiness(self) -> None:
         while not self.should_stop:
             now = boot_time()
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -31,9 +31,9 @@
 """How long a read of the configuration waits for a change. Each call is billed; each confirms the
 configuration, whose age must stay within the limit up to which refusals are for good."""
 
-ROSTER_WAIT_SECONDS = 2.8
-"""How long a read of the upstreams waits. A lost answer is noticed this late and a call's timeout,
-which is less than what the platform allows until a leaving upstream gets no more work."""
+ROSTER_WAIT_SHARE = 1.4
+"""How long a read of the upstreams waits, as a share of the time until one that leaves must get no
+more work. A change is told at once; a lost answer is noticed this late and a call's timeout."""
 
 STALE_SHARE = 0.4
 """Share of the stale limit that a read may wait: what is known must not turn stale in between."""
@@ -199,8 +199,9 @@
         rows: DirectRows,
         changed: Callable[[RosterChange], None],
         rng: Random,
+        leaving_limit: float,
     ) -> None:
-        super().__init__(table, rows.upstream_table, rng, ROSTER_WAIT_SECONDS)
+        super().__init__(table, rows.upstream_table, rng, ROSTER_WAIT_SHARE * leaving_limit)
         self.roster = Roster()
         self._rows = rows
         self._changed = changed
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_direct_members.py
@@ -0,0 +1,127 @@
+"""Tells other entries of this one, and learns how many there are, by a call now and then."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from loguru import logger
+from mode import Service
+
+from bilberryplank._dependency import Dependency
+from bilberryplank._logs import log_event
+from bilberryplank_core.contracts import Put
+from bilberryplank_core.direct import FleetMembers, TrueTime, WatchedTable
+from bilberryplank_core.errors import PlatformError
+
+MEMBERS_TABLE = "entries"
+
+SETTLE_SECONDS = 4.0
+"""Time from an entry's first look at the rows to its second: others may start beside it."""
+
+LEAST_AGE_SECONDS = 8.0
+"""A row that is younger is not written again."""
+
+REFRESH_SECONDS = 60.0
+RETRY_SECONDS = 2.0
+SPREAD = 0.2
+"""Pauses differ by this share, so that entries that started together do not call together."""
+
+
+class MembersKeeper(Service):
+    """Writes this entry's row and reads all of them.
+
+    Args:
+        name: Name of this entry.
+        table: The table service.
+        true_time: Tells the store's clock.
+        members: Told what the rows say.
+        changed: Called when the number of entries changed.
+        rng: Spreads the calls.
+    """
+
+    abstract = False
+
+    def __init__(
+        self,
+        name: str,
+        table: WatchedTable,
+        true_time: TrueTime,
+        members: FleetMembers,
+        changed: Callable[[], None],
+        rng: Random,
+    ) -> None:
+        super().__init__()
+        self._name = name
+        self._table = table
+        self._true_time = true_time
+        self._members = members
+        self._changed = changed
+        self._rng = rng
+        self._written = self._withdrawn = False
+        self._written_at = 0.0
+        self._dependency = Dependency("entries")
+
+    async def on_started(self) -> None:
+        """Begins to write and read."""
+        self.add_future(self._keep())
+
+    async def withdraw(self) -> None:
+        """Removes this entry's row at a planned stop."""
+        self._withdrawn = True
+        try:
+            await self._table.forget([(MEMBERS_TABLE, self._name)])
+        except PlatformError as exc:
+            self._dependency.failed(exc)
+
+    async def refresh(self) -> None:
+        """Writes this entry's row again where it is due, and reads all rows.
+
+        Raises:
+            PlatformError: The store did not answer.
+        """
+        if not self._written or self._true_time.store_time() - self._written_at > LEAST_AGE_SECONDS:
+            await self._write()
+        changes = await self._table.snapshot(MEMBERS_TABLE)
+        before = self._members.size
+        rows = {row.key: row.value for row in changes.rows}
+        lapsed = self._members.take(rows, self._true_time.store_time())
+        if lapsed:
+            await self._table.forget([(MEMBERS_TABLE, name) for name in lapsed])
+        if self._members.size != before:
+            log_event(logger, "entries_counted", entries=self._members.size, before=before)
+            self._changed()
+
+    async def _write(self) -> None:
+        if self._withdrawn:
+            return
+        now = self._true_time.store_time()
+        value = {"at": round(now, 1)}
+        await self._table.commit([], [Put(MEMBERS_TABLE, self._name, value)])
+        self._written, self._written_at = True, now
+
+    async def _keep(self) -> None:
+        pause = 0.0
+        while not (self.should_stop or self._withdrawn):
+            await asyncio.sleep(self._spread(pause))
+            pause = await self._next_pause()
+
+    async def _next_pause(self) -> float:
+        """Makes the next calls; returns the seconds until those after them."""
+        first = not self._written
+        if not await self._succeeds(self.refresh()):
+            return RETRY_SECONDS
+        return SETTLE_SECONDS if first else REFRESH_SECONDS
+
+    async def _succeeds(self, call: Awaitable[None]) -> bool:
+        try:
+            await call
+        except PlatformError as exc:
+            self._dependency.failed(exc)
+            return False
+        self._dependency.answered()
+        return True
+
+    def _spread(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(1 - SPREAD, 1 + SPREAD)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -14,6 +14,7 @@
     DirectConfiguration,
     DirectUpstream,
     EngineBoard,
+    FleetMembers,
     Outcome,
     Roster,
     RosterChange,
@@ -34,6 +35,7 @@
     Attributes:
         confirmation: Age of the configuration.
         health: Which upstreams are held out.
+        members: The entries of the fleet.
         rng: Random source of the process.
         routes: Index of the configuration in force; None before the first.
     """
@@ -41,6 +43,7 @@
     def __init__(self, settings: DirectEntrySettings, roster: Roster, rng: Random) -> None:
         self.confirmation = Confirmation(settings.sure_limit, settings.stale_limit)
         self.health = UpstreamHealth()
+        self.members = FleetMembers(settings.name)
         self.rng = rng
         self.routes: RouteIndex | None = None
         self._boards: dict[str, Board] = {}
@@ -79,10 +82,19 @@
         """Returns the budget of further attempts for a service."""
         if service not in self._budgets:
             cfg = self._settings.retries
-            share = cfg.allowance / cfg.entries
-            self._budgets[service] = WindowRetryBudget(cfg.retry_ratio, cfg.window, share)
+            budget = WindowRetryBudget(cfg.retry_ratio, cfg.window, self._allowance())
+            self._budgets[service] = budget
         return self._budgets[service]
 
+    def members_changed(self) -> None:
+        """Divides among another number of entries what all share."""
+        for budget in self._budgets.values():
+            budget.set_allowance(self._allowance())
+
+    def _allowance(self) -> float:
+        cfg = self._settings.retries
+        return cfg.allowance / (self.members.size or cfg.entries)
+
     def record(self, upstream: DirectUpstream, outcome: Outcome, request_id: str) -> None:
         """Takes in how an attempt ended."""
         if self.health.record(upstream.name, outcome, boot_time()):
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -15,7 +15,9 @@
 from bilberryplank._logs import log_event
 from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import (
+    RESERVE_FACTOR,
     SEAL_DELAY_SECONDS,
+    FleetMembers,
     TrueTime,
     WatchedTable,
     WindowCounts,
@@ -42,6 +44,9 @@
 FLUSH_SPREAD_SECONDS = 1.0
 """Processes store their counts spread over this long after a window's end, before it is summed."""
 
+START_SPREAD_SECONDS = 0.5
+"""Entries that start together look for the lease spread over this long."""
+
 KEPT_WINDOWS = 12
 """Windows whose rows are kept for a report that is late."""
 
@@ -101,7 +106,7 @@
         table: WatchedTable,
         counts: WindowCounts,
         true_time: TrueTime,
-        interval: float,
+        interval: Callable[[], float],
         rng: Random,
     ) -> None:
         super().__init__()
@@ -149,8 +154,8 @@
     def _pause(self) -> float:
         now = self._true_time.now()
         if now is None:
-            return self._interval
-        return self._counts.until_flush(now, self._interval, self._offset)
+            return self._interval()
+        return self._counts.until_flush(now, self._interval(), self._offset)
 
 
 class UsageReporter(Service):
@@ -165,6 +170,7 @@
         table: WatchedTable,
         reports: WindowReports,
         true_time: TrueTime,
+        members: FleetMembers,
         rng: Random,
         clock: Callable[[], float] = boot_time,
     ) -> None:
@@ -177,6 +183,8 @@
         self._reports = reports
         self._true_time = true_time
         self._clock = clock
+        self._members = members
+        self._rng = rng
         self._next: int | None = None
         self._retired = False
         self._lease_calls = Dependency("usage lease")
@@ -199,6 +207,8 @@
             log_event(logger, "lease_released", lease=LEASE, fence=self.lease.fence)
 
     async def _contend(self) -> None:
+        # Entries that start together would else all find the lease free.
+        await asyncio.sleep(self._rng.uniform(0, START_SPREAD_SECONDS))
         while not (self.should_stop or self._retired):
             held = self.lease.held(self._clock())
             try:
@@ -215,7 +225,12 @@
                     log_event(logger, event, lease=LEASE, fence=self.lease.fence)
                     self._next = None
             holds = self.lease.held(self._clock())
-            await asyncio.sleep(self.lease.delay() if holds else self.lease.takeover_delay())
+            await asyncio.sleep(self.lease.delay() if holds else self._look_again())
+
+    def _look_again(self) -> float:
+        """Returns the seconds until another look at the lease of somebody else."""
+        wait = self.lease.takeover_delay()
+        return wait if self._members.contends(LEASE) else wait * RESERVE_FACTOR
 
     async def _report_regularly(self) -> None:
         while not self.should_stop:
--- a/packages/bilberryplank/bilberryplank/direct.py
+++ b/packages/bilberryplank/bilberryplank/direct.py
@@ -3,6 +3,7 @@
 from bilberryplank._bounded_output import BoundedOutput
 from bilberryplank._clocks import boot_time
 from bilberryplank._direct_entry import DirectEntry, run_direct_entry
+from bilberryplank._direct_members import MEMBERS_TABLE
 from bilberryplank._direct_usage import COUNTS_TABLE
 from bilberryplank._guarded_http import GuardedClient
 from bilberryplank._platform_http import ServiceClient
@@ -13,6 +14,7 @@
     "COUNTS_TABLE",
     "DirectEntry",
     "GuardedClient",
+    "MEMBERS_TABLE",
     "ServiceClient",
     "boot_time",
     "forwarded_fields",
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -5,7 +5,7 @@
 
 from bilberryplank._direct_usage import COUNTS_TABLE, SEALS_TABLE, UsageReporter, UsageStore
 from bilberryplank_core.contracts import Put
-from bilberryplank_core.direct import TrueTime, WindowCounts
+from bilberryplank_core.direct import FleetMembers, TrueTime, WindowCounts
 from bilberryplank_core.errors import PlatformUnavailable, ReportRejected
 from bilberryplank_core.settings import DirectEntrySettings
 from bilberryplank_core.tests._memory_platform import MemoryTable
@@ -54,7 +54,14 @@
             lease_margin=0.5,
         )
         return UsageReporter(
-            settings, name, self.table, self.reports, self.time, Random(1), lambda: self.now
+            settings,
+            name,
+            self.table,
+            self.reports,
+            self.time,
+            FleetMembers(name),
+            Random(1),
+            lambda: self.now,
         )
 
     async def count(self, writer, number, **counts):
@@ -121,7 +128,7 @@
 
     async def test_counts_stay_here_until_the_store_has_them(self):
         counts = WindowCounts(WINDOW)
-        store = UsageStore("a/1", self.table, counts, self.time, 1.0, Random(1))
+        store = UsageStore("a/1", self.table, counts, self.time, lambda: 1.0, Random(1))
         counts.add("org", START)
         await store.flush()
         self.assertEqual(counts.unsaved(), [])
