Let a few entries read the tables for all, and tell the others what did not change

Ruled out: gossip of rows (an old row could come back into force), one reader (a single loss makes all read at once), longer waits (the age of the configuration bounds them).

Change: `TableNotice`: "between these two revisions the table did not change, as of this moment on the store's clock". Whoever holds the first revision holds the second; whoever does not reads itself, so a notice carries no row and no late, lost, doubled or reordered one brings anything older into force. Four entries of a fleet of eight or more read (rendezvous hashing) and tell all others by datagram; whoever hears nothing for 1.2 waits reads itself. Only addresses in the entries' rows may speak; others are refused, logged once and hold no memory.

Tests: test_table_notices (300 seeds of loss, delay, doubling, reordering, paged reads and failed readers: no moment believed whose changes are not held), test_table_relay (twelve entries over sockets: a tenth of the reads, changes at once, readers lost, cut off from the store, strangers and garbage).

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -37,12 +37,14 @@
         revision: Revision from which to go on.
         as_of: When the table answered, in seconds on the clock of this process; never later than
             that. Changes made after it may be missing.
+        store_time: The same moment in seconds on the store's clock; None where it did not tell.
     """
 
     rows: tuple[Row, ...]
     removed: tuple[str, ...]
     revision: int
     as_of: float
+    store_time: float | None = None
 
 
 class WatchedTable(Table):
--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from bilberryplank_core._ranking import is_ranked
+from bilberryplank_core._table_notices import LEAST_ENTRIES, reads_for_all
 
 LIFETIME_SECONDS = 200.0
 """An entry whose row is older is taken as gone: three writes of it were missed."""
@@ -32,11 +33,12 @@
         name: Name of this entry, always one of them.
     """
 
-    __slots__ = ("_name", "_names")
+    __slots__ = ("_addresses", "_name", "_names")
 
     def __init__(self, name: str) -> None:
         self._name = name
         self._names: frozenset[str] = frozenset()
+        self._addresses: dict[str, str] = {}
 
     @property
     def size(self) -> int | None:
@@ -52,12 +54,28 @@
         """
         alive = {name for name, value in rows.items() if _is_fresh(value, now)}
         self._names = frozenset({*alive, self._name})
+        self._addresses = {name: _address(rows[name]) for name in alive if name != self._name}
         return sorted(set(rows) - self._names)
 
     def contends(self, lease: str) -> bool:
         """Returns True where this entry is one of the few that contend for a lease."""
         return is_ranked(lease, self._name, self._names, CONTENDERS)
 
+    @property
+    def addresses(self) -> list[str]:
+        """`ip:port` at which the other entries hear notices."""
+        return [each for each in self._addresses.values() if each]
+
+    @property
+    def is_large(self) -> bool:
+        """True where a few entries read the tables for all."""
+        return len(self._names) >= LEAST_ENTRIES
+
+    @property
+    def reads_for_all(self) -> bool:
+        """True where this entry is one of those few."""
+        return self.is_large and reads_for_all(self._name, self._names)
+
     def flush_interval(self, least: float, window: float, tolerance: float) -> float:
         """Returns the seconds between two flushes of usage counts.
 
@@ -77,3 +95,9 @@
 def _is_fresh(value: Any, now: float) -> bool:
     written = value.get("at") if isinstance(value, dict) else None
     return isinstance(written, (int, float)) and now - written < LIFETIME_SECONDS
+
+
+def _address(value: dict[str, Any]) -> str:
+    """Returns the address in a row; empty where it tells none."""
+    address = value.get("address")
+    return address if isinstance(address, str) else ""
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -233,6 +233,7 @@
         listen: `ip:port` for callers.
         operations_listen: `ip:port` for health, readiness and decisions.
         metrics_listen: `ip:port` for metrics, where they are read at another address too.
+        peer_listen: `ip:port` at which other entries tell of the tables; empty for none.
         lame_duck: Seconds after SIGTERM in which new connections are still taken.
         drain_timeout: Seconds that running requests get after that.
         sure_limit: With a configuration confirmed within this long, refusals are for good.
@@ -260,6 +261,7 @@
     usage_window: float = 5.0
     usage_flush_interval: float = 1.25
     usage_tolerance: float = 0.05
+    peer_listen: str = ""
     usage_deadline: float = 10.0
     lease_duration: float = 6.0
     lease_margin: float = 1.0
--- a/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings_checks.py
@@ -85,6 +85,8 @@
 def _check_text(name: str, value: str, place: str) -> list[Fault]:
     if name in ("listen", "operations_listen", "metrics_listen"):
         return check_address(value, place)
+    if name == "peer_listen":
+        return check_address(value, place) if value else []
     if name in _URL_NAMES:
         return _check_url(value, place)
     if name in ("fleet_key", "key_hash_secret") and len(value) < MIN_SECRET_CHARS:
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
@@ -0,0 +1,124 @@
+"""What entries tell each other of the platform's table, so that few of them need to read it.
+
+A reader tells: between two revisions a table did not change, as of a moment on the store's clock.
+Whoever holds the table as of the first revision or later then holds it as of the second, and knows
+how old that is, without a call. Whoever does not must read. So a notice never carries rows, and a
+late, lost, doubled or reordered one cannot bring anything older back into force.
+
+Load pattern: hundreds of entries that each need the age of the configuration every second or two.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgpack
+
+from bilberryplank_core._errors import BilberryplankError
+from bilberryplank_core._ranking import is_ranked
+
+FORMAT = 1
+MAX_NOTICE_BYTES = 256
+MAX_TABLE_CHARS = 64
+
+READERS = 4
+"""Entries that read for all. Each entry hears all of them, so that one that lives and reaches the
+store is enough."""
+
+LEAST_ENTRIES = 2 * READERS
+"""With fewer entries than this, each reads for itself: telling would save little."""
+
+RELAY_JOB = "read the tables"
+
+
+class NoticeInvalid(BilberryplankError):
+    """A datagram that is no notice of this format."""
+
+    code = "notice_invalid"
+
+
+@dataclass(slots=True, frozen=True)
+class TableNotice:
+    """A table did not change after one revision and up to another.
+
+    Attributes:
+        table: Name of the table.
+        quiet_since: Revision after which it did not change.
+        upto: Revision up to which that is known.
+        store_time: When the store said so, in seconds on its clock; None right after a change, when
+            more changes may be on the way.
+    """
+
+    table: str
+    quiet_since: int
+    upto: int
+    store_time: float | None
+
+    def covers(self, revision: int) -> bool:
+        """Returns True where a table held as of a revision is held as of `upto` as well."""
+        return revision >= self.quiet_since
+
+    def encode(self) -> bytes:
+        """Returns the notice as a datagram."""
+        return msgpack.packb([FORMAT, self.table, self.quiet_since, self.upto, self.store_time])
+
+    @classmethod
+    def decode(cls, data: bytes) -> TableNotice:
+        """Returns the notice in a datagram.
+
+        Raises:
+            NoticeInvalid: It holds none, or one of another format.
+        """
+        if len(data) > MAX_NOTICE_BYTES:
+            raise NoticeInvalid(f"{len(data)} bytes are too many")
+        try:
+            number, table, quiet_since, upto, store_time = msgpack.unpackb(data)
+        except (msgpack.UnpackException, TypeError, ValueError) as exc:
+            raise NoticeInvalid(f"cannot be read: {exc}") from exc
+        types = [type(each) for each in (number, table, quiet_since, upto)]
+        known_time = store_time is None or type(store_time) is float
+        if types != [int, str, int, int] or not known_time or number != FORMAT:
+            raise NoticeInvalid("other fields or another format")
+        if len(table) > MAX_TABLE_CHARS or not 0 <= quiet_since <= upto:
+            raise NoticeInvalid("its revisions or its table make no sense")
+        return cls(table, quiet_since, upto, store_time)
+
+
+class QuietSpan:
+    """Since when a table that this entry reads has not changed."""
+
+    __slots__ = ("_changed", "_quiet_since", "_upto")
+
+    def __init__(self) -> None:
+        self._changed = False
+        self._quiet_since: int | None = None
+        self._upto = 0
+
+    def answered(self, revision: int, changed: bool) -> None:
+        """Takes in an answer of the table.
+
+        Args:
+            revision: Revision as of which the table is known now.
+            changed: True where the answer held changes, or all rows.
+        """
+        if changed or self._quiet_since is None:
+            self._quiet_since = revision
+        self._changed = changed
+        self._upto = max(self._upto, revision, self._quiet_since)
+
+    def lost(self) -> None:
+        """Takes in that a read failed: what is known must be read again."""
+        self._quiet_since = None
+
+    def notice(self, table: str, store_time: float) -> TableNotice | None:
+        """Returns what to tell others; None where nothing is known."""
+        if self._quiet_since is None:
+            return None
+        as_of = None if self._changed else store_time
+        return TableNotice(table, self._quiet_since, self._upto, as_of)
+
+
+def reads_for_all(name: str, names: Iterable[str]) -> bool:
+    """Returns True where an entry is one of the readers of a fleet."""
+    return is_ranked(RELAY_JOB, name, names, READERS)
--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -146,6 +146,17 @@
         told = store_time - self._store_ahead - self._uncertainty(got_at) / 2
         return told if sent_at <= told <= got_at else sent_at
 
+    def since(self, store_time: float) -> float | None:
+        """Returns when the store's clock showed a time, at the earliest, on this process's clock.
+
+        None where the store's clock is not known yet, or the time is still to come.
+        """
+        if self._store_ahead is None:
+            return None
+        now = self._clock()
+        earliest = store_time - self._store_ahead - self._uncertainty(now)
+        return earliest if earliest <= now else None
+
     def _uncertainty(self, now: float) -> float:
         return self._round_trip + CLOCK_DRIFT * (now - self._observed_at)
 
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -31,6 +31,7 @@
 from bilberryplank_core._fleet_members import RESERVE_FACTOR, FleetMembers
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
+from bilberryplank_core._table_notices import NoticeInvalid, QuietSpan, TableNotice
 from bilberryplank_core._upstream_health import UpstreamHealth
 from bilberryplank_core._window_counts import (
     SEAL_DELAY_SECONDS,
@@ -62,10 +63,12 @@
     "EngineShape",
     "FleetMembers",
     "HistoryGone",
+    "NoticeInvalid",
     "Organisation",
     "Outcome",
     "Patience",
     "PromptPart",
+    "QuietSpan",
     "RESERVE_FACTOR",
     "RepeatRule",
     "Roster",
@@ -74,6 +77,7 @@
     "SEAL_DELAY_SECONDS",
     "ServiceBoard",
     "Step",
+    "TableNotice",
     "TrueTime",
     "Trust",
     "UpstreamDialect",
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_table_notices.py
@@ -0,0 +1,134 @@
+"""Notices between entries, under loss, delay, doubling, reordering and restarts."""
+
+import unittest
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberryplank_core.direct import NoticeInvalid, QuietSpan, TableNotice
+
+
+class Store:
+    """One counter over all tables; remembers when the watched table changed."""
+
+    def __init__(self, rng):
+        self.rng, self.revision, self.changes, self.now = rng, 0, [], 0.0
+
+    def step(self):
+        self.now += 0.1
+        if self.rng.random() < 0.7:
+            self.revision += 1
+            if self.rng.random() < 0.15:
+                self.changes.append((self.now, self.revision))
+
+    def read(self, after, most=2):
+        """Returns the changes after a revision, as one page, and where to go on."""
+        found = [revision for _, revision in self.changes if revision > after]
+        page = found[:most]
+        return page, page[-1] if len(found) > most else self.revision
+
+    def newest_at(self, moment):
+        return max((revision for at, revision in self.changes if at <= moment), default=0)
+
+
+class Reader:
+    def __init__(self, store):
+        self.store, self.revision, self.span = store, None, QuietSpan()
+
+    def read(self):
+        if self.revision is None:
+            self.revision = self.store.revision
+            self.span.answered(self.revision, True)
+        else:
+            page, self.revision = self.store.read(self.revision)
+            self.span.answered(self.revision, bool(page))
+        return self.span.notice("t", self.store.now)
+
+    def fail(self):
+        self.revision = None
+        self.span.lost()
+
+
+class Listener:
+    """What a table watch does with notices; `held` is the last change that it has taken in."""
+
+    def __init__(self, store):
+        self.store, self.calls = store, 0
+        self.revision, self.held = store.revision, store.newest_at(store.now)
+
+    def read(self):
+        self.calls += 1
+        page, self.revision = self.store.read(self.revision, most=99)
+        self.held = max([self.held, *page])
+
+    def hear(self, notice):
+        """Returns the moment as of which the table is confirmed; None without one."""
+        if not notice.covers(self.revision):
+            self.read()
+            return None
+        if notice.store_time is not None:
+            self.revision = max(self.revision, notice.upto)
+        return notice.store_time
+
+
+class NoticesTest(unittest.TestCase):
+    def play(self, seed, steps=400):
+        rng = Random(seed)
+        store = Store(rng)
+        readers, listeners = [Reader(store) for _ in range(3)], [Listener(store) for _ in range(4)]
+        wire, confirmed, delivered = [], 0, 0
+        for _ in range(steps):
+            store.step()
+            reader = rng.choice(readers)
+            if rng.random() < 0.03:
+                reader.fail()
+            notice = reader.read()
+            wire += [TableNotice.decode(notice.encode())] * rng.choice((0, 1, 1, 1, 2))
+            while wire and rng.random() < 0.8:
+                late = wire.pop(rng.randrange(len(wire)))
+                listener = rng.choice(listeners)
+                if rng.random() < 0.02:
+                    listener.read()
+                moment = listener.hear(late)
+                delivered += 1
+                if moment is not None:
+                    confirmed += 1
+                    self.assertGreaterEqual(listener.held, store.newest_at(moment), seed)
+        return delivered, confirmed, sum(each.calls for each in listeners)
+
+    def test_no_entry_believes_in_a_moment_whose_changes_it_does_not_hold(self):
+        for seed in range(300):
+            self.play(seed)
+
+    def test_notices_take_the_place_of_most_reads(self):
+        delivered, confirmed, calls = self.play(1, steps=4000)
+        self.assertGreater(confirmed, 0.5 * delivered)
+        self.assertLess(calls, 0.5 * delivered)
+
+    def test_a_reader_that_failed_tells_nothing_until_it_read_all(self):
+        span = QuietSpan()
+        self.assertIsNone(span.notice("t", 1.0))
+        span.answered(5, True)
+        span.answered(9, False)
+        self.assertEqual(span.notice("t", 2.0), TableNotice("t", 5, 9, 2.0))
+        span.lost()
+        self.assertIsNone(span.notice("t", 3.0))
+        span.answered(12, False)
+        self.assertFalse(span.notice("t", 4.0).covers(9))
+
+
+class EncodingTest(unittest.TestCase):
+    def test_there_and_back(self):
+        for notice in (TableNotice("op", 3, 9, 12.5), TableNotice("op", 0, 0, None)):
+            self.assertEqual(TableNotice.decode(notice.encode()), notice)
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.binary(max_size=300))
+    def test_whatever_comes_is_a_notice_or_refused(self, data):
+        try:
+            notice = TableNotice.decode(data)
+        except NoticeInvalid:
+            return
+        self.assertLessEqual(notice.quiet_since, notice.upto)
+        self.assertLessEqual(len(notice.table), 64)
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -25,10 +25,10 @@
 from bilberryplank._platform_metrics import meter_direct_platform
 from bilberryplank._process import EPOCH_BYTES
 from bilberryplank._seeds import process_rng
+from bilberryplank._table_relay import TableRelay
 from bilberryplank_core.direct import (
     DirectConfiguration,
     DirectPlatform,
-    RosterChange,
     Trust,
     WindowCounts,
 )
@@ -71,10 +71,18 @@
         """Starts the parts, the one that takes work last."""
         cfg = self._settings
         platform = meter_direct_platform(self._platform, self.metrics)
+        self._state = DirectState(cfg, self._rng)
+        true_time = platform.true_time
+        self._relay = TableRelay(cfg.peer_listen, self._state.members, true_time)
         self._roster = RosterWatch(
-            platform.table, platform.rows, self._roster_changed, self._rng, cfg.leaving_limit
+            platform.table,
+            platform.rows,
+            self._state.roster,
+            self._state.apply_roster,
+            self._rng,
+            cfg.leaving_limit,
+            self._relay,
         )
-        self._state = DirectState(cfg, self._roster.roster, self._rng)
         self._watch = ConfigurationWatch(
             platform.table,
             platform.rows,
@@ -82,15 +90,17 @@
             self._configured,
             self._rng,
             cfg.stale_limit,
+            self._relay,
         )
         self._client = DirectClient()
-        counts, true_time = WindowCounts(cfg.usage_window), platform.true_time
+        counts = WindowCounts(cfg.usage_window)
         writer = f"{cfg.name}/{self.epoch}"
         self._usage = UsageStore(
             writer, platform.table, counts, true_time, self._flush_interval, self._rng
         )
         self._members = MembersKeeper(
             cfg.name,
+            cfg.peer_listen,
             platform.table,
             true_time,
             self._state.members,
@@ -117,8 +127,15 @@
             further_addresses=(cfg.metrics_listen,),
         )
         keeper = TrueTimeKeeper(platform.table, true_time)
-        parts = (self._operations, self._watch, self._roster, keeper, self._members, self._usage)
-        for part in parts:
+        for part in (
+            self._operations,
+            self._relay,
+            self._watch,
+            self._roster,
+            keeper,
+            self._members,
+            self._usage,
+        ):
             await self._start_part(part)
         if platform.reports is not None:
             self._reporter = UsageReporter(
@@ -224,9 +241,6 @@
         self._state.apply_configuration(cfg)
         self.metrics.declare_classes(route.name for route in cfg.routes)
 
-    def _roster_changed(self, change: RosterChange) -> None:
-        self._state.apply_roster(change)
-
     def _refused_early(self, reason: RefusalReason) -> None:
         self.metrics.refused(reason)
 
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -13,6 +13,7 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._dependency import Dependency
 from bilberryplank._logs import log_event
+from bilberryplank._table_relay import TableRelay
 from bilberryplank_core.contracts import Row
 from bilberryplank_core.direct import (
     Changes,
@@ -38,6 +39,13 @@
 STALE_SHARE = 0.4
 """Share of the stale limit that a read may wait: what is known must not turn stale in between."""
 
+LEAST_WAIT = 0.7
+"""Reads wait at least this share of the longest wait: a change wakes all readers at once, and they
+must not go on to speak at the same moments."""
+
+SILENCE_SHARE = 1.2
+"""An entry for which others read does so itself once it heard nothing for this share of a wait."""
+
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.5
 """Pauses between failed reads, growing, so that a store that is down sees few calls."""
@@ -46,18 +54,27 @@
 class TableWatch(Service):
     """Reads a table whole, then its changes; after any failure whole again.
 
+    Where other entries read for this one, their word that nothing changed takes the place of a
+    read; where they say otherwise, or nothing for as long as a read would wait, it reads itself.
+
     Args:
         table: The table service.
         name: Name of the table.
         rng: Spreads the pauses.
         wait: Seconds that a read waits for a change.
+        relay: What entries tell each other.
     """
 
     abstract = True
 
-    def __init__(self, table: WatchedTable, name: str, rng: Random, wait: float) -> None:
+    def __init__(
+        self, table: WatchedTable, name: str, rng: Random, wait: float, relay: TableRelay
+    ) -> None:
         super().__init__()
         self._wait = wait
+        self._relay = relay
+        self._known_at = float("-inf")
+        self._relayed = False
         self._table = table
         self._name = name
         self._rng = rng
@@ -72,6 +89,9 @@
     def take_changes(self, changes: Changes) -> None:
         """Takes in what changed."""
 
+    def take_quiet(self, as_of: float) -> None:
+        """Takes in that nothing changed up to a moment on this process's clock."""
+
     def returned(self) -> None:
         """Takes in that the table answers again."""
 
@@ -82,23 +102,51 @@
     async def _watch(self) -> None:
         while not self.should_stop:
             try:
-                await self._read()
+                if not await self._hear():
+                    await self._read()
             except HistoryGone:
                 log_event(logger, "table_history_gone", table=self._name, revision=self._revision)
+                self._relay.lost(self._name)
                 self._revision = None
             except PlatformError as exc:
                 await self._failed(exc)
 
+    async def _hear(self) -> bool:
+        """Takes other entries' word that nothing changed; returns False where a read is due."""
+        if self._revision is None or not self._relay.listens:
+            return False
+        due_in = self._known_at + SILENCE_SHARE * self._wait - boot_time()
+        notice = await self._relay.next(self._name, due_in)
+        self._log_relayed(notice is not None)
+        if notice is None or not notice.covers(self._revision):
+            return False
+        as_of = self._relay.as_of(notice)
+        if as_of is not None:
+            self._revision = max(self._revision, notice.upto)
+            self._known_at = max(self._known_at, as_of)
+            self.take_quiet(as_of)
+        return True
+
     async def _read(self) -> None:
-        if self._revision is None:
+        whole = self._revision is None
+        if whole:
             changes = await self._table.snapshot(self._name)
             self._answered()
             self.take_all(changes)
         else:
-            changes = await self._table.changes(self._name, self._revision, self._wait)
+            wait = 0.0 if self._relay.listens else self._wait * self._rng.uniform(LEAST_WAIT, 1)
+            changes = await self._table.changes(self._name, self._revision, wait)
             self._answered()
             self.take_changes(changes)
         self._revision = max(changes.revision, self._revision or 0)
+        self._known_at = max(self._known_at, changes.as_of)
+        self._relay.answered(self._name, changes, whole)
+
+    def _log_relayed(self, relayed: bool) -> None:
+        if relayed is not self._relayed:
+            self._relayed = relayed
+            event = "table_relayed" if relayed else "table_relay_silent"
+            log_event(logger, event, table=self._name, revision=self._revision)
 
     def _answered(self) -> None:
         if self._dependency.answered():
@@ -106,6 +154,7 @@
 
     async def _failed(self, exc: PlatformError) -> None:
         self._dependency.failed(exc)
+        self._relay.lost(self._name)
         self._revision = None
         growth = 2 ** min(self._dependency.failures, 8)
         pause = min(RETRY_SECONDS * growth, MAX_RETRY_SECONDS)
@@ -130,9 +179,10 @@
         apply: Callable[[DirectConfiguration], None],
         rng: Random,
         stale_limit: float,
+        relay: TableRelay,
     ) -> None:
         wait = min(CONFIGURATION_WAIT_SECONDS, STALE_SHARE * stale_limit)
-        super().__init__(table, rows.configuration_table, rng, wait)
+        super().__init__(table, rows.configuration_table, rng, wait, relay)
         self.confirmation = confirmation
         self.configuration: DirectConfiguration | None = None
         self._rows = rows
@@ -146,6 +196,11 @@
         """Takes in what changed."""
         self._take(changes)
 
+    def take_quiet(self, as_of: float) -> None:
+        """Confirms the configuration in force."""
+        if self.configuration is not None:
+            self.confirmation.confirm(as_of)
+
     def _take(self, changes: Changes) -> None:
         for row in changes.rows:
             if row.key == self._rows.configuration_key and not self._take_row(row):
@@ -197,12 +252,15 @@
         self,
         table: WatchedTable,
         rows: DirectRows,
+        roster: Roster,
         changed: Callable[[RosterChange], None],
         rng: Random,
         leaving_limit: float,
+        relay: TableRelay,
     ) -> None:
-        super().__init__(table, rows.upstream_table, rng, ROSTER_WAIT_SHARE * leaving_limit)
-        self.roster = Roster()
+        wait = ROSTER_WAIT_SHARE * leaving_limit
+        super().__init__(table, rows.upstream_table, rng, wait, relay)
+        self.roster = roster
         self._rows = rows
         self._changed = changed
         self._unreadable: set[str] = set()
@@ -223,6 +281,10 @@
         spoilt = {row.key for row in changes.rows} - {each.name for each in found}
         self._tell(self.roster.update(found, {*changes.removed, *spoilt}, now))
 
+    def take_quiet(self, as_of: float) -> None:
+        """Drops upstreams whose rows did not come back in time."""
+        self._tell(self.roster.expire(boot_time()))
+
     def _read_rows(self, rows: Iterable[Row]) -> list[DirectUpstream]:
         found = []
         for row in rows:
--- a/packages/bilberryplank/bilberryplank/_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/_direct_members.py
@@ -34,6 +34,7 @@
 
     Args:
         name: Name of this entry.
+        address: `ip:port` at which it hears other entries; empty for none.
         table: The table service.
         true_time: Tells the store's clock.
         members: Told what the rows say.
@@ -46,6 +47,7 @@
     def __init__(
         self,
         name: str,
+        address: str,
         table: WatchedTable,
         true_time: TrueTime,
         members: FleetMembers,
@@ -54,6 +56,7 @@
     ) -> None:
         super().__init__()
         self._name = name
+        self._address = address
         self._table = table
         self._true_time = true_time
         self._members = members
@@ -97,7 +100,7 @@
         if self._withdrawn:
             return
         now = self._true_time.store_time()
-        value = {"at": round(now, 1)}
+        value = {"at": round(now, 1), "address": self._address}
         await self._table.commit([], [Put(MEMBERS_TABLE, self._name, value)])
         self._written, self._written_at = True, now
 
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -37,10 +37,11 @@
         health: Which upstreams are held out.
         members: The entries of the fleet.
         rng: Random source of the process.
+        roster: The upstreams.
         routes: Index of the configuration in force; None before the first.
     """
 
-    def __init__(self, settings: DirectEntrySettings, roster: Roster, rng: Random) -> None:
+    def __init__(self, settings: DirectEntrySettings, rng: Random) -> None:
         self.confirmation = Confirmation(settings.sure_limit, settings.stale_limit)
         self.health = UpstreamHealth()
         self.members = FleetMembers(settings.name)
@@ -48,7 +49,7 @@
         self.routes: RouteIndex | None = None
         self._boards: dict[str, Board] = {}
         self._budgets: dict[str, WindowRetryBudget] = {}
-        self._roster = roster
+        self.roster = Roster()
         self._settings = settings
 
     def apply_settings(self, settings: DirectEntrySettings) -> None:
@@ -70,7 +71,7 @@
 
     def upstreams(self, service: str) -> list[DirectUpstream]:
         """Returns the upstreams of a service that may get new work."""
-        return self._roster.usable(service)
+        return self.roster.usable(service)
 
     def board(self, service: str) -> Board:
         """Returns what is known of the upstreams of a service."""
@@ -110,7 +111,7 @@
     def heard(self, upstream: DirectUpstream, head: AnswerHead, request_id: str) -> None:
         """Takes in what the head of an upstream's answer says of the upstream itself."""
         self.report(upstream, head.load)
-        if head.leaving and self._roster.heard_leaving(upstream):
+        if head.leaving and self.roster.heard_leaving(upstream):
             log_event(
                 logger,
                 "upstream_leaving",
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_table_relay.py
@@ -0,0 +1,140 @@
+"""Datagrams by which entries tell each other that a table has not changed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from loguru import logger
+from mode import Service
+
+from bilberryplank._logs import log_event
+from bilberryplank_core.direct import (
+    Changes,
+    FleetMembers,
+    NoticeInvalid,
+    QuietSpan,
+    TableNotice,
+    TrueTime,
+)
+
+MAX_TABLES = 16
+"""Tables of which notices are kept; entries read two."""
+
+MAX_ODD_SENDERS = 64
+"""Senders of datagrams that were refused and logged, each once; the rest are refused in silence."""
+
+
+class TableRelay(Service):
+    """Tells other entries what this one read, and hears what they read.
+
+    Only datagrams from the addresses in the entries' rows count. Notices wait in one slot a table,
+    the newest one, so they take no memory whoever sends them.
+
+    Args:
+        listen: `ip:port` to hear at; empty to tell and hear nothing.
+        members: The entries of the fleet.
+        true_time: Turns the store's times into those of this process.
+    """
+
+    abstract = False
+
+    def __init__(self, listen: str, members: FleetMembers, true_time: TrueTime) -> None:
+        super().__init__()
+        self._listen = listen
+        self._members = members
+        self._true_time = true_time
+        self._transport: asyncio.DatagramTransport | None = None
+        self._spans: dict[str, QuietSpan] = {}
+        self._heard: dict[str, TableNotice] = {}
+        self._arrivals: dict[str, asyncio.Event] = {}
+        self._odd_senders: set[str] = set()
+
+    async def on_start(self) -> None:
+        """Opens the socket."""
+        if not self._listen:
+            return
+        host, _, port = self._listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self), local_addr=(host, int(port))
+        )
+
+    async def on_stop(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    @property
+    def listens(self) -> bool:
+        """True where others read the tables for this entry."""
+        members = self._members
+        return self._transport is not None and members.is_large and not members.reads_for_all
+
+    def answered(self, table: str, changes: Changes, whole: bool) -> None:
+        """Takes in an answer of a table, and tells the others where this entry reads for them."""
+        changed = whole or bool(changes.rows or changes.removed)
+        span = self._spans.setdefault(table, QuietSpan())
+        span.answered(changes.revision, changed)
+        if self._transport is None or changes.store_time is None:
+            return
+        notice = span.notice(table, changes.store_time)
+        if notice is None or not self._members.reads_for_all:
+            return
+        data = notice.encode()
+        for address in self._members.addresses:
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
+
+    def lost(self, table: str) -> None:
+        """Takes in that a read of a table failed."""
+        self._spans.setdefault(table, QuietSpan()).lost()
+
+    async def next(self, table: str, timeout: float) -> TableNotice | None:
+        """Returns the newest notice that was not taken yet; None where none comes in time."""
+        arrival = self._arrivals.setdefault(table, asyncio.Event())
+        try:
+            async with asyncio.timeout(max(0.0, timeout)):
+                await arrival.wait()
+        except TimeoutError:
+            return None
+        arrival.clear()
+        return self._heard.get(table)
+
+    def as_of(self, notice: TableNotice) -> float | None:
+        """Returns the moment of a notice on this process's clock; None where it tells none."""
+        return None if notice.store_time is None else self._true_time.since(notice.store_time)
+
+    def take(self, data: bytes, address: str) -> None:
+        """Takes in a datagram."""
+        try:
+            if address not in self._members.addresses:
+                raise NoticeInvalid("no entry is known at this address")
+            notice = TableNotice.decode(data)
+        except NoticeInvalid as exc:
+            self._refuse(address, exc)
+            return
+        before = self._heard.get(notice.table)
+        if before is None and len(self._heard) >= MAX_TABLES:
+            return
+        if before is None or notice.upto >= before.upto:
+            self._heard[notice.table] = notice
+            self._arrivals.setdefault(notice.table, asyncio.Event()).set()
+
+    def _refuse(self, address: str, exc: NoticeInvalid) -> None:
+        if address in self._odd_senders or len(self._odd_senders) >= MAX_ODD_SENDERS:
+            return
+        self._odd_senders.add(address)
+        log_event(logger, "notice_refused", level="WARNING", sender=address, cause=exc)
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, relay: TableRelay) -> None:
+        self._relay = relay
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        self._relay.take(data, f"{addr[0]}:{addr[1]}")
+
+    def error_received(self, exc: Exception) -> None:
+        # An entry that stopped: its row goes soon, and notices may be lost anyway.
+        log_event(logger, "notice_not_sent", level="DEBUG", cause=exc)
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -0,0 +1,137 @@
+"""Entries that read for others and those that listen, over sockets."""
+
+import asyncio
+import socket
+import unittest
+from random import Random
+
+from bilberryplank._direct_feeds import TableWatch
+from bilberryplank._table_relay import TableRelay
+from bilberryplank_core.contracts import Row
+from bilberryplank_core.direct import Changes, FleetMembers, TrueTime
+from bilberryplank_core.errors import PlatformUnavailable
+
+ENTRIES = 12
+
+
+class Table:
+    """A table whose revision and rows the test sets."""
+
+    def __init__(self, clock):
+        self.clock, self.revision, self.changed_at, self.calls = clock, 1, 1, 0
+        self.down = False
+
+    async def snapshot(self, table):
+        return self.answer(True)
+
+    async def changes(self, table, after, wait):
+        for _ in range(max(1, int(wait / 0.02))):
+            if self.changed_at > after or not wait:
+                break
+            await asyncio.sleep(0.02)
+        return self.answer(self.changed_at > after)
+
+    def answer(self, changed):
+        self.calls += 1
+        if self.down:
+            raise PlatformUnavailable("down")
+        rows = (Row("t", "k", self.changed_at, self.changed_at),) if changed else ()
+        now = self.clock()
+        return Changes(rows, (), self.revision, now, now)
+
+
+class Watch(TableWatch):
+    abstract = False
+    seen, confirmed = 0, float("-inf")
+
+    def take_all(self, changes):
+        self.take_changes(changes)
+
+    def take_changes(self, changes):
+        self.seen = max([self.seen, *(row.value for row in changes.rows)])
+        self.take_quiet(changes.as_of)
+
+    def take_quiet(self, as_of):
+        self.confirmed = max(self.confirmed, as_of)
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    WAIT = 0.3
+
+    async def asyncSetUp(self):
+        self.clock = asyncio.get_running_loop().time
+        self.relays, self.watches, self.tables = [], [], []
+        rows = {}
+        for number in range(ENTRIES):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                sock.bind(("127.0.0.1", 0))
+                address = f"127.0.0.1:{sock.getsockname()[1]}"
+            rows[f"e{number}"] = {"at": 0.0, "address": address}
+        for name, value in rows.items():
+            members, time = FleetMembers(name), TrueTime(self.clock)
+            members.take(rows, 0.0)
+            time.observe(self.clock(), self.clock(), self.clock())
+            relay, table = TableRelay(value["address"], members, time), Table(self.clock)
+            self.relays.append(relay)
+            self.tables.append(table)
+            self.watches.append(Watch(table, "t", Random(name), self.WAIT, relay))
+        for part in (*self.relays, *self.watches):
+            await part.start()
+
+    async def asyncTearDown(self):
+        for part in (*self.watches, *self.relays):
+            await part.stop()
+
+    def listeners(self):
+        return [n for n, relay in enumerate(self.relays) if relay.listens]
+
+    def change(self, revision):
+        for table in self.tables:
+            table.revision = table.changed_at = revision
+
+    async def test_four_read_and_the_others_know_as_much_for_next_to_no_calls(self):
+        await asyncio.sleep(0.6)
+        listeners = self.listeners()
+        self.assertEqual(len(listeners), ENTRIES - 4)
+        before = sum(self.tables[n].calls for n in listeners)
+        await asyncio.sleep(2.0)
+        after = sum(self.tables[n].calls for n in listeners)
+        self.assertLess(after - before, 0.1 * len(listeners) * 2.0 / self.WAIT)
+        for watch in self.watches:
+            self.assertLess(self.clock() - watch.confirmed, 2 * self.WAIT)
+
+    async def test_a_change_reaches_all_at_once(self):
+        await asyncio.sleep(0.6)
+        self.change(7)
+        await asyncio.sleep(0.15)
+        self.assertEqual([watch.seen for watch in self.watches], [7] * ENTRIES)
+
+    async def test_without_readers_each_reads_for_itself(self):
+        await asyncio.sleep(0.6)
+        for number in range(ENTRIES):
+            self.tables[number].down = number not in self.listeners()
+        await asyncio.sleep(1.0)
+        for number in self.listeners():
+            self.assertLess(self.clock() - self.watches[number].confirmed, 2 * self.WAIT)
+
+    async def test_one_cut_off_from_the_store_does_not_confirm_a_change_that_it_lacks(self):
+        await asyncio.sleep(0.6)
+        cut = self.listeners()[0]
+        self.tables[cut].down = True
+        await asyncio.sleep(0.5)
+        self.assertLess(self.clock() - self.watches[cut].confirmed, 2 * self.WAIT)
+        self.change(9)
+        changed_at = self.clock()
+        await asyncio.sleep(0.6)
+        self.assertLess(self.watches[cut].seen, 9)
+        self.assertLess(self.watches[cut].confirmed, changed_at + 0.05)
+
+    async def test_strangers_and_garbage_are_refused(self):
+        await asyncio.sleep(0.4)
+        relay = self.relays[self.listeners()[0]]
+        friend = next(iter(relay._members.addresses))
+        for data, sender in ((b"\x95\x01\xa1t\x00\x7f\xc0", "127.0.0.9:1"), (b"junk", friend)):
+            relay._heard.clear()
+            relay.take(data, sender)
+            self.assertEqual(relay._heard, {})
+        self.assertEqual(relay._odd_senders, {"127.0.0.9:1", friend})
