Keep streams with early first tokens from engines that read prompts too long for them

Cause: an engine ends the prompt that it reads before it begins a more urgent one.

Change: `EnginePace` remembers the sizes of the last 200 prompts; a stream is hasty where more than 5 in 100 moments of reading leave too much of a prompt. Such streams plan engines at a use of 0.6.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -9,8 +9,8 @@
 - Answering: the median pause between events, for each token of an event.
 - Steps that read: an upper quantile of these pauses, as an engine that reads prompts makes each
   token together with a chunk of prompt.
-- Turns: an engine ends the prompt that it reads before it begins a more urgent one. What is left of
-  it, on average, follows from the sizes of the prompts that were sent.
+- Turns: an engine ends the prompt that it reads before it begins a more urgent one. How much is
+  left of it then follows from the sizes of the prompts that were sent.
 
 Each figure follows a quantile by small steps in its logarithm, so a single odd sample moves it by
 no more than one step. The first steps are larger: the assumed figures are only a start.
@@ -54,8 +54,13 @@
 """A request counts only where this share of what it has to read is its own: whether shared parts
 are kept at the engine, an entry only guesses."""
 
-TURN_WEIGHT = 0.02
-"""Weight of one prompt in the running sizes of prompts: some fifty count."""
+TURN_PROMPTS = 200
+"""Prompts whose sizes are remembered, and `FRESH_PROMPTS` after which they are weighed again."""
+
+FRESH_PROMPTS = 16
+
+MOST_LATE = 0.05
+"""Share of the turns that may be too long for a stream that is said to bear them."""
 
 MARGIN = 1.2
 """A stream bears an engine that reads where its bounds are this many times what it meets there."""
@@ -122,12 +127,14 @@
 
     __slots__ = (
         "_first_tokens",
-        "_prompt",
-        "_prompt_squared",
+        "_fresh_prompts",
+        "_late_shares",
+        "_prompts",
         "_reading",
         "_reading_step",
         "_stride",
         "_token",
+        "_turn_tokens",
     )
 
     def __init__(self, stride: int) -> None:
@@ -136,8 +143,10 @@
         self._token = QuantileTracker(FIRST_TOKEN_SECONDS, 0.5)
         self._reading_step = QuantileTracker(FIRST_READING_STEP_SECONDS, READING_STEP_QUANTILE)
         self._first_tokens: dict[Urgency, deque[_FirstToken]] = {}
-        self._prompt = 0.0
-        self._prompt_squared = 0.0
+        self._prompts: deque[int] = deque(maxlen=TURN_PROMPTS)
+        self._fresh_prompts = 0
+        self._turn_tokens = 0.0
+        self._late_shares: dict[float, float] = {}
 
     @property
     def reading(self) -> float:
@@ -162,21 +171,40 @@
     @property
     def turn_tokens(self) -> float:
         """Tokens that are left on average of the prompt that an engine reads when another comes."""
-        return self._prompt_squared / (2 * self._prompt) if self._prompt else 0.0
+        return self._turn_tokens
 
     def bears_reading(self, patience: Patience) -> bool:
         """Returns True where a stream is in time at an engine that reads without a break."""
         pause, first = patience.pause, patience.first
-        pauses_fit = pause <= 0 or pause > MARGIN * self.reading_pause
-        # A stream comes in the middle of a prompt on average, but sometimes at its start.
-        longest_turn = 2 * self.turn_tokens * self.reading
-        return pauses_fit and (first <= 0 or first > MARGIN * longest_turn)
+        if 0 < pause <= MARGIN * self.reading_pause:
+            return False
+        if first <= 0:
+            return True
+        if first not in self._late_shares:
+            self._late_shares[first] = self._late_share(first)
+        return self._late_shares[first] <= MOST_LATE
 
     def sent(self, unread: int) -> None:
         """Takes in that a request was sent of which an engine has to read so many tokens."""
-        weight = TURN_WEIGHT if self._prompt else 1.0
-        self._prompt += weight * (unread - self._prompt)
-        self._prompt_squared += weight * (unread * unread - self._prompt_squared)
+        self._prompts.append(unread)
+        self._fresh_prompts += 1
+        if self._fresh_prompts < FRESH_PROMPTS:
+            return
+        self._fresh_prompts = 0
+        self._late_shares.clear()
+        total = sum(self._prompts)
+        squares = sum(each * each for each in self._prompts)
+        self._turn_tokens = squares / (2 * total) if total else 0.0
+
+    def _late_share(self, first: float) -> float:
+        """Returns the share of the moments of reading at which too much of a prompt is left.
+
+        A prompt of u tokens is read for u moments, in u - x of which more than x tokens are left.
+        """
+        total = sum(self._prompts)
+        bearable = first / (MARGIN * self.reading)
+        late = sum(max(0.0, each - bearable) for each in self._prompts)
+        return late / total if total else 0.0
 
     def first_token(
         self, urgency: Urgency, unread: int, own: int, seconds: float, now: float
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -33,6 +33,10 @@
 STEADY_USE = 0.35
 """The same share for hasty streams that bear one event's worth of reading steps; less with less."""
 
+PROMPT_USE = 0.6
+"""The same share for hasty streams that bear the pauses but not the turn of a long prompt: what is
+read at their own engines is short."""
+
 SLOT_USE = 0.5
 """Share of an engine's slots to plan with; the rest bears bursts."""
 
@@ -50,9 +54,9 @@
     """Returns the share of its time that an engine of such streams should read prompts."""
     if pace.bears_reading(patience):
         return READING_USE
-    if patience.pause <= 0:
-        return STEADY_USE
-    return STEADY_USE * min(1.0, patience.pause / (MARGIN * pace.reading_pause))
+    if patience.pause <= 0 or patience.pause > MARGIN * pace.reading_pause:
+        return PROMPT_USE
+    return STEADY_USE * patience.pause / (MARGIN * pace.reading_pause)
 
 
 @dataclass(slots=True)
