Answer requests that come during a stop, and drop kept connections with an answer nobody asked for

(2) A late second reply on a kept connection for load questions was taken for the reply to the next question.

Ruled out: a longer time before the close (any moment has connections accepted just before). Stray bytes that arrive while the next question is out cannot be told apart, as questions carry no id; they are an older report of the same engine and nobody's answer.

Change: the entry goes on accepting until nothing runs and tells whoever comes "not run, come back"; the listener is closed after what it accepted has its protocol, idle connections 0.3 s later. `_KeptHandler` closes a connection on which an answer begins while none is awaited. `MembersKeeper` reads before it writes, as the first write needs the store's clock (it waited 2 s for a second try).

--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -15,6 +15,13 @@
 
 BACKLOG = 1024
 
+LAST_REQUESTS_SECONDS = 0.3
+"""Time from the close of the listening socket in which requests on open connections are read: some
+round trips to a caller."""
+
+TURNS_TO_CONNECT = 4
+"""Turns of the loop until an accepted socket has its protocol: a task, and two callbacks."""
+
 CallerHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -81,16 +88,41 @@
             self._factory, host.strip("[]"), int(port), backlog=BACKLOG
         )
 
-    def stop_listening(self) -> None:
-        """Closes the listening socket and idle connections; running requests go on."""
-        if self._server is not None:
-            self._server.close()
+    async def stop_listening(self) -> None:
+        """Closes the listening socket, and connections once they are idle; running requests go on.
+
+        A connection that was accepted just now, or a request that crosses the close of its kept
+        connection, still gets an answer: the bytes of a request that are unread when a socket is
+        closed are lost, and the caller cannot tell whether it ran.
+        """
+        if self._server is None:
+            return
+        await self._close_listener(self._server)
+        await asyncio.sleep(LAST_REQUESTS_SECONDS)
+        self._close_idle()
+
+    @staticmethod
+    async def _close_listener(server: asyncio.Server) -> None:
+        """Closes the listening sockets once all that was accepted has its protocol."""
+        loop = asyncio.get_running_loop()
+        # The loop accepts all that wait in the backlog in one turn, and closing a server fails
+        # connections whose protocol is made in one of the next turns.
+        await asyncio.sleep(0)
+        for sock in server.sockets:
+            loop.remove_reader(sock.fileno())
+        for _ in range(TURNS_TO_CONNECT):
+            await asyncio.sleep(0)
+        server.close()
+
+    def _close_idle(self) -> None:
         if self._factory is not None:
             self._factory.pre_shutdown()
 
     async def on_stop(self) -> None:
         """Closes what is left."""
-        self.stop_listening()
+        if self._server is not None:
+            self._server.close()
+        self._close_idle()
         if self._factory is not None:
             self._factory.cut_turned_away()
             await self._factory.shutdown(timeout=1.0)
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -11,6 +11,8 @@
 import functools
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -52,6 +54,30 @@
         super().connection_lost(exc)
 
 
+class _KeptHandler(ResponseHandler):
+    """Closes a kept connection on which an answer came that nobody asked for.
+
+    Left there, it would be read as the answer to the next question.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._awaits_answer = False
+
+    def set_response_params(self, **params: Any) -> None:
+        """Takes in that a question goes out."""
+        self._awaits_answer = True
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, *size: int) -> None:
+        """Takes in the head of an answer."""
+        if not self._awaits_answer:
+            self.close()
+            return
+        self._awaits_answer = data[0].code < HTTPStatus.OK
+        super().feed_data(data, *size)
+
+
 class UpstreamAnswer:
     """An answer whose head is here.
 
@@ -113,8 +139,10 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=AUTOMATIC_HEADERS,
         )
+        kept = aiohttp.TCPConnector(limit_per_host=QUESTION_CONNECTIONS)
+        kept._factory = functools.partial(_KeptHandler, loop=loop)
         self._questions = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit_per_host=QUESTION_CONNECTIONS),
+            connector=kept,
             timeout=aiohttp.ClientTimeout(total=QUESTION_SECONDS),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -164,9 +164,10 @@
             self.add_future(self._reporter.retire())
         self.add_future(self._members.withdraw())
         await asyncio.sleep(cfg.lame_duck)
-        self._server.stop_listening()
+        # Whoever still comes is told to go elsewhere: a closed port would cut those just accepted.
         self._requests.closed = True
         await self._requests.wait_idle(began + cfg.lame_duck + cfg.drain_timeout - boot_time())
+        await self._server.stop_listening()
         try:
             async with asyncio.timeout(POLL_SECONDS * 5):
                 await self._usage.flush()
--- a/packages/bilberryplank/bilberryplank/_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/_direct_members.py
@@ -79,27 +79,27 @@
             self._dependency.failed(exc)
 
     async def refresh(self) -> None:
-        """Writes this entry's row again where it is due, and reads all rows.
+        """Reads all rows, and writes this entry's row where it is due.
 
         Raises:
             PlatformError: The store did not answer.
         """
-        if not self._written or self._true_time.store_time() - self._written_at > LEAST_AGE_SECONDS:
-            await self._write()
+        # The answer also tells the store's clock, which the row needs.
         changes = await self._table.snapshot(MEMBERS_TABLE)
+        now = self._true_time.store_time()
+        if not self._written or now - self._written_at > LEAST_AGE_SECONDS:
+            await self._write(now)
         before = self._members.size
-        rows = {row.key: row.value for row in changes.rows}
-        lapsed = self._members.take(rows, self._true_time.store_time())
+        lapsed = self._members.take({row.key: row.value for row in changes.rows}, now)
         if lapsed:
             await self._table.forget([(MEMBERS_TABLE, name) for name in lapsed])
         if self._members.size != before:
             log_event(logger, "entries_counted", entries=self._members.size, before=before)
             self._changed()
 
-    async def _write(self) -> None:
+    async def _write(self, now: float) -> None:
         if self._withdrawn:
             return
-        now = self._true_time.store_time()
         value = {"at": round(now, 1), "address": self._address}
         await self._table.commit([], [Put(MEMBERS_TABLE, self._name, value)])
         self._written, self._written_at = True, now
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -119,7 +119,7 @@
         """Lets the balancer look elsewhere, then finishes what runs."""
         self._requests.draining = True
         await asyncio.sleep(self._settings.lame_duck)
-        self._server.stop_listening()
+        await self._server.stop_listening()
         await self._wait_until(lambda: self._requests.in_flight == 0, self._settings.drain_timeout)
         self._pool.close()
         log_event(logger, "entry_drained", left=self._requests.in_flight)
--- a/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import socket
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -349,6 +350,27 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
             writer.write(call())
             await reader.readuntil(b"ok")
-            server.stop_listening()
+            await server.stop_listening()
             self.assertEqual(await reader.read(), b"")
             writer.close()
+
+    async def test_a_request_on_a_connection_accepted_just_now_is_answered(self):
+        """Load pattern: a planned stop under load."""
+
+        async def answer(request):
+            return aiohttp.web.Response(text="ok")
+
+        server = CallerServer("127.0.0.1:0", SETTINGS, answer)
+        async with server, asyncio.timeout(TIMEOUT):
+            socks = [socket.create_connection(("127.0.0.1", server.port)) for _ in range(20)]
+            for sock in socks[::2]:
+                sock.sendall(call())
+            stopping = asyncio.create_task(server.stop_listening())
+            await asyncio.sleep(0.05)
+            for sock in socks[1::2]:
+                sock.sendall(call())
+            await stopping
+            for sock in socks:
+                sock.settimeout(1)
+                self.assertIn(b"200 OK", await asyncio.to_thread(sock.recv, 1000))
+                sock.close()
