--- a/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -22,6 +22,7 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from bilberryplank_core._engine_waits import Urgency
@@ -65,11 +66,22 @@
 MARGIN = 1.2
 """A stream bears an engine that reads where its bounds are this many times what it meets there."""
 
+NEWS_FACTOR = 1.5
+"""A figure that moved by this factor is worth a line in the log."""
+
 FIRST_STEP, LAST_STEP, STEP_SAMPLES = 0.3, 0.02, 20
 """Step of a tracked quantile in its logarithm, falling from the first to the last as samples come;
 after `STEP_SAMPLES` samples it has halved."""
 
 
+def has_moved(before: Sequence[float], after: Sequence[float]) -> bool:
+    """Returns True where a figure moved by more than is worth a line in the log."""
+    return any(
+        not 1 / NEWS_FACTOR < new / old < NEWS_FACTOR
+        for old, new in zip(before, after, strict=True)
+    )
+
+
 class QuantileTracker:
     """Follows a quantile of positive samples.
 
@@ -173,6 +185,10 @@
         """Tokens that are left on average of the prompt that an engine reads when another comes."""
         return self._turn_tokens
 
+    def figures(self) -> tuple[float, float, float]:
+        """Returns reading, token and reading step, in seconds."""
+        return self.reading, self.token, self.reading_step
+
     def bears_reading(self, patience: Patience) -> bool:
         """Returns True where a stream is in time at an engine that reads without a break."""
         pause, first = patience.pause, patience.first
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -27,7 +27,7 @@
 )
 from bilberryplank_core._engine_admission import may_enter, return_after
 from bilberryplank_core._engine_board import EngineBoard, EngineChoice
-from bilberryplank_core._engine_pace import EnginePace, Patience
+from bilberryplank_core._engine_pace import EnginePace, Patience, has_moved
 from bilberryplank_core._fleet_members import RESERVE_FACTOR, FleetMembers
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
@@ -90,6 +90,7 @@
     "WindowSeal",
     "draw_service",
     "engine_rank",
+    "has_moved",
     "judge_head",
     "may_enter",
     "may_seal",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_pace.py
@@ -3,7 +3,7 @@
 import unittest
 from random import Random
 
-from bilberryplank_core._engine_pace import EnginePace, QuantileTracker
+from bilberryplank_core._engine_pace import EnginePace, QuantileTracker, has_moved
 
 LONG, SHORT = (0, 2), (0, 0)
 
@@ -74,6 +74,11 @@
         self.assertLess(abs(pace.reading_step / 0.04 - 1), 0.25)
         self.assertAlmostEqual(pace.reading_pause, 4 * pace.reading_step)
 
+    def test_what_is_worth_a_line(self):
+        cases = (((1.0, 2.0), False), ((1.4, 1.5), False), ((1.6, 2.0), True), ((1.0, 1.2), True))
+        for after, news in cases:
+            self.assertEqual(has_moved((1.0, 2.0), after), news)
+
     def test_events_that_come_together_count_each(self):
         one, two = EnginePace(5), EnginePace(5)
         for _ in range(100):
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -376,6 +376,7 @@
         board = self._parts.state.board(self._service)
         if isinstance(board, EngineBoard):
             board.end(self._call.request_id)
+            self._parts.state.note_pace(self._service)
         else:
             board.end(upstream.name, seconds)
         self._parts.metrics.set_load(0, self._parts.state.in_flight())
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -23,6 +23,7 @@
     UpstreamHealth,
     UpstreamLoad,
     WindowRetryBudget,
+    has_moved,
 )
 from bilberryplank_core.settings import DirectEntrySettings
 
@@ -48,6 +49,7 @@
         self.rng = rng
         self.routes: RouteIndex | None = None
         self._boards: dict[str, Board] = {}
+        self._told_paces: dict[str, tuple[float, ...]] = {}
         self._budgets: dict[str, WindowRetryBudget] = {}
         self.roster = Roster()
         self._settings = settings
@@ -134,6 +136,27 @@
             request=request_id,
         )
 
+    def note_pace(self, service: str) -> None:
+        """Logs the speeds of a service's engines where they are news."""
+        board = self.board(service)
+        if not isinstance(board, EngineBoard):
+            return
+        figures = board.pace.figures()
+        before = self._told_paces.get(service)
+        if before is not None and not has_moved(before, figures):
+            return
+        self._told_paces[service] = figures
+        reading, token, step = figures
+        log_event(
+            logger,
+            "engine_pace",
+            service=service,
+            tokens_read_a_second=round(1 / reading),
+            token_seconds=round(token, 4),
+            reading_step_seconds=round(step, 4),
+            turn_tokens=round(board.pace.turn_tokens),
+        )
+
     def rest_left(self, service: str) -> float | None:
         """Returns the seconds until an upstream may be used, where all of a service rest."""
         names = [each.name for each in self.upstreams(service)]
