Go on without the relay where its port is taken

Cause: an entry whose relay port is in use would fail to start, though it can read the tables itself. Change: it logs relay_closed and reads for itself. Test: test_table_relay (failed before).

--- a/packages/bilberryplank/bilberryplank/_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/_table_relay.py
@@ -51,14 +51,17 @@
         self._odd_senders: set[str] = set()
 
     async def on_start(self) -> None:
-        """Opens the socket."""
+        """Opens the socket; without one this entry reads for itself, as in a small fleet."""
         if not self._listen:
             return
         host, _, port = self._listen.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(self), local_addr=(host, int(port))
-        )
+        try:
+            self._transport, _ = await loop.create_datagram_endpoint(
+                lambda: _Datagrams(self), local_addr=(host, int(port))
+            )
+        except OSError as exc:
+            log_event(logger, "relay_closed", level="WARNING", listen=self._listen, cause=exc)
 
     async def on_stop(self) -> None:
         """Closes the socket."""
--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -126,6 +126,13 @@
         self.assertLess(self.watches[cut].seen, 9)
         self.assertLess(self.watches[cut].confirmed, changed_at + 0.05)
 
+    async def test_an_entry_whose_port_is_taken_reads_for_itself(self):
+        taken = self.relays[0]
+        other = TableRelay(taken._listen, taken._members, taken._true_time)
+        await other.start()
+        self.assertFalse(other.listens)
+        await other.stop()
+
     async def test_strangers_and_garbage_are_refused(self):
         await asyncio.sleep(0.4)
         relay = self.relays[self.listeners()[0]]
