Judge streams by the longest pause of a stream, and let entries of large fleets learn from few prompts

Change: longest pauses of the last 60 patient streams, 95th percentile; a kind changes only where the figure is 15 in 100 above or 10 below what the stream bears; at the home of its shared parts a request teaches by its own part alone; pairs within 15 s; a tenth of the turns may be too long.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -69,7 +69,11 @@
     unread: int
     own: int
     sent_at: float
+    patience: Patience
+    at_home: bool
     event_at: float | None = None
+    events: int = 0
+    longest_pause: float = 0.0
 
     @property
     def started(self) -> bool:
@@ -121,6 +125,7 @@
         delay: Expected seconds for which it waits for others.
         wait: Expected seconds until the first token.
         load_age: Age in seconds of the engine's last report; None without one.
+        at_home: True where it is the home of the prompt's shared parts.
     """
 
     upstream: DirectUpstream
@@ -130,6 +135,7 @@
     delay: float
     wait: float
     load_age: float | None
+    at_home: bool = False
 
 
 class EngineBoard:
@@ -263,7 +269,8 @@
                 each.name, delay, backlogs[each.name].requests, urgency, now
             )
             wait = delay + unread * reading + running * crowd
-            choice = EngineChoice(each, patience, urgency, unread, delay, wait, age)
+            at_home = rank[each.name] == 0
+            choice = EngineChoice(each, patience, urgency, unread, delay, wait, age, at_home)
             cost = wait + self._extra(each, rank[each.name], shared_tokens)
             found.append(_Weighed(choice, cost, rank[each.name]))
         return found
@@ -273,8 +280,10 @@
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
         own = min(choice.unread, call.prompt[-1].tokens) if call.prompt else 0
-        self._sent[call.request_id] = _Sent(name, choice.urgency, choice.unread, own, now)
-        self._pace.sent(choice.unread)
+        self._sent[call.request_id] = _Sent(
+            name, choice.urgency, choice.unread, own, now, choice.patience, choice.at_home
+        )
+        self._pace.sent(own if choice.at_home else choice.unread)
         reading = choice.unread * self._pace.reading
         if choice.urgency >= self._least_urgent:
             share = READING_WEIGHT if self._reading else 1.0
@@ -289,18 +298,23 @@
             return
         if sent.event_at is not None:
             if count:
-                self._pace.pause(now - sent.event_at, count)
+                pause = now - sent.event_at
+                self._pace.pause(pause, count)
+                sent.events += count
+                sent.longest_pause = max(sent.longest_pause, pause / count)
                 sent.event_at = now
             return
         sent.event_at = now
         self._waits.started(sent.upstream, request_id, now)
-        self._pace.first_token(sent.urgency, sent.unread, sent.own, now - sent.sent_at, now)
+        seconds = now - sent.sent_at
+        self._pace.first_token(sent.urgency, sent.unread, sent.own, sent.at_home, seconds, now)
 
     def end(self, request_id: str) -> None:
         """Takes in that a request left its engine."""
         sent = self._sent.pop(request_id, None)
         if sent is not None:
             self._waits.ended(sent.upstream, request_id)
+            self._pace.ended(sent.patience, sent.longest_pause, sent.events)
 
     def report(self, name: str, load: UpstreamLoad, now: float) -> None:
         """Takes in a load that an engine told."""
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -7,8 +7,9 @@
   for others cancels out in the median of many pairs (the slope estimator of Theil and Sen). A
   regression over all urgencies would take the longer wait of less urgent requests for reading.
 - Answering: the median pause between events, for each token of an event.
-- Steps that read: an upper quantile of these pauses, as an engine that reads prompts makes each
-  token together with a chunk of prompt.
+- Pauses at an engine that reads: an upper quantile of the longest pauses of streams. Such an engine
+  makes each token together with a chunk of prompt, and one long pause makes a stream late, however
+  short the others are. Streams that are kept from such engines do not count.
 - Turns: an engine ends the prompt that it reads before it begins a more urgent one. How much is
   left of it then follows from the sizes of the prompts that were sent.
 
@@ -27,22 +28,29 @@
 
 from bilberryplank_core._engine_waits import Urgency
 
-FIRST_READING_SECONDS = 1 / 80_000
+FIRST_READING_SECONDS = 1 / 60_000
 """Reading time of a token assumed until requests tell it: the middle of present-day engines."""
 
 FIRST_TOKEN_SECONDS = 0.005
 """Time of a token of an answer assumed until pauses tell it."""
 
 FIRST_READING_STEP_SECONDS = 0.045
-"""Time of a step that reads assumed until pauses tell it; patient streams are kept apart first."""
+"""Time of a step that reads assumed until pauses tell it; hasty streams are kept apart first."""
 
-READING_STEP_QUANTILE = 0.95
-"""Pauses above the rest are those of steps that read; a few are those of faults."""
+LONGEST_PAUSE_QUANTILE = 0.95
+"""One stream in twenty may meet a longer pause: some do by faults."""
 
-PAIR_SECONDS = 4.0
-"""Only requests this near in time are compared: waits change with the load."""
+LONGEST_PAUSES, FIRST_PAUSES = 60, 6
+"""Streams whose longest pause is remembered, and how many the assumed pause counts for at first."""
 
-PAIRS = 4
+LEAST_EVENTS = 3
+"""Streams of fewer events seldom meet the pauses of an engine that reads."""
+
+PAIR_SECONDS = 15.0
+"""Only requests this near in time are compared, as waits change with the load. An entry of a large
+fleet sends a long prompt every second or two."""
+
+PAIRS = 8
 """Earlier requests that each first token is compared with."""
 
 LEAST_PAIR_TOKENS = 1_000
@@ -52,19 +60,23 @@
 """A pair that differs by this much counts in full."""
 
 KEPT_SHARE = 0.5
-"""A request counts only where this share of what it has to read is its own: whether shared parts
-are kept at the engine, an entry only guesses."""
+"""Away from the home of its shared parts a request counts only where this share of what it has to
+read is its own: whether the shared parts are kept there, an entry only guesses."""
 
 TURN_PROMPTS = 200
 """Prompts whose sizes are remembered, and `FRESH_PROMPTS` after which they are weighed again."""
 
 FRESH_PROMPTS = 16
 
-MOST_LATE = 0.05
+MOST_LATE = 0.1
 """Share of the turns that may be too long for a stream that is said to bear them."""
 
+HASTY_FROM, PATIENT_FROM = 1.15, 1 / 1.1
+"""Shares of the pause that a stream bears at which it becomes hasty, and patient again. Entries see
+different samples; where kinds changed with each, streams of one kind would meet at any engine."""
+
 MARGIN = 1.2
-"""A stream bears an engine that reads where its bounds are this many times what it meets there."""
+"""A stream bears a turn where its bound is this many times what it meets."""
 
 NEWS_FACTOR = 1.5
 """A figure that moved by this factor is worth a line in the log."""
@@ -140,10 +152,12 @@
     __slots__ = (
         "_first_tokens",
         "_fresh_prompts",
+        "_hasty",
         "_late_shares",
+        "_longest_pauses",
         "_prompts",
         "_reading",
-        "_reading_step",
+        "_reading_pause",
         "_stride",
         "_token",
         "_turn_tokens",
@@ -153,12 +167,16 @@
         self._stride = max(1, stride)
         self._reading = QuantileTracker(FIRST_READING_SECONDS, 0.5)
         self._token = QuantileTracker(FIRST_TOKEN_SECONDS, 0.5)
-        self._reading_step = QuantileTracker(FIRST_READING_STEP_SECONDS, READING_STEP_QUANTILE)
+        self._longest_pauses: deque[float] = deque(
+            [FIRST_READING_STEP_SECONDS * self._stride] * FIRST_PAUSES, maxlen=LONGEST_PAUSES
+        )
+        self._reading_pause = self._longest_pauses[0]
         self._first_tokens: dict[Urgency, deque[_FirstToken]] = {}
         self._prompts: deque[int] = deque(maxlen=TURN_PROMPTS)
         self._fresh_prompts = 0
         self._turn_tokens = 0.0
         self._late_shares: dict[float, float] = {}
+        self._hasty: dict[float, bool] = {}
 
     @property
     def reading(self) -> float:
@@ -170,15 +188,10 @@
         """Seconds that a token of an answer usually takes."""
         return self._token.value
 
-    @property
-    def reading_step(self) -> float:
-        """Seconds that a token of an answer takes at an engine that reads without a break."""
-        return max(self._reading_step.value, self.token)
-
     @property
     def reading_pause(self) -> float:
         """Seconds between two events at an engine that reads without a break."""
-        return self.reading_step * self._stride
+        return max(self._reading_pause, self.token * self._stride)
 
     @property
     def turn_tokens(self) -> float:
@@ -186,13 +199,13 @@
         return self._turn_tokens
 
     def figures(self) -> tuple[float, float, float]:
-        """Returns reading, token and reading step, in seconds."""
-        return self.reading, self.token, self.reading_step
+        """Returns reading, token and reading pause, in seconds."""
+        return self.reading, self.token, self.reading_pause
 
     def bears_reading(self, patience: Patience) -> bool:
         """Returns True where a stream is in time at an engine that reads without a break."""
         pause, first = patience.pause, patience.first
-        if 0 < pause <= MARGIN * self.reading_pause:
+        if pause > 0 and self._is_hasty(pause):
             return False
         if first <= 0:
             return True
@@ -201,7 +214,7 @@
         return self._late_shares[first] <= MOST_LATE
 
     def sent(self, unread: int) -> None:
-        """Takes in that a request was sent of which an engine has to read so many tokens."""
+        """Takes in that a request was sent of which an engine has to read about so many tokens."""
         self._prompts.append(unread)
         self._fresh_prompts += 1
         if self._fresh_prompts < FRESH_PROMPTS:
@@ -212,6 +225,13 @@
         squares = sum(each * each for each in self._prompts)
         self._turn_tokens = squares / (2 * total) if total else 0.0
 
+    def _is_hasty(self, pause: float) -> bool:
+        """Returns True where streams that bear a pause are late at an engine that reads."""
+        share = self.reading_pause / pause
+        before = self._hasty.get(pause, share >= 1)
+        self._hasty[pause] = share > PATIENT_FROM if before else share > HASTY_FROM
+        return self._hasty[pause]
+
     def _late_share(self, first: float) -> float:
         """Returns the share of the moments of reading at which too much of a prompt is left.
 
@@ -223,7 +243,13 @@
         return late / total if total else 0.0
 
     def first_token(
-        self, urgency: Urgency, unread: int, own: int, seconds: float, now: float
+        self,
+        urgency: Urgency,
+        unread: int,
+        own: int,
+        at_home: bool,
+        seconds: float,
+        now: float,
     ) -> None:
         """Takes in that the first token of a request came.
 
@@ -231,10 +257,14 @@
             urgency: Its urgency.
             unread: Tokens of its prompt that the engine had to read, as far as known.
             own: Those of them that no other request shares.
+            at_home: True where other entries send the shared parts of the prompt too, so that they
+                are usually kept.
             seconds: Time from its sending to the first token.
             now: Seconds on the boot clock.
         """
-        if own < KEPT_SHARE * unread:
+        if at_home:
+            unread = own
+        elif own < KEPT_SHARE * unread:
             return
         earlier = self._first_tokens.setdefault(urgency, deque(maxlen=PAIRS))
         for other in earlier:
@@ -246,6 +276,16 @@
 
     def pause(self, seconds: float, events: int) -> None:
         """Takes in that so many events came after a pause."""
-        per_token = seconds / (events * self._stride)
-        self._token.add(per_token)
-        self._reading_step.add(per_token)
+        self._token.add(seconds / (events * self._stride))
+
+    def ended(self, patience: Patience, longest_pause: float, events: int) -> None:
+        """Takes in the longest pause of a stream, of those that engines which read may have."""
+        if events < LEAST_EVENTS or not self.bears_reading(patience):
+            return
+        self._longest_pauses.append(longest_pause)
+        # What was assumed goes with the first samples, whatever their number.
+        if len(self._longest_pauses) == 2 * FIRST_PAUSES:
+            for _ in range(FIRST_PAUSES):
+                self._longest_pauses.popleft()
+        ordered = sorted(self._longest_pauses)
+        self._reading_pause = ordered[int(LONGEST_PAUSE_QUANTILE * len(ordered))]
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass
 
 from bilberryplank_core._direct_world import DirectUpstream
-from bilberryplank_core._engine_pace import MARGIN, EnginePace, Patience
+from bilberryplank_core._engine_pace import EnginePace, Patience
 from bilberryplank_core._ranking import weight
 
 MEMORY_SECONDS = 12.0
@@ -30,7 +30,7 @@
 READING_USE = 0.75
 """Share of its time that an engine may read prompts where its streams bear it."""
 
-STEADY_USE = 0.35
+STEADY_USE = 0.32
 """The same share for hasty streams that bear one event's worth of reading steps; less with less."""
 
 PROMPT_USE = 0.6
@@ -54,9 +54,9 @@
     """Returns the share of its time that an engine of such streams should read prompts."""
     if pace.bears_reading(patience):
         return READING_USE
-    if patience.pause <= 0 or patience.pause > MARGIN * pace.reading_pause:
+    if patience.pause <= 0 or patience.pause > pace.reading_pause:
         return PROMPT_USE
-    return STEADY_USE * patience.pause / (MARGIN * pace.reading_pause)
+    return STEADY_USE * patience.pause / (pace.reading_pause)
 
 
 @dataclass(slots=True)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -146,14 +146,14 @@
         if before is not None and not has_moved(before, figures):
             return
         self._told_paces[service] = figures
-        reading, token, step = figures
+        reading, token, pause = figures
         log_event(
             logger,
             "engine_pace",
             service=service,
             tokens_read_a_second=round(1 / reading),
             token_seconds=round(token, 4),
-            reading_step_seconds=round(step, 4),
+            reading_pause_seconds=round(pause, 4),
             turn_tokens=round(board.pace.turn_tokens),
         )
 
