Keep hasty streams apart through calm spells

Little is read for a while, the longest pauses of patient streams fall under what short streams bear, these are let onto engines that read, and the next burst makes them late.

Change: a stream becomes patient again only where pauses are below 0.6 of what it bears (0.91 before), and the assumed pause goes after 15 streams (6 before).

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -40,7 +40,7 @@
 LONGEST_PAUSE_QUANTILE = 0.95
 """One stream in twenty may meet a longer pause: some do by faults."""
 
-LONGEST_PAUSES, FIRST_PAUSES = 60, 6
+LONGEST_PAUSES, FIRST_PAUSES = 60, 15
 """Streams whose longest pause is remembered, and how many the assumed pause counts for at first."""
 
 LEAST_EVENTS = 3
@@ -71,8 +71,9 @@
 MOST_LATE = 0.1
 """Share of the turns that may be too long for a stream that is said to bear them."""
 
-HASTY_FROM, PATIENT_FROM = 1.15, 1 / 1.1
-"""Shares of the pause that a stream bears at which it becomes hasty, and patient again. Entries see
+HASTY_FROM, PATIENT_FROM = 1.15, 0.6
+"""Shares of the pause that a stream bears at which it becomes hasty, and patient again: far apart,
+as pauses are short while little is read, and the next burst comes without a warning. Entries see
 different samples; where kinds changed with each, streams of one kind would meet at any engine."""
 
 MARGIN = 1.2
