Rank an entry as a reader once, when the entries' rows are read

Cause: whether an entry reads for all was ranked over all names, and the list of addresses built, at each notice and each read, though both change only with the rows. Change: both are worked out in `FleetMembers.take`. Behaviour as before.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -56,7 +56,7 @@
         return READING_USE
     if patience.pause <= 0 or patience.pause > pace.reading_pause:
         return PROMPT_USE
-    return STEADY_USE * patience.pause / (pace.reading_pause)
+    return STEADY_USE * patience.pause / pace.reading_pause
 
 
 @dataclass(slots=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -33,12 +33,13 @@
         name: Name of this entry, always one of them.
     """
 
-    __slots__ = ("_addresses", "_name", "_names")
+    __slots__ = ("_addresses", "_name", "_names", "_reads_for_all")
 
     def __init__(self, name: str) -> None:
         self._name = name
         self._names: frozenset[str] = frozenset()
-        self._addresses: dict[str, str] = {}
+        self._addresses: frozenset[str] = frozenset()
+        self._reads_for_all = False
 
     @property
     def size(self) -> int | None:
@@ -54,7 +55,10 @@
         """
         alive = {name for name, value in rows.items() if _is_fresh(value, now)}
         self._names = frozenset({*alive, self._name})
-        self._addresses = {name: _address(rows[name]) for name in alive if name != self._name}
+        others = {_address(rows[name]) for name in alive if name != self._name}
+        self._addresses = frozenset(others - {""})
+        # Asked for at each notice, so it is not ranked anew each time.
+        self._reads_for_all = self.is_large and reads_for_all(self._name, self._names)
         return sorted(set(rows) - self._names)
 
     def contends(self, lease: str) -> bool:
@@ -62,9 +66,9 @@
         return is_ranked(lease, self._name, self._names, CONTENDERS)
 
     @property
-    def addresses(self) -> list[str]:
+    def addresses(self) -> frozenset[str]:
         """`ip:port` at which the other entries hear notices."""
-        return [each for each in self._addresses.values() if each]
+        return self._addresses
 
     @property
     def is_large(self) -> bool:
@@ -74,7 +78,7 @@
     @property
     def reads_for_all(self) -> bool:
         """True where this entry is one of those few."""
-        return self.is_large and reads_for_all(self._name, self._names)
+        return self._reads_for_all
 
     def flush_interval(self, least: float, window: float, tolerance: float) -> float:
         """Returns the seconds between two flushes of usage counts.
