Load only what the direct way runs at its start

Cause: with all entries lost at once nobody is served until the first is back; a start spent some 0.9 s of processor on imports: trusted certificates read twice by aiohttp (180 ms), croniter and time zones by mode (64 ms), the modules of the sidecar way. Ruled out: the store's reads (0.1 s of the 1.2 s).

A test of the frozen holder failed once in a run in the background: the kernel sends SIGHUP to a process group with a stopped member when the shell that started it exits. Shown by a run that did so at 1.3 and 1.6 s, gone with a session of its own for the holder.

--- a/packages/bilberryplank-core/bilberryplank_core/_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_contracts.py
@@ -4,9 +4,10 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from bilberryplank_core._world import Host
+if TYPE_CHECKING:
+    from bilberryplank_core._world import Host
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -10,7 +10,7 @@
 from bilberryplank_core._errors import Fault, SettingsInvalid
 from bilberryplank_core._json_text import parse_json
 from bilberryplank_core._settings_checks import check_field, check_object
-from bilberryplank_core._world import UpstreamKind
+from bilberryplank_core._world_kinds import UpstreamKind
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_world.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_world.py
@@ -3,33 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
+
+from bilberryplank_core._world_kinds import HostState, Role, UpstreamKind
 
 Labels = dict[str, str]
 """Label names to label values."""
 
 
-class Role(Enum):
-    """What a process of the system is."""
-
-    ENTRY = "entry"
-    SIDECAR = "sidecar"
-
-
-class UpstreamKind(Enum):
-    """What stands behind a sidecar."""
-
-    ENGINE = "engine"
-    SERVICE = "service"
-
-
-class HostState(Enum):
-    """State of a host in the platform's list."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
 @dataclass(slots=True, frozen=True)
 class Host:
     """A host as the platform lists it.
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -29,6 +29,7 @@
 from bilberryplank_core._engine_board import EngineBoard, EngineChoice
 from bilberryplank_core._engine_pace import EnginePace, Patience, has_moved
 from bilberryplank_core._fleet_members import RESERVE_FACTOR, FleetMembers
+from bilberryplank_core._leases import LeaseHolder
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
 from bilberryplank_core._table_notices import NoticeInvalid, QuietSpan, TableNotice
@@ -63,6 +64,7 @@
     "EngineShape",
     "FleetMembers",
     "HistoryGone",
+    "LeaseHolder",
     "NoticeInvalid",
     "Organisation",
     "Outcome",
--- a/packages/bilberryplank/bilberryplank/_attempt_runner.py
+++ b/packages/bilberryplank/bilberryplank/_attempt_runner.py
@@ -14,8 +14,8 @@
 from bilberryplank._metrics import RequestOutcome, TokenUse
 from bilberryplank._sidecar_attempts import HeldAttempt, KeepingSink
 from bilberryplank._sidecar_parts import SidecarParts
+from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
 from bilberryplank._target_meter import TargetMeter
-from bilberryplank._upstream_call import UpstreamBroke, UpstreamNotReached
 from bilberryplank_core.errors import RefusalReason
 from bilberryplank_core.messages import Load, Usage
 from bilberryplank_core.routing import merge_usage
--- a/packages/bilberryplank/bilberryplank/_caller_answer.py
+++ b/packages/bilberryplank/bilberryplank/_caller_answer.py
@@ -5,13 +5,16 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from bilberryplank._refusals import REQUEST_ID_HEADER, refusal_event
 from bilberryplank_core.errors import Refused
-from bilberryplank_core.messages import Headers
+
+if TYPE_CHECKING:
+    from bilberryplank_core.messages import Headers
 
 EVENT_STREAM = "text/event-stream"
 STALL_SECONDS = 60.0
--- a/packages/bilberryplank/bilberryplank/_caller_request.py
+++ b/packages/bilberryplank/bilberryplank/_caller_request.py
@@ -5,14 +5,16 @@
 import asyncio
 import json
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import HttpVersion11, web
 
 from bilberryplank_core.errors import RefusalReason, Refused
-from bilberryplank_core.messages import Headers
 from bilberryplank_core.settings import CallerSettings
 
+if TYPE_CHECKING:
+    from bilberryplank_core.messages import Headers
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -19,8 +19,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
-from bilberryplank._upstream_call import SendOnce, UpstreamBroke, UpstreamNotReached
-from bilberryplank._upstream_headers import AUTOMATIC_HEADERS
+from bilberryplank._header_fields import AUTOMATIC_HEADERS
+from bilberryplank._single_call import SendOnce, UpstreamBroke, UpstreamNotReached
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """A living upstream accepts within milliseconds; a dark one must not cost an objective."""
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 import signal
 from collections.abc import Callable
 
@@ -23,8 +22,7 @@
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
 from bilberryplank._platform_metrics import meter_direct_platform
-from bilberryplank._process import EPOCH_BYTES
-from bilberryplank._seeds import process_rng
+from bilberryplank._seeds import new_epoch, process_rng
 from bilberryplank._table_relay import TableRelay
 from bilberryplank_core.direct import (
     DirectConfiguration,
@@ -57,7 +55,7 @@
         self, settings: DirectEntrySettings, platform: DirectPlatform, reread: SettingsReader
     ) -> None:
         super().__init__()
-        self.epoch = secrets.token_hex(EPOCH_BYTES)
+        self.epoch = new_epoch()
         self.metrics = ProcessMetrics()
         self._settings = settings
         self._platform = platform
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 from loguru import logger
@@ -17,7 +18,7 @@
 from bilberryplank._direct_state import DirectState
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
-from bilberryplank._upstream_call import UpstreamBroke, UpstreamNotReached
+from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
 from bilberryplank_core.direct import (
     AttemptLog,
     CallerCall,
@@ -39,7 +40,9 @@
 )
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
 from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter
-from bilberryplank_core.messages import Headers
+
+if TYPE_CHECKING:
+    from bilberryplank_core.messages import Headers
 
 LATE_ANSWER_SECONDS = 0.05
 """An upstream's own answer at the time limit may take this long to arrive."""
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -18,6 +18,7 @@
     RESERVE_FACTOR,
     SEAL_DELAY_SECONDS,
     FleetMembers,
+    LeaseHolder,
     TrueTime,
     WatchedTable,
     WindowCounts,
@@ -28,7 +29,6 @@
     sum_counts,
 )
 from bilberryplank_core.errors import Conflict, LeaseLost, PlatformError, ReportRejected
-from bilberryplank_core.fleet import LeaseHolder
 from bilberryplank_core.settings import DirectEntrySettings
 
 COUNTS_TABLE = "usage-counts"
--- a/packages/bilberryplank/bilberryplank/_engine_order_job.py
+++ b/packages/bilberryplank/bilberryplank/_engine_order_job.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import secrets
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -19,6 +18,7 @@
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._platform import Platform
+from bilberryplank._seeds import new_epoch
 from bilberryplank_core.contracts import Condition, Delete, Put, Row
 from bilberryplank_core.errors import (
     BilberryplankError,
@@ -36,7 +36,6 @@
 ASKED = "asked/"
 DONE = "done/"
 ANSWER_TIMEOUT_SECONDS = 5.0
-EPOCH_BYTES = 8
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,7 +59,7 @@
     """The holder's links to the sidecars that get orders; closed after use."""
 
     def __init__(self, settings: EntrySettings) -> None:
-        identity = Identity(Role.ENTRY, settings.name, secrets.token_hex(EPOCH_BYTES))
+        identity = Identity(Role.ENTRY, settings.name, new_epoch())
         self._pool = LinkPool(identity, settings.fleet_key, settings.links, self)
         self._waiting: dict[str, asyncio.Future[EngineOutcome]] = {}
 
--- a/packages/bilberryplank/bilberryplank/_platform_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_platform_metrics.py
@@ -5,10 +5,9 @@
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 from bilberryplank._metrics import PlatformOutcome, PlatformService, ProcessMetrics
-from bilberryplank._platform import Platform
 from bilberryplank_core.contracts import (
     Condition,
     Guard,
@@ -30,7 +29,10 @@
     OrderRejected,
     ReportRejected,
 )
-from bilberryplank_core.world import Host
+
+if TYPE_CHECKING:
+    from bilberryplank._platform import Platform
+    from bilberryplank_core.world import Host
 
 T = TypeVar("T")
 
@@ -188,7 +190,8 @@
     def meter(service: PlatformService) -> CallMeter:
         return CallMeter(metrics, service, clock)
 
-    return Platform(
+    return replace(
+        platform,
         table=MeteredTable(platform.table, meter(PlatformService.TABLE)),
         objects=MeteredObjectStore(platform.objects, meter(PlatformService.OBJECT_STORE)),
         orders=MeteredUpstreamOrders(platform.orders, meter(PlatformService.UPSTREAM_ORDERS)),
--- a/packages/bilberryplank/bilberryplank/_pool_loads.py
+++ b/packages/bilberryplank/bilberryplank/_pool_loads.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 from collections.abc import Iterable, Mapping, Sequence
 
 from bilberryplank._link import Identity, Link
 from bilberryplank._link_pool import LinkPool
+from bilberryplank._seeds import new_epoch
 from bilberryplank_core.errors import BilberryplankError, HandshakeFailed, LinkClosed
 from bilberryplank_core.fleet import Drain, PoolLoad, PoolMember
 from bilberryplank_core.messages import Heartbeat, Load, LoadReport, Message
@@ -19,7 +19,6 @@
 from bilberryplank_core.world import Role, Upstream
 
 ASK_TIMEOUT_SECONDS = 1.5
-EPOCH_BYTES = 8
 UNCONFIRMED_AGE = 1e9
 """Age in seconds of the configuration that these links show; no peer takes it for news."""
 
@@ -31,7 +30,7 @@
     """Asks sidecars for their load; links stay open between the calls as long as they are used."""
 
     def __init__(self, name: str, fleet_key: str, settings: LinkSettings) -> None:
-        identity = Identity(Role.ENTRY, name, secrets.token_hex(EPOCH_BYTES))
+        identity = Identity(Role.ENTRY, name, new_epoch())
         self._pool = LinkPool(identity, fleet_key, settings, self)
         self._waiting: dict[Link, asyncio.Future[Load]] = {}
 
--- a/packages/bilberryplank/bilberryplank/_process.py
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 import signal
 from collections.abc import Callable
 
@@ -24,7 +23,7 @@
 )
 from bilberryplank._platform import Platform
 from bilberryplank._platform_metrics import meter_platform
-from bilberryplank._seeds import process_rng
+from bilberryplank._seeds import new_epoch, process_rng
 from bilberryplank._usage_feed import UsageFeed
 from bilberryplank._usage_job import UsageReportJob, UsageSumJob
 from bilberryplank_core.configuration import Configuration
@@ -32,7 +31,6 @@
 from bilberryplank_core.settings import EntrySettings, SidecarSettings
 from bilberryplank_core.world import Role
 
-EPOCH_BYTES = 8
 POLL_SECONDS = 0.05
 
 
@@ -51,7 +49,7 @@
 
     def __init__(self, settings: EntrySettings | SidecarSettings) -> None:
         super().__init__()
-        self.epoch = secrets.token_hex(EPOCH_BYTES)
+        self.epoch = new_epoch()
         self.metrics = ProcessMetrics()
         self.journal = DecisionJournal(process=settings.name)
         self._settings = settings
--- a/packages/bilberryplank/bilberryplank/_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_call.py
@@ -10,9 +10,10 @@
 import aiohttp
 from yarl import URL
 
-from bilberryplank._upstream_headers import AUTOMATIC_HEADERS, answer_headers, request_headers
+from bilberryplank._header_fields import AUTOMATIC_HEADERS
+from bilberryplank._single_call import SendOnce, UpstreamBroke, UpstreamNotReached
+from bilberryplank._upstream_headers import answer_headers, request_headers
 from bilberryplank._usage_meter import UsageMeter
-from bilberryplank_core.errors import BilberryplankError
 from bilberryplank_core.messages import Dispatch, Headers, Usage
 from bilberryplank_core.world import UpstreamKind
 
@@ -24,18 +25,6 @@
 EVENT_STREAM = "text/event-stream"
 
 
-class UpstreamNotReached(BilberryplankError):
-    """No byte of the request went out, or the engine refused it before it began."""
-
-    code = "upstream_not_reached"
-
-
-class UpstreamBroke(BilberryplankError):
-    """The request went out, and the answer did not come back whole."""
-
-    code = "upstream_broke"
-
-
 class AnswerSink(Protocol):
     """Takes an answer as it arrives; a method waits where the reader is slow."""
 
@@ -145,30 +134,6 @@
         return _with_usage(dispatch.body)
 
 
-class SendOnce:
-    """Keeps the HTTP client from sending a call again by itself.
-
-    It does so for methods that HTTP calls idempotent, also on a new connection, although a route
-    may say that its calls are not.
-    """
-
-    __slots__ = ("_failure",)
-
-    def __init__(self) -> None:
-        self._failure: Exception | None = None
-
-    async def __call__(
-        self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        if self._failure is not None:
-            raise UpstreamBroke(str(self._failure)) from self._failure
-        try:
-            return await handler(req)
-        except Exception as exc:
-            self._failure = exc
-            raise
-
-
 def _with_usage(body: bytes) -> bytes:
     """Returns the body of a streamed request, asking for usage; any other body as it is."""
     try:
--- a/packages/bilberryplank/bilberryplank/direct.py
+++ b/packages/bilberryplank/bilberryplank/direct.py
@@ -6,8 +6,8 @@
 from bilberryplank._direct_members import MEMBERS_TABLE
 from bilberryplank._direct_usage import COUNTS_TABLE
 from bilberryplank._guarded_http import GuardedClient
+from bilberryplank._header_fields import forwarded_fields
 from bilberryplank._platform_http import ServiceClient
-from bilberryplank._upstream_headers import forwarded_fields
 
 __all__ = [
     "BoundedOutput",
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
@@ -7,7 +7,7 @@
 import unittest
 
 from bilberryplank._direct_client import DirectClient
-from bilberryplank._upstream_call import UpstreamBroke, UpstreamNotReached
+from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
 
 
 class RawUpstreamCase(unittest.IsolatedAsyncioTestCase):
--- a/packages/bilberryplank/bilberryplank/tests/test_guarded.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_guarded.py
@@ -126,6 +126,9 @@
             url,
             step,
             stdout=asyncio.subprocess.PIPE,
+            # Else the kernel ends the frozen holder with SIGHUP where the shell of a test run in
+            # the background exits: a process group with a stopped process was left without it.
+            start_new_session=True,
         )
         self.addAsyncCleanup(self.end_holder)
         if stop is not None:
--- a/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
@@ -3,7 +3,8 @@
 import socket
 import unittest
 
-from bilberryplank._upstream_call import UpstreamBroke, UpstreamCaller, UpstreamNotReached
+from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
+from bilberryplank._upstream_call import UpstreamCaller
 from bilberryplank_core.messages import AttemptId, Dispatch, Usage
 from bilberryplank_core.world import UpstreamKind
 from bilberryplank_testing.engine import EngineOptions, FakeEngine
