Make the border between engines a price, and count the slots of a batch

Ruled out: reading speed of the full engines (20 to 60 thousand tokens a second, a third of what they can). Change: slot_wait; crossing the border costs the requests that it makes late (_engine_price); a late request costs as much as a failed one; thresholds of hasty 0.95 to 0.85 and 0.1 to 0.2.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -22,6 +22,7 @@
     UpstreamLoad,
 )
 from bilberryplank_core._engine_pace import EnginePace, Patience
+from bilberryplank_core._engine_price import LATE_SECONDS, StreamFlows, late_chance, made_late
 from bilberryplank_core._engine_split import EngineSplit
 from bilberryplank_core._engine_waits import EngineWaits, Urgency
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
@@ -61,6 +62,13 @@
 FAILURE_SECONDS = 1.0
 """Cost of an engine that fails every request."""
 
+STAY_WEIGHT = 0.02
+"""Weight of one request in the mean time that requests stay in an engine's batch."""
+
+RUNNING_SECONDS = 3.0
+"""A reported number of running requests counts less with its age and nothing after this long:
+requests stay for seconds, so it changes slower than what waits."""
+
 
 @dataclass(slots=True)
 class _Sent:
@@ -150,6 +158,7 @@
 
     __slots__ = (
         "_caches",
+        "_flows",
         "_health",
         "_least_urgent",
         "_loads",
@@ -160,6 +169,7 @@
         "_sent",
         "_shape",
         "_split",
+        "_stay",
         "_waits",
         "_zone",
     )
@@ -178,6 +188,8 @@
         self._pace = EnginePace(shape.stride)
         self._split = EngineSplit(shape.slots, self._pace)
         self._waits = EngineWaits()
+        self._stay = 0.0
+        self._flows = StreamFlows()
 
     @property
     def pace(self) -> EnginePace:
@@ -249,12 +261,11 @@
         if not usable:
             return []
         # Divided before those held out are left out, so that the others keep their kinds.
-        part = self._split.part(patience, upstreams, now)
-        usable = [each for each in usable if each in part] or usable
+        part = {each.name for each in self._split.part(patience, upstreams, now)}
         self._rng.shuffle(usable)
         keys = prefix_keys(call.model, call.prompt)
         shared = _shared_key(call, keys)
-        homes = sorted(usable, key=lambda each: -weight(shared, each.name))
+        homes = sorted(usable, key=lambda each: (each.name not in part, -weight(shared, each.name)))
         rank = {each.name: place for place, each in enumerate(homes)}
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
         names = [each.name for each in usable]
@@ -268,27 +279,63 @@
             delay, running, age = self._told(
                 each.name, delay, backlogs[each.name].requests, urgency, now
             )
-            wait = delay + unread * reading + running * crowd
+            delay += slot_wait(running, each.slots, self._stay)
+            wait = self._pace.start + delay + unread * reading
             at_home = rank[each.name] == 0
             choice = EngineChoice(each, patience, urgency, unread, delay, wait, age, at_home)
-            cost = wait + self._extra(each, rank[each.name], shared_tokens)
+            cost = wait + running * crowd + self._extra(each, rank[each.name], shared_tokens)
+            late = late_chance(wait, patience.first)
+            if each.name not in part:
+                late += self._crossing(patience, unread * reading, len(upstreams) - len(part), now)
+            cost += LATE_SECONDS * late
             found.append(_Weighed(choice, cost, rank[each.name]))
         return found
 
+    def _crossing(self, patience: Patience, reading: float, others: int, now: float) -> float:
+        """Returns the requests that are late because this one goes to engines of the other kind.
+
+        Args:
+            patience: What its stream bears.
+            reading: Seconds for which its prompt is read.
+            others: Engines of the other kind.
+            now: Seconds on the boot clock.
+        """
+        if not self._pace.bears_reading(patience):
+            return self._pace.late_among_readers(patience)
+        each_engine = self._share.factor() / max(1, others)
+        flows = [
+            (each, self._flows.per_second(each, now) * each_engine)
+            for each in self._flows.known()
+            if not self._pace.bears_reading(each)
+        ]
+        paused = sum(
+            rate * self._stay * self._pace.late_pauses(each)
+            for each, rate in flows
+            if reading > each.pause > 0
+        )
+        return paused + made_late(reading, self._pace.start, flows)
+
     def begin(self, choice: EngineChoice, call: CallerCall, now: float) -> None:
         """Takes in that a request goes to an engine."""
         name = choice.upstream.name
         self._cache(name).add(prefix_keys(call.model, call.prompt))
         own = min(choice.unread, call.prompt[-1].tokens) if call.prompt else 0
         self._sent[call.request_id] = _Sent(
-            name, choice.urgency, choice.unread, own, now, choice.patience, choice.at_home
+            name,
+            choice.urgency,
+            choice.unread,
+            own,
+            now,
+            choice.patience,
+            choice.at_home,
         )
         self._pace.sent(own if choice.at_home else choice.unread)
         reading = choice.unread * self._pace.reading
         if choice.urgency >= self._least_urgent:
             share = READING_WEIGHT if self._reading else 1.0
             self._reading += share * (reading - self._reading)
-        self._waits.sent(name, call.request_id, reading, choice.urgency, now)
+        self._waits.sent(name, call.request_id, reading + self._pace.start, choice.urgency, now)
+        self._flows.sent(choice.patience, now)
         self._split.observe(choice.patience, reading, _answer_tokens(call), now)
 
     def events(self, request_id: str, count: int, now: float) -> None:
@@ -309,12 +356,16 @@
         seconds = now - sent.sent_at
         self._pace.first_token(sent.urgency, sent.unread, sent.own, sent.at_home, seconds, now)
 
-    def end(self, request_id: str) -> None:
+    def end(self, request_id: str, now: float) -> None:
         """Takes in that a request left its engine."""
         sent = self._sent.pop(request_id, None)
-        if sent is not None:
-            self._waits.ended(sent.upstream, request_id)
-            self._pace.ended(sent.patience, sent.longest_pause, sent.events)
+        if sent is None:
+            return
+        self._waits.ended(sent.upstream, request_id)
+        self._pace.ended(sent.patience, sent.longest_pause, sent.events)
+        if sent.started:
+            share = STAY_WEIGHT if self._stay else 1.0
+            self._stay += share * (now - sent.sent_at - self._stay)
 
     def report(self, name: str, load: UpstreamLoad, now: float) -> None:
         """Takes in a load that an engine told."""
@@ -362,7 +413,8 @@
             return delay, running, None
         load, at = self._loads[name]
         fresh = max(0.0, 1.0 - (now - at) / REPORT_SECONDS)
-        running += fresh * (load.running - running)
+        known = max(0.0, 1.0 - (now - at) / RUNNING_SECONDS)
+        running += known * (load.running + load.waiting - running)
         # Those who are more urgent than others overtake a part of what waits.
         if urgency >= self._least_urgent:
             delay += fresh * (load.waiting * self._reading - delay)
@@ -380,6 +432,19 @@
         return self._caches[name]
 
 
+def slot_wait(requests: float, slots: int, stay: float) -> float:
+    """Returns the seconds until an engine's batch has room for one more request.
+
+    Load pattern: a burst of long answers; engines with idle slots stand beside full ones.
+
+    Args:
+        requests: Requests that the engine has, running or waiting.
+        slots: Requests in one batch.
+        stay: Mean seconds that a request stays.
+    """
+    return max(0.0, requests + 1 - slots) * stay / max(1, slots)
+
+
 def _answer_tokens(call: CallerCall) -> int:
     """Returns the tokens that an answer is likely to have."""
     if call.likely_output_tokens is None:
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -37,8 +37,17 @@
 FIRST_READING_STEP_SECONDS = 0.045
 """Time of a step that reads assumed until pauses tell it; hasty streams are kept apart first."""
 
-LONGEST_PAUSE_QUANTILE = 0.95
-"""One stream in twenty may meet a longer pause: some do by faults."""
+FIRST_START_SECONDS = 0.03
+"""Time to the first token of a short prompt at an idle engine assumed until one tells it."""
+
+START_QUANTILE = 0.1
+"""One request in ten is taken to meet an idle engine."""
+
+LEAST_START_SECONDS = 0.001
+
+LONGEST_PAUSE_QUANTILE = 0.85
+"""One stream in seven may meet a longer pause: some do by faults, and streams that are kept apart
+bring their prompts to the engines of those that bear less."""
 
 LONGEST_PAUSES, FIRST_PAUSES = 60, 15
 """Streams whose longest pause is remembered, and how many the assumed pause counts for at first."""
@@ -68,8 +77,9 @@
 
 FRESH_PROMPTS = 16
 
-MOST_LATE = 0.1
-"""Share of the turns that may be too long for a stream that is said to bear them."""
+MOST_LATE = 0.2
+"""Share of the turns that may be too long for a stream that is said to bear them. An engine does
+not read all the time, so fewer of its streams are late."""
 
 HASTY_FROM, PATIENT_FROM = 1.15, 0.6
 """Shares of the pause that a stream bears at which it becomes hasty, and patient again: far apart,
@@ -159,6 +169,7 @@
         "_prompts",
         "_reading",
         "_reading_pause",
+        "_start",
         "_stride",
         "_token",
         "_turn_tokens",
@@ -168,6 +179,7 @@
         self._stride = max(1, stride)
         self._reading = QuantileTracker(FIRST_READING_SECONDS, 0.5)
         self._token = QuantileTracker(FIRST_TOKEN_SECONDS, 0.5)
+        self._start = QuantileTracker(FIRST_START_SECONDS, START_QUANTILE)
         self._longest_pauses: deque[float] = deque(
             [FIRST_READING_STEP_SECONDS * self._stride] * FIRST_PAUSES, maxlen=LONGEST_PAUSES
         )
@@ -189,6 +201,11 @@
         """Seconds that a token of an answer usually takes."""
         return self._token.value
 
+    @property
+    def start(self) -> float:
+        """Seconds to the first token of a short prompt at an idle engine."""
+        return self._start.value
+
     @property
     def reading_pause(self) -> float:
         """Seconds between two events at an engine that reads without a break."""
@@ -214,6 +231,18 @@
             self._late_shares[first] = self._late_share(first)
         return self._late_shares[first] <= MOST_LATE
 
+    def late_pauses(self, patience: Patience) -> float:
+        """Returns the share of streams at engines that read which pause for too long."""
+        if patience.pause <= 0:
+            return 0.0
+        late = sum(each > patience.pause for each in self._longest_pauses)
+        return late / len(self._longest_pauses)
+
+    def late_among_readers(self, patience: Patience) -> float:
+        """Returns the share of such streams that are late at an engine that reads."""
+        turns = self._late_share(patience.first) if patience.first > 0 else 0.0
+        return max(turns, self.late_pauses(patience))
+
     def sent(self, unread: int) -> None:
         """Takes in that a request was sent of which an engine has to read about so many tokens."""
         self._prompts.append(unread)
@@ -263,6 +292,8 @@
             seconds: Time from its sending to the first token.
             now: Seconds on the boot clock.
         """
+        met = seconds - (own if at_home else unread) * self.reading
+        self._start.add(max(LEAST_START_SECONDS, met))
         if at_home:
             unread = own
         elif own < KEPT_SHARE * unread:
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -378,7 +378,7 @@
     def _left(self, upstream: DirectUpstream, seconds: float | None) -> None:
         board = self._parts.state.board(self._service)
         if isinstance(board, EngineBoard):
-            board.end(self._call.request_id)
+            board.end(self._call.request_id, boot_time())
             self._parts.state.note_pace(self._service)
         else:
             board.end(upstream.name, seconds)
