Let entries tell each other their work at engines

Change: ten times a second at the most an entry sends a datagram with its requests and unread tokens at each engine and the parts that it had read (WorkNotice over the relay's socket, any size of fleet, 100 heard a second at the most); backlogs are sums of what was told while half of the peers are heard, load questions are left out then.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter, deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from heapq import nsmallest
@@ -25,6 +26,13 @@
 from bilberryplank_core._engine_price import LATE_SECONDS, StreamFlows, late_chance, made_late
 from bilberryplank_core._engine_split import EngineSplit
 from bilberryplank_core._engine_waits import EngineWaits, Urgency
+from bilberryplank_core._peer_work import (
+    MAX_PLACEMENTS,
+    EngineWork,
+    PeerWork,
+    Placement,
+    WorkNotice,
+)
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._ranking import weight
 from bilberryplank_core._traffic_share import TrafficShare, all_entries
@@ -163,6 +171,8 @@
         "_least_urgent",
         "_loads",
         "_pace",
+        "_peers",
+        "_placed",
         "_reading",
         "_share",
         "_rng",
@@ -170,6 +180,7 @@
         "_shape",
         "_split",
         "_stay",
+        "_told_work",
         "_waits",
         "_zone",
     )
@@ -190,6 +201,9 @@
         self._waits = EngineWaits()
         self._stay = 0.0
         self._flows = StreamFlows()
+        self._peers = PeerWork()
+        self._placed: deque[Placement] = deque(maxlen=MAX_PLACEMENTS)
+        self._told_work: dict[str, EngineWork] = {}
 
     @property
     def pace(self) -> EnginePace:
@@ -238,6 +252,8 @@
         self._least_urgent = max(self._least_urgent, urgency)
         if call.prompt_tokens < LEAST_ASKED_TOKENS or urgency < self._least_urgent:
             return []
+        if self._peers.scale(now) is not None:
+            return []
         weighed = self._weigh(call, patience, urgency, upstreams, now)
         homes = nsmallest(HOMES, weighed, key=lambda each: each.home_rank)
         cheapest = sorted(weighed, key=lambda each: each.cost)
@@ -270,15 +286,16 @@
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
         names = [each.name for each in usable]
         delays = self._waits.delays(names, urgency, now)
-        backlogs = self._backlogs(names, urgency)
+        scale = self._peers.scale(now)
+        backlogs = self._backlogs(names, urgency, scale)
         reading, crowd = self._pace.reading, CROWD_TOKENS * self._pace.token
         found = []
         for each in usable:
             unread = max(0, call.prompt_tokens - self._cache(each.name).kept_tokens(keys))
             delay = max(backlogs[each.name].unread * reading, delays[each.name])
-            delay, running, age = self._told(
-                each.name, delay, backlogs[each.name].requests, urgency, now
-            )
+            running, age = backlogs[each.name].requests, None
+            if scale is None:
+                delay, running, age = self._told(each.name, delay, running, urgency, now)
             delay += slot_wait(running, each.slots, self._stay)
             wait = self._pace.start + delay + unread * reading
             at_home = rank[each.name] == 0
@@ -318,7 +335,10 @@
     def begin(self, choice: EngineChoice, call: CallerCall, now: float) -> None:
         """Takes in that a request goes to an engine."""
         name = choice.upstream.name
-        self._cache(name).add(prefix_keys(call.model, call.prompt))
+        keys = prefix_keys(call.model, call.prompt)
+        self._cache(name).add(keys)
+        if keys:
+            self._placed.append(Placement(name, keys[-1][1], tuple(keys[:-1])))
         own = min(choice.unread, call.prompt[-1].tokens) if call.prompt else 0
         self._sent[call.request_id] = _Sent(
             name,
@@ -380,8 +400,54 @@
             known.pop(name, None)
         self._waits.forget(name)
 
-    def _backlogs(self, engines: Sequence[str], urgency: Urgency) -> dict[str, _Backlog]:
-        """Returns what all entries are likely to have at each engine.
+    def set_peers(self, count: int) -> None:
+        """Takes in how many other entries there are."""
+        self._peers.set_peers(count)
+
+    def notice(self, service: str) -> WorkNotice | None:
+        """Returns what is to be told to the other entries; None where nothing changed.
+
+        Args:
+            service: Name of the service.
+        """
+        work = self._own_work()
+        if not work and not self._told_work and not self._placed:
+            return None
+        self._told_work = work
+        placements = tuple(self._placed)
+        self._placed.clear()
+        return WorkNotice(service, work, placements)
+
+    def heard(self, sender: str, notice: WorkNotice, now: float) -> None:
+        """Takes in what another entry told.
+
+        Args:
+            sender: Which entry.
+            notice: What it told.
+            now: Seconds on the boot clock.
+        """
+        self._peers.take(sender, notice.work, now)
+        for number, placed in enumerate(notice.placements):
+            # The own part takes memory too, though nobody else will ask for it.
+            own = (f"{sender}/{now}/{number}", placed.own_tokens)
+            self._cache(placed.upstream).add([*placed.parts, own])
+
+    def _own_work(self) -> dict[str, EngineWork]:
+        requests: Counter[str] = Counter()
+        unread: dict[str, Counter[Urgency]] = {}
+        for sent in self._sent.values():
+            requests[sent.upstream] += 1
+            if not sent.started:
+                unread.setdefault(sent.upstream, Counter())[sent.urgency] += sent.unread
+        return {
+            name: EngineWork(count, tuple(unread.get(name, {}).items()))
+            for name, count in requests.items()
+        }
+
+    def _backlogs(
+        self, engines: Sequence[str], urgency: Urgency, scale: float | None
+    ) -> dict[str, _Backlog]:
+        """Returns what all entries have at each engine, as told, or else as is likely.
 
         What is less urgent than a request lets it go first, but for the prompt that is being read.
         """
@@ -389,6 +455,8 @@
         for sent in self._sent.values():
             if sent.upstream in own:
                 own[sent.upstream].add(sent, urgency)
+        if scale is not None:
+            return self._told_backlogs(own, urgency, scale)
         count, entries = len(own), self._share.factor()
         requests = sum(each.requests for each in own.values())
         waiting = sum(each.waiting for each in own.values())
@@ -405,6 +473,23 @@
             )
         return found
 
+    def _told_backlogs(
+        self, own: dict[str, _OwnPart], urgency: Urgency, scale: float
+    ) -> dict[str, _Backlog]:
+        """Returns the sums of this entry's part and what the others told."""
+        found = {}
+        for name, part in own.items():
+            for work in self._peers.at(name):
+                part.requests += work.requests
+                for other, tokens in work.unread:
+                    if other <= urgency:
+                        part.ahead += tokens
+                    else:
+                        part.behind += tokens
+            then = min(scale * part.behind, self._pace.turn_tokens)
+            found[name] = _Backlog(scale * part.requests, scale * part.ahead + then)
+        return found
+
     def _told(
         self, name: str, delay: float, running: float, urgency: Urgency, now: float
     ) -> tuple[float, float, float | None]:
--- a/packages/bilberryplank-core/bilberryplank_core/_prompt_cache.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_prompt_cache.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
+import xxhash
+
 from bilberryplank_core._direct_world import PromptPart
 
 KEPT_SHARE = 0.8
@@ -12,11 +14,14 @@
 
 
 def prefix_keys(model: str, prompt: Sequence[PromptPart]) -> list[tuple[str, int]]:
-    """Returns a key for each prefix of a prompt, with the tokens of its last part."""
+    """Returns a key for each prefix of a prompt, with the tokens of its last part.
+
+    Keys are hashes of 8 bytes, as entries tell them to each other.
+    """
     keys = []
     name = model
     for part in prompt:
-        name = f"{name}/{part.part_id}"
+        name = xxhash.xxh3_64_hexdigest(f"{name}/{part.part_id}".encode())
         keys.append((name, part.tokens))
     return keys
 
--- a/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
@@ -18,7 +18,7 @@
 from bilberryplank_core._errors import BilberryplankError
 from bilberryplank_core._ranking import is_ranked
 
-FORMAT = 1
+TABLE_FORMAT = 1
 MAX_NOTICE_BYTES = 256
 MAX_TABLE_CHARS = 64
 
@@ -61,7 +61,9 @@
 
     def encode(self) -> bytes:
         """Returns the notice as a datagram."""
-        return msgpack.packb([FORMAT, self.table, self.quiet_since, self.upto, self.store_time])
+        return msgpack.packb(
+            [TABLE_FORMAT, self.table, self.quiet_since, self.upto, self.store_time]
+        )
 
     @classmethod
     def decode(cls, data: bytes) -> TableNotice:
@@ -78,7 +80,7 @@
             raise NoticeInvalid(f"cannot be read: {exc}") from exc
         types = [type(each) for each in (number, table, quiet_since, upto)]
         known_time = store_time is None or type(store_time) is float
-        if types != [int, str, int, int] or not known_time or number != FORMAT:
+        if types != [int, str, int, int] or not known_time or number != TABLE_FORMAT:
             raise NoticeInvalid("other fields or another format")
         if len(table) > MAX_TABLE_CHARS or not 0 <= quiet_since <= upto:
             raise NoticeInvalid("its revisions or its table make no sense")
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -30,9 +30,15 @@
 from bilberryplank_core._engine_pace import EnginePace, Patience, has_moved
 from bilberryplank_core._fleet_members import RESERVE_FACTOR, FleetMembers
 from bilberryplank_core._leases import LeaseHolder
+from bilberryplank_core._peer_work import (
+    WORK_FORMAT,
+    WorkNotice,
+    WorkNoticeInvalid,
+    notice_interval,
+)
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
-from bilberryplank_core._table_notices import NoticeInvalid, QuietSpan, TableNotice
+from bilberryplank_core._table_notices import TABLE_FORMAT, NoticeInvalid, QuietSpan, TableNotice
 from bilberryplank_core._upstream_health import UpstreamHealth
 from bilberryplank_core._window_counts import (
     SEAL_DELAY_SECONDS,
@@ -46,6 +52,8 @@
 from bilberryplank_core._window_retry_budget import WindowRetryBudget
 
 __all__ = [
+    "TABLE_FORMAT",
+    "WORK_FORMAT",
     "AnswerHead",
     "AttemptLog",
     "CallerCall",
@@ -54,8 +62,8 @@
     "Confirmation",
     "DirectConfiguration",
     "DirectPlatform",
-    "DirectRows",
     "DirectRoute",
+    "DirectRows",
     "DirectService",
     "DirectUpstream",
     "EngineBoard",
@@ -90,12 +98,15 @@
     "WindowReports",
     "WindowRetryBudget",
     "WindowSeal",
+    "WorkNotice",
+    "WorkNoticeInvalid",
     "draw_service",
     "engine_rank",
     "has_moved",
     "judge_head",
     "may_enter",
     "may_seal",
+    "notice_interval",
     "read_seal",
     "return_after",
     "sum_counts",
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -24,6 +24,7 @@
 from bilberryplank._platform_metrics import meter_direct_platform
 from bilberryplank._seeds import new_epoch, process_rng
 from bilberryplank._table_relay import TableRelay
+from bilberryplank._work_relay import WorkRelay
 from bilberryplank_core.direct import (
     DirectConfiguration,
     DirectPlatform,
@@ -132,6 +133,7 @@
             self._roster,
             keeper,
             self._members,
+            WorkRelay(self._relay, self._state),
             self._usage,
         ):
             await self._start_part(part)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -23,6 +23,7 @@
     UpstreamHealth,
     UpstreamLoad,
     WindowRetryBudget,
+    WorkNotice,
     has_moved,
 )
 from bilberryplank_core.settings import DirectEntrySettings
@@ -89,8 +90,29 @@
             self._budgets[service] = budget
         return self._budgets[service]
 
+    def work_notices(self) -> list[WorkNotice]:
+        """Returns what is to be told to the other entries of the work at engines."""
+        told = [
+            board.notice(service)
+            for service, board in self._boards.items()
+            if isinstance(board, EngineBoard)
+        ]
+        return [each for each in told if each is not None]
+
+    def heard_work(self, sender: str, notice: WorkNotice) -> None:
+        """Takes in what another entry told of its work at engines."""
+        known = self.routes.configuration.services.get(notice.service) if self.routes else None
+        if known is None:
+            return
+        board = self.board(notice.service)
+        if isinstance(board, EngineBoard):
+            board.heard(sender, notice, boot_time())
+
     def members_changed(self) -> None:
         """Divides among another number of entries what all share."""
+        for board in self._boards.values():
+            if isinstance(board, EngineBoard):
+                board.set_peers(len(self.members.addresses))
         for budget in self._budgets.values():
             budget.set_allowance(self._allowance())
 
@@ -193,4 +215,6 @@
         shape = known.engine if known else None
         if shape is None:
             return ServiceBoard(zone, self.health, self.rng)
-        return EngineBoard(zone, shape, self.health, self.rng)
+        board = EngineBoard(zone, shape, self.health, self.rng)
+        board.set_peers(len(self.members.addresses))
+        return board
--- a/packages/bilberryplank/bilberryplank/_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/_table_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -10,6 +11,7 @@
 
 from bilberryplank._logs import log_event
 from bilberryplank_core.direct import (
+    TABLE_FORMAT,
     Changes,
     FleetMembers,
     NoticeInvalid,
@@ -17,6 +19,7 @@
     TableNotice,
     TrueTime,
 )
+from bilberryplank_core.errors import BilberryplankError
 
 MAX_TABLES = 16
 """Tables of which notices are kept; entries read two."""
@@ -25,6 +28,9 @@
 """Senders of datagrams that were refused and logged, each once; the rest are refused in silence."""
 
 
+Taker = Callable[[str, bytes], None]
+
+
 class TableRelay(Service):
     """Tells other entries what this one read, and hears what they read.
 
@@ -49,6 +55,7 @@
         self._heard: dict[str, TableNotice] = {}
         self._arrivals: dict[str, asyncio.Event] = {}
         self._odd_senders: set[str] = set()
+        self._takers: dict[int, Taker] = {TABLE_FORMAT: self._take_notice}
 
     async def on_start(self) -> None:
         """Opens the socket; without one this entry reads for itself, as in a small fleet."""
@@ -84,7 +91,21 @@
         notice = span.notice(table, changes.store_time)
         if notice is None or not self._members.reads_for_all:
             return
-        data = notice.encode()
+        self.tell(notice.encode())
+
+    def hear(self, number: int, taker: Taker) -> None:
+        """Passes notices of one format on.
+
+        Args:
+            number: The format: the first element of a notice.
+            taker: Takes sender and notice; raises an error of the project where it holds none.
+        """
+        self._takers[number] = taker
+
+    def tell(self, data: bytes) -> None:
+        """Sends a notice to all other entries."""
+        if self._transport is None:
+            return
         for address in self._members.addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
@@ -113,10 +134,16 @@
         try:
             if address not in self._members.addresses:
                 raise NoticeInvalid("no entry is known at this address")
-            notice = TableNotice.decode(data)
-        except NoticeInvalid as exc:
+            # The first byte says how many elements follow, the second is the first of them.
+            taker = self._takers.get(data[1] if len(data) > 1 else -1)
+            if taker is None:
+                raise NoticeInvalid("no known format")
+            taker(address, data)
+        except BilberryplankError as exc:
             self._refuse(address, exc)
-            return
+
+    def _take_notice(self, _: str, data: bytes) -> None:
+        notice = TableNotice.decode(data)
         before = self._heard.get(notice.table)
         if before is None and len(self._heard) >= MAX_TABLES:
             return
@@ -124,7 +151,7 @@
             self._heard[notice.table] = notice
             self._arrivals.setdefault(notice.table, asyncio.Event()).set()
 
-    def _refuse(self, address: str, exc: NoticeInvalid) -> None:
+    def _refuse(self, address: str, exc: BilberryplankError) -> None:
         if address in self._odd_senders or len(self._odd_senders) >= MAX_ODD_SENDERS:
             return
         self._odd_senders.add(address)
