Let entries tell each other the speeds they learnt

Ruled out: slots (30 of 32 at most on average engines). Change: a notice carries reading and pause, entries go by the median of the fleet.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -416,7 +416,7 @@
         self._told_work = work
         placements = tuple(self._placed)
         self._placed.clear()
-        return WorkNotice(service, work, placements)
+        return WorkNotice(service, *self._pace.own, work, placements)
 
     def heard(self, sender: str, notice: WorkNotice, now: float) -> None:
         """Takes in what another entry told.
@@ -427,6 +427,7 @@
             now: Seconds on the boot clock.
         """
         self._peers.take(sender, notice.work, now)
+        self._pace.heard(sender, notice.reading, notice.pause)
         for number, placed in enumerate(notice.placements):
             # The own part takes memory too, though nobody else will ask for it.
             own = (f"{sender}/{now}/{number}", placed.own_tokens)
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -25,6 +25,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from statistics import median
 
 from bilberryplank_core._engine_waits import Urgency
 
@@ -89,6 +90,9 @@
 MARGIN = 1.2
 """A stream bears a turn where its bound is this many times what it meets."""
 
+MOST_PEERS = 64
+"""Entries whose figures are kept; the median of more says no more."""
+
 NEWS_FACTOR = 1.5
 """A figure that moved by this factor is worth a line in the log."""
 
@@ -166,6 +170,7 @@
         "_hasty",
         "_late_shares",
         "_longest_pauses",
+        "_peers",
         "_prompts",
         "_reading",
         "_reading_pause",
@@ -190,11 +195,12 @@
         self._turn_tokens = 0.0
         self._late_shares: dict[float, float] = {}
         self._hasty: dict[float, bool] = {}
+        self._peers: dict[str, tuple[float, float]] = {}
 
     @property
     def reading(self) -> float:
-        """Seconds for which an engine reads one token of a prompt."""
-        return self._reading.value
+        """Seconds for which an engine reads one token of a prompt, as the fleet learnt it."""
+        return median([self._reading.value, *(reading for reading, _ in self._peers.values())])
 
     @property
     def token(self) -> float:
@@ -208,8 +214,23 @@
 
     @property
     def reading_pause(self) -> float:
-        """Seconds between two events at an engine that reads without a break."""
-        return max(self._reading_pause, self.token * self._stride)
+        """Seconds between two events at an engine that reads, as the fleet learnt it.
+
+        Pauses grow on the way to an entry with a slow link. Entries that went by their own alone
+        would keep different streams apart, so that all kinds would meet at any engine.
+        """
+        fleet = median([self._reading_pause, *(pause for _, pause in self._peers.values())])
+        return max(fleet, self.token * self._stride)
+
+    @property
+    def own(self) -> tuple[float, float]:
+        """Reading and reading pause as this entry learnt them, in seconds."""
+        return self._reading.value, self._reading_pause
+
+    def heard(self, peer: str, reading: float, pause: float) -> None:
+        """Takes in what another entry learnt, in seconds."""
+        if reading > 0 and pause > 0 and (peer in self._peers or len(self._peers) < MOST_PEERS):
+            self._peers[peer] = (reading, pause)
 
     @property
     def turn_tokens(self) -> float:
--- a/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -76,9 +77,19 @@
 
 @dataclass(slots=True, frozen=True)
 class WorkNotice:
-    """What one entry tells of the engines of one service."""
+    """What one entry tells of the engines of one service.
+
+    Attributes:
+        service: Name of the service.
+        reading: Seconds for which an engine reads a token, as this entry learnt it.
+        pause: Seconds between two events at an engine that reads, as this entry learnt it.
+        work: What it has at each engine.
+        placements: Requests that it sent since its last notice.
+    """
 
     service: str
+    reading: float
+    pause: float
     work: Mapping[str, EngineWork]
     placements: tuple[Placement, ...] = ()
 
@@ -92,10 +103,9 @@
             [each.upstream, each.own_tokens, [[bytes.fromhex(k), n] for k, n in each.parts]]
             for each in self.placements
         ]
-        data = msgpack.packb([WORK_FORMAT, self.service, work, placements])
-        if len(data) <= MAX_NOTICE_BYTES:
-            return data
-        return msgpack.packb([WORK_FORMAT, self.service, work, []])
+        head = [WORK_FORMAT, self.service, self.reading, self.pause, work]
+        data = msgpack.packb([*head, placements])
+        return data if len(data) <= MAX_NOTICE_BYTES else msgpack.packb([*head, []])
 
     @classmethod
     def decode(cls, data: bytes) -> WorkNotice:
@@ -107,11 +117,12 @@
         if len(data) > MAX_NOTICE_BYTES:
             raise WorkNoticeInvalid(f"{len(data)} bytes are too many")
         try:
-            number, service, work, placements = msgpack.unpackb(data)
+            number, service, reading, pause, work, placements = msgpack.unpackb(data)
             if number != WORK_FORMAT or not isinstance(service, str):
                 raise ValueError("another format")
+            speeds = _seconds(reading), _seconds(pause)
             told = {_text(name): _engine_work(count, unread) for name, count, unread in work}
-            return cls(service, told, tuple(_placement(each) for each in placements))
+            return cls(service, *speeds, told, tuple(_placement(each) for each in placements))
         except (msgpack.UnpackException, TypeError, ValueError, AttributeError) as exc:
             raise WorkNoticeInvalid(f"cannot be read: {exc}") from exc
 
@@ -178,6 +189,12 @@
     return value
 
 
+def _seconds(value: Any) -> float:
+    if type(value) is not float or not 0 < value < math.inf:
+        raise ValueError("a time is not positive")
+    return value
+
+
 def _engine_work(count: Any, unread: Any) -> EngineWork:
     each = tuple(((_count(o), _count(r)), _count(tokens)) for o, r, tokens in unread)
     return EngineWork(_count(count), each)
