Keep nothing of unknown engines from peers' notices, log when they are heard, and split the board

Change: placements at unknown engines are dropped, figures of entries without a row are forgotten, events peers_heard and peers_silent; backlogs and the entry's own telling have modules of their own. Behaviour else as before.

--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_backlogs.py
@@ -0,0 +1,124 @@
+"""What stands at each engine before a new request: told by the other entries, or worked out.
+
+Load pattern: many entries, each with requests at few of the engines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from bilberryplank_core._engine_pace import Patience
+from bilberryplank_core._engine_waits import Urgency
+from bilberryplank_core._peer_work import PeerWork
+from bilberryplank_core._traffic_share import all_entries
+
+
+@dataclass(slots=True)
+class SentRequest:
+    """A request of this entry at an engine."""
+
+    upstream: str
+    urgency: Urgency
+    unread: int
+    own: int
+    sent_at: float
+    patience: Patience
+    at_home: bool
+    event_at: float | None = None
+    events: int = 0
+    longest_pause: float = 0.0
+
+    @property
+    def started(self) -> bool:
+        return self.event_at is not None
+
+
+@dataclass(slots=True)
+class _OwnPart:
+    """What this entry has at one engine: requests, and tokens before and behind a new request."""
+
+    requests: int = 0
+    waiting: int = 0
+    ahead: int = 0
+    behind: int = 0
+
+    def add(self, sent: SentRequest, urgency: Urgency) -> None:
+        self.requests += 1
+        if sent.started:
+            return
+        self.waiting += 1
+        if sent.urgency <= urgency:
+            self.ahead += sent.unread
+        else:
+            self.behind += sent.unread
+
+
+@dataclass(slots=True, frozen=True)
+class Backlog:
+    """Requests at an engine, and tokens that are read before a new request."""
+
+    requests: float
+    unread: float
+
+
+def own_parts(
+    engines: Sequence[str], requests: Iterable[SentRequest], urgency: Urgency
+) -> dict[str, _OwnPart]:
+    """Returns what this entry has at each engine before and behind a request of an urgency."""
+    own = {name: _OwnPart() for name in engines}
+    for sent in requests:
+        if sent.upstream in own:
+            own[sent.upstream].add(sent, urgency)
+    return own
+
+
+def told_backlogs(
+    own: dict[str, _OwnPart], peers: PeerWork, scale: float, urgency: Urgency, turn: float
+) -> dict[str, Backlog]:
+    """Returns the sums of this entry's parts and what the others told.
+
+    What is less urgent than a request lets it go first, but for the prompt that is being read.
+
+    Args:
+        own: Parts of this entry.
+        peers: What the others told.
+        scale: By how much the sums are scaled, for entries that were not heard.
+        urgency: Urgency of the new request.
+        turn: Tokens that are left on average of the prompt that is being read.
+    """
+    found = {}
+    for name, part in own.items():
+        for work in peers.at(name):
+            part.requests += work.requests
+            for other, tokens in work.unread:
+                if other <= urgency:
+                    part.ahead += tokens
+                else:
+                    part.behind += tokens
+        then = min(scale * part.behind, turn)
+        found[name] = Backlog(scale * part.requests, scale * part.ahead + then)
+    return found
+
+
+def likely_backlogs(own: dict[str, _OwnPart], entries: float, turn: float) -> dict[str, Backlog]:
+    """Returns what all entries are likely to have at each engine, by this entry's parts.
+
+    Args:
+        own: Parts of this entry.
+        entries: Requests of all entries for each of its own.
+        turn: Tokens that are left on average of the prompt that is being read.
+    """
+    count = len(own)
+    requests = sum(each.requests for each in own.values())
+    waiting = sum(each.waiting for each in own.values())
+    ahead = sum(each.ahead for each in own.values())
+    behind = sum(each.behind for each in own.values())
+    unit = (ahead + behind) / waiting if waiting else 0.0
+    found = {}
+    for name, each in own.items():
+        first = all_entries(each.ahead, ahead / count, unit, entries)
+        then = all_entries(each.behind, behind / count, unit, entries)
+        running = all_entries(each.requests, requests / count, 1.0, entries)
+        found[name] = Backlog(running, first + min(then, turn))
+    return found
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -10,8 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from heapq import nsmallest
 from random import Random
@@ -22,20 +21,21 @@
     EngineShape,
     UpstreamLoad,
 )
+from bilberryplank_core._engine_backlogs import (
+    SentRequest,
+    likely_backlogs,
+    own_parts,
+    told_backlogs,
+)
 from bilberryplank_core._engine_pace import EnginePace, Patience
 from bilberryplank_core._engine_price import LATE_SECONDS, StreamFlows, late_chance, made_late
 from bilberryplank_core._engine_split import EngineSplit
 from bilberryplank_core._engine_waits import EngineWaits, Urgency
-from bilberryplank_core._peer_work import (
-    MAX_PLACEMENTS,
-    EngineWork,
-    PeerWork,
-    Placement,
-    WorkNotice,
-)
+from bilberryplank_core._own_work import OwnWork
+from bilberryplank_core._peer_work import PeerWork, WorkNotice
 from bilberryplank_core._prompt_cache import PromptCache, prefix_keys
 from bilberryplank_core._ranking import weight
-from bilberryplank_core._traffic_share import TrafficShare, all_entries
+from bilberryplank_core._traffic_share import TrafficShare
 from bilberryplank_core._upstream_health import UpstreamHealth
 
 REPORT_SECONDS = 1.0
@@ -78,50 +78,6 @@
 requests stay for seconds, so it changes slower than what waits."""
 
 
-@dataclass(slots=True)
-class _Sent:
-    upstream: str
-    urgency: Urgency
-    unread: int
-    own: int
-    sent_at: float
-    patience: Patience
-    at_home: bool
-    event_at: float | None = None
-    events: int = 0
-    longest_pause: float = 0.0
-
-    @property
-    def started(self) -> bool:
-        return self.event_at is not None
-
-
-@dataclass(slots=True)
-class _OwnPart:
-    """What this entry has at one engine: requests, and tokens before and behind a new request."""
-
-    requests: int = 0
-    waiting: int = 0
-    ahead: int = 0
-    behind: int = 0
-
-    def add(self, sent: _Sent, urgency: Urgency) -> None:
-        self.requests += 1
-        if sent.started:
-            return
-        self.waiting += 1
-        if sent.urgency <= urgency:
-            self.ahead += sent.unread
-        else:
-            self.behind += sent.unread
-
-
-@dataclass(slots=True, frozen=True)
-class _Backlog:
-    requests: float
-    unread: float
-
-
 @dataclass(slots=True, frozen=True)
 class _Weighed:
     choice: EngineChoice
@@ -140,7 +96,8 @@
         unread: Tokens of the prompt that it has to read.
         delay: Expected seconds for which it waits for others.
         wait: Expected seconds until the first token.
-        load_age: Age in seconds of the engine's last report; None without one.
+        load_age: Age in seconds of the engine's last report; None without one, and where what other
+            entries tell is used in its place.
         at_home: True where it is the home of the prompt's shared parts.
     """
 
@@ -170,9 +127,9 @@
         "_health",
         "_least_urgent",
         "_loads",
+        "_own",
         "_pace",
         "_peers",
-        "_placed",
         "_reading",
         "_share",
         "_rng",
@@ -180,7 +137,6 @@
         "_shape",
         "_split",
         "_stay",
-        "_told_work",
         "_waits",
         "_zone",
     )
@@ -192,7 +148,7 @@
         self._rng = rng
         self._caches: dict[str, PromptCache] = {}
         self._loads: dict[str, tuple[UpstreamLoad, float]] = {}
-        self._sent: dict[str, _Sent] = {}
+        self._sent: dict[str, SentRequest] = {}
         self._least_urgent: Urgency = (0, 0)
         self._reading = 0.0
         self._share = TrafficShare()
@@ -202,8 +158,7 @@
         self._stay = 0.0
         self._flows = StreamFlows()
         self._peers = PeerWork()
-        self._placed: deque[Placement] = deque(maxlen=MAX_PLACEMENTS)
-        self._told_work: dict[str, EngineWork] = {}
+        self._own = OwnWork()
 
     @property
     def pace(self) -> EnginePace:
@@ -252,7 +207,7 @@
         self._least_urgent = max(self._least_urgent, urgency)
         if call.prompt_tokens < LEAST_ASKED_TOKENS or urgency < self._least_urgent:
             return []
-        if self._peers.scale(now) is not None:
+        if self.hears_peers(now):
             return []
         weighed = self._weigh(call, patience, urgency, upstreams, now)
         homes = nsmallest(HOMES, weighed, key=lambda each: each.home_rank)
@@ -287,7 +242,11 @@
         names = [each.name for each in usable]
         delays = self._waits.delays(names, urgency, now)
         scale = self._peers.scale(now)
-        backlogs = self._backlogs(names, urgency, scale)
+        own, turn = own_parts(names, self._sent.values(), urgency), self._pace.turn_tokens
+        if scale is None:
+            backlogs = likely_backlogs(own, self._share.factor(), turn)
+        else:
+            backlogs = told_backlogs(own, self._peers, scale, urgency, turn)
         reading, crowd = self._pace.reading, CROWD_TOKENS * self._pace.token
         found = []
         for each in usable:
@@ -337,10 +296,9 @@
         name = choice.upstream.name
         keys = prefix_keys(call.model, call.prompt)
         self._cache(name).add(keys)
-        if keys:
-            self._placed.append(Placement(name, keys[-1][1], tuple(keys[:-1])))
+        self._own.placed(name, keys)
         own = min(choice.unread, call.prompt[-1].tokens) if call.prompt else 0
-        self._sent[call.request_id] = _Sent(
+        self._sent[call.request_id] = SentRequest(
             name,
             choice.urgency,
             choice.unread,
@@ -400,9 +358,14 @@
             known.pop(name, None)
         self._waits.forget(name)
 
-    def set_peers(self, count: int) -> None:
-        """Takes in how many other entries there are."""
-        self._peers.set_peers(count)
+    def set_peers(self, peers: Collection[str]) -> None:
+        """Takes in which other entries there are."""
+        self._peers.set_peers(len(peers))
+        self._pace.keep_peers(peers)
+
+    def hears_peers(self, now: float) -> bool:
+        """Returns True where enough other entries were heard to go by what they tell."""
+        return self._peers.scale(now) is not None
 
     def notice(self, service: str) -> WorkNotice | None:
         """Returns what is to be told to the other entries; None where nothing changed.
@@ -410,87 +373,32 @@
         Args:
             service: Name of the service.
         """
-        work = self._own_work()
-        if not work and not self._told_work and not self._placed:
-            return None
-        self._told_work = work
-        placements = tuple(self._placed)
-        self._placed.clear()
-        return WorkNotice(service, *self._pace.own, work, placements)
-
-    def heard(self, sender: str, notice: WorkNotice, now: float) -> None:
+        requests = (
+            (each.upstream, each.urgency, 0 if each.started else each.unread)
+            for each in self._sent.values()
+        )
+        changes = self._own.changes(requests)
+        return WorkNotice(service, *self._pace.own, *changes) if changes else None
+
+    def heard(self, sender: str, notice: WorkNotice, engines: Collection[str], now: float) -> None:
         """Takes in what another entry told.
 
         Args:
             sender: Which entry.
             notice: What it told.
+            engines: Engines of the service that this entry knows; what is told of others is
+                dropped.
             now: Seconds on the boot clock.
         """
         self._peers.take(sender, notice.work, now)
         self._pace.heard(sender, notice.reading, notice.pause)
         for number, placed in enumerate(notice.placements):
+            if placed.upstream not in engines:
+                continue
             # The own part takes memory too, though nobody else will ask for it.
             own = (f"{sender}/{now}/{number}", placed.own_tokens)
             self._cache(placed.upstream).add([*placed.parts, own])
 
-    def _own_work(self) -> dict[str, EngineWork]:
-        requests: Counter[str] = Counter()
-        unread: dict[str, Counter[Urgency]] = {}
-        for sent in self._sent.values():
-            requests[sent.upstream] += 1
-            if not sent.started:
-                unread.setdefault(sent.upstream, Counter())[sent.urgency] += sent.unread
-        return {
-            name: EngineWork(count, tuple(unread.get(name, {}).items()))
-            for name, count in requests.items()
-        }
-
-    def _backlogs(
-        self, engines: Sequence[str], urgency: Urgency, scale: float | None
-    ) -> dict[str, _Backlog]:
-        """Returns what all entries have at each engine, as told, or else as is likely.
-
-        What is less urgent than a request lets it go first, but for the prompt that is being read.
-        """
-        own = {name: _OwnPart() for name in engines}
-        for sent in self._sent.values():
-            if sent.upstream in own:
-                own[sent.upstream].add(sent, urgency)
-        if scale is not None:
-            return self._told_backlogs(own, urgency, scale)
-        count, entries = len(own), self._share.factor()
-        requests = sum(each.requests for each in own.values())
-        waiting = sum(each.waiting for each in own.values())
-        ahead = sum(each.ahead for each in own.values())
-        behind = sum(each.behind for each in own.values())
-        unit = (ahead + behind) / waiting if waiting else 0.0
-        found = {}
-        for name, each in own.items():
-            first = all_entries(each.ahead, ahead / count, unit, entries)
-            then = all_entries(each.behind, behind / count, unit, entries)
-            found[name] = _Backlog(
-                all_entries(each.requests, requests / count, 1.0, entries),
-                first + min(then, self._pace.turn_tokens),
-            )
-        return found
-
-    def _told_backlogs(
-        self, own: dict[str, _OwnPart], urgency: Urgency, scale: float
-    ) -> dict[str, _Backlog]:
-        """Returns the sums of this entry's part and what the others told."""
-        found = {}
-        for name, part in own.items():
-            for work in self._peers.at(name):
-                part.requests += work.requests
-                for other, tokens in work.unread:
-                    if other <= urgency:
-                        part.ahead += tokens
-                    else:
-                        part.behind += tokens
-            then = min(scale * part.behind, self._pace.turn_tokens)
-            found[name] = _Backlog(scale * part.requests, scale * part.ahead + then)
-        return found
-
     def _told(
         self, name: str, delay: float, running: float, urgency: Urgency, now: float
     ) -> tuple[float, float, float | None]:
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_pace.py
@@ -23,7 +23,7 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from statistics import median
 
@@ -252,6 +252,11 @@
             self._late_shares[first] = self._late_share(first)
         return self._late_shares[first] <= MOST_LATE
 
+    def keep_peers(self, peers: Collection[str]) -> None:
+        """Forgets what entries learnt that are gone."""
+        for gone in self._peers.keys() - set(peers):
+            del self._peers[gone]
+
     def late_pauses(self, patience: Patience) -> float:
         """Returns the share of streams at engines that read which pause for too long."""
         if patience.pause <= 0:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
@@ -47,7 +47,7 @@
         self.boards = [EngineBoard("z", SHAPE, UpstreamHealth(), Random(n)) for n in range(entries)]
         self.tells = tells
         for board in self.boards:
-            board.set_peers(entries - 1)
+            board.set_peers([f"entry{n}" for n in range(entries - 1)])
 
     def send(self, entry, new, urgency, now):
         board = self.boards[entry]
@@ -65,7 +65,7 @@
             heard = WorkNotice.decode(notice.encode())
             for other in self.boards:
                 if other is not board:
-                    other.heard(f"entry{number}", heard, now)
+                    other.heard(f"entry{number}", heard, {each.name for each in ENGINES}, now)
 
 
 class BlindnessTest(unittest.TestCase):
@@ -131,6 +131,17 @@
             with self.subTest(tells=tells):
                 self.assertEqual(len(kinds), 1 if tells else 2)
 
+    def test_nothing_is_kept_of_engines_and_entries_that_are_not_known(self):
+        board = EngineBoard("z", SHAPE, UpstreamHealth(), Random(1))
+        work = {"e0": EngineWork(1)}
+        for number in range(1_000):
+            placed = Placement(f"strange{number}", 900, ((KEY, 5_000),))
+            board.heard("entry0", WorkNotice("s", 1e-5, 0.1, work, (placed,)), {"e0"}, 0.0)
+        self.assertEqual(board._caches, {})
+        self.assertNotEqual(board.pace.reading, board.pace.own[0])
+        board.set_peers([])
+        self.assertEqual(board.pace.reading, board.pace.own[0])
+
     def test_what_a_silent_peer_told_is_forgotten(self):
         work = PeerWork()
         work.set_peers(2)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -51,6 +51,7 @@
         self.routes: RouteIndex | None = None
         self._boards: dict[str, Board] = {}
         self._told_paces: dict[str, tuple[float, ...]] = {}
+        self._hears_peers: dict[str, bool] = {}
         self._budgets: dict[str, WindowRetryBudget] = {}
         self.roster = Roster()
         self._settings = settings
@@ -106,13 +107,29 @@
             return
         board = self.board(notice.service)
         if isinstance(board, EngineBoard):
-            board.heard(sender, notice, boot_time())
+            engines = {each.name for each in self.upstreams(notice.service)}
+            board.heard(sender, notice, engines, boot_time())
+
+    def note_peers(self) -> None:
+        """Logs where the other entries begin or cease to tell enough of their work."""
+        for service, board in self._boards.items():
+            if not isinstance(board, EngineBoard):
+                continue
+            hears = board.hears_peers(boot_time())
+            if hears is not self._hears_peers.get(service, False):
+                self._hears_peers[service] = hears
+                log_event(
+                    logger,
+                    "peers_heard" if hears else "peers_silent",
+                    service=service,
+                    entries=len(self.members.addresses),
+                )
 
     def members_changed(self) -> None:
         """Divides among another number of entries what all share."""
         for board in self._boards.values():
             if isinstance(board, EngineBoard):
-                board.set_peers(len(self.members.addresses))
+                board.set_peers(self.members.addresses)
         for budget in self._budgets.values():
             budget.set_allowance(self._allowance())
 
@@ -216,5 +233,5 @@
         if shape is None:
             return ServiceBoard(zone, self.health, self.rng)
         board = EngineBoard(zone, shape, self.health, self.rng)
-        board.set_peers(len(self.members.addresses))
+        board.set_peers(self.members.addresses)
         return board
--- a/packages/bilberryplank/bilberryplank/_work_relay.py
+++ b/packages/bilberryplank/bilberryplank/_work_relay.py
@@ -40,5 +40,6 @@
             await asyncio.sleep(notice_interval(peers))
             if not peers:
                 continue
+            self._state.note_peers()
             for notice in self._state.work_notices():
                 self._relay.tell(notice.encode())
