Take the ports of the platform's tests from below the range of outgoing connections

`free_port` of the platform's tests asked the system for a port and gave it back; an outgoing connection that was opened before the entry listened could be given it. Taking the third port that way on purpose gives the same traceback, line for line. Ruled out: the test itself (130 runs, 22 of them beside ten busy processes, 112 eight at once: none failed).

`test_deployment` fails with the old function. The three touched test modules pass (34 tests).

--- a/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_deployment.py
@@ -17,7 +17,7 @@
 from bilberryplank_core.settings import PlatformSettings
 from bilberryplank_testing._child import Child
 from bilberryplank_testing._cut_proxy import CutProxy
-from bilberryplank_testing._ports import free_port
+from bilberryplank_testing.ports import free_port
 
 FLEET_KEY = "fleet-key-of-the-tests"
 KEY_HASH_SECRET = "key-hash-secret-of-the-tests"
--- a/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_slope_bench.py
@@ -25,7 +25,7 @@
 from bilberryplank_core.world import Role
 from bilberryplank_testing._child import Child
 from bilberryplank_testing._load_usage import ProcessUsage
-from bilberryplank_testing._ports import free_port
+from bilberryplank_testing.ports import free_port
 
 FLEET_KEY = "fleet-key-of-the-slopes"
 KEY_HASH_SECRET = "key-hash-secret-of-the-slopes"
