Hand usage counts and the lease over to other entries while the store does not answer

Ruled out: the flush interval (1 s), the reports themselves (0.1 s).

Change: an entry that cannot store the counts of ended windows, or stops, sends them to four others; the row's key names the writer, so it counts once whoever stores it. A stopping holder tells its grant, which is then free, and an expired grant is free to its own last holder. Entries tell that they are there while idle; those that are silent for 8 s while others are heard are not awaited. A new entry that is heard is looked up, not after up to 60 s. The holder stores what it took over before it seals.

--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -33,12 +33,13 @@
         name: Name of this entry, always one of them.
     """
 
-    __slots__ = ("_addresses", "_name", "_names", "_reads_for_all")
+    __slots__ = ("_by_name", "_addresses", "_name", "_names", "_reads_for_all")
 
     def __init__(self, name: str) -> None:
         self._name = name
         self._names: frozenset[str] = frozenset()
         self._addresses: frozenset[str] = frozenset()
+        self._by_name: dict[str, str] = {}
         self._reads_for_all = False
 
     @property
@@ -55,12 +56,17 @@
         """
         alive = {name for name, value in rows.items() if _is_fresh(value, now)}
         self._names = frozenset({*alive, self._name})
-        others = {_address(rows[name]) for name in alive if name != self._name}
-        self._addresses = frozenset(others - {""})
+        others = {name: _address(rows[name]) for name in alive if name != self._name}
+        self._by_name = {name: address for name, address in others.items() if address}
+        self._addresses = frozenset(self._by_name.values())
         # Asked for at each notice, so it is not ranked anew each time.
         self._reads_for_all = self.is_large and reads_for_all(self._name, self._names)
         return sorted(set(rows) - self._names)
 
+    def address_of(self, name: str) -> str | None:
+        """Returns where another entry hears notices; None where nothing is known of it."""
+        return self._by_name.get(name)
+
     def contends(self, lease: str) -> bool:
         """Returns True where this entry is one of the few that contend for a lease."""
         return is_ranked(lease, self._name, self._names, CONTENDERS)
--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -4,6 +4,9 @@
 a margin earlier; a contender waits until it has seen the row unchanged for the duration plus a
 margin on its own clock (Gray and Cheriton, "Leases", 1989). Both rules hold whatever the delays,
 stale reads and lost answers, as long as clocks run at the same rate to within the margin.
+
+A grant on which its holder acts no more is free without that wait: its own that has expired, and
+one that its holder gave up and said so.
 """
 
 from __future__ import annotations
@@ -42,12 +45,14 @@
         "_clock",
         "_duration",
         "_expires_at",
+        "_given_up",
         "_grant",
         "_make_id",
         "_margin",
         "_name",
         "_owner",
         "_pending",
+        "_released",
         "_rng",
         "_seen_at",
         "_seen_revision",
@@ -90,6 +95,8 @@
         self._pending: dict[str, float] = {}
         self._seen_revision = 0
         self._seen_at = 0.0
+        self._given_up = ""
+        self._released: _Grant | None = None
 
     @property
     def name(self) -> str:
@@ -109,6 +116,15 @@
         """Returns the seconds that are left of the lease; 0 where it is not held."""
         return max(0.0, self._expires_at - now) if self._grant else 0.0
 
+    def take_given_up(self, grant: str) -> None:
+        """Takes in that the holder of a grant acts on it no more."""
+        self._given_up = grant
+
+    def expects_free(self) -> bool:
+        """Returns True where the newest grant known here is one that nobody acts on."""
+        expired = self._grant is not None and not self.held(self._clock())
+        return expired or bool(self._given_up)
+
     def guard(self) -> LeaseGuard:
         """Returns the guard of an order that is made under the lease as held now.
 
@@ -169,10 +185,19 @@
         await self._refresh()
         return await self._extend()
 
+    def give_up(self) -> str:
+        """Acts on the lease no more; returns the id of the grant, empty where none is known.
+
+        `release` then tells the table.
+        """
+        self._pending.clear()
+        self._released, self._grant = self._grant or self._released, None
+        return self._released.row.grant if self._released else ""
+
     async def release(self) -> None:
         """Gives the lease up, so that others need not wait for its end."""
-        grant, self._grant = self._grant, None
-        self._pending.clear()
+        self.give_up()
+        grant, self._released = self._released, None
         if grant is None or self._clock() >= self._expires_at:
             return
         value = grant.row.to_value(released=True)
@@ -185,12 +210,18 @@
     def _is_free(self, row: Row | None, value: LeaseRow | None) -> bool:
         if row is None or value is None or value.released:
             return True
+        if value.grant == self._given_up or self._is_own(value):
+            return True
+        self._given_up, self._grant = "", None
         now = self._clock()
         if row.revision != self._seen_revision:
             self._seen_revision = row.revision
             self._seen_at = now
         return now - self._seen_at >= value.duration + self._margin
 
+    def _is_own(self, value: LeaseRow) -> bool:
+        return self._grant is not None and value.grant == self._grant.row.grant
+
     async def _take(self, revision: int, last_fence: int) -> bool:
         value = LeaseRow(self._owner, self._make_id(), last_fence + 1, self._duration)
         sent_at = self._clock()
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/_peer_contact.py
@@ -0,0 +1,69 @@
+"""When each of the other entries was last heard.
+
+Load pattern: entries that end without a word, beside others that are cut off from the store alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import msgpack
+
+from bilberryplank_core._notice_format import unpack_notice
+
+PRESENCE_FORMAT = 5
+MAX_PRESENCE_BYTES = 16
+
+PRESENCE_SECONDS = 1.0
+"""An entry that has nothing else to tell says this often that it is there."""
+
+SILENT_SECONDS = 8.0
+"""An entry that others are heard without for so long is taken as gone: longer than a process is
+usually frozen, or its host cut off."""
+
+WITHIN_EARSHOT_SECONDS = 2.0
+"""Where no entry was heard for so long, nothing is known of any of them."""
+
+
+def presence_notice() -> bytes:
+    """Returns the datagram of an entry that has nothing else to tell."""
+    return msgpack.packb([PRESENCE_FORMAT])
+
+
+def check_presence(_: str, data: bytes) -> None:
+    """Takes a notice of presence, whose sender was noted as heard already.
+
+    Raises:
+        NoticeInvalid: It is none.
+    """
+    unpack_notice(data, PRESENCE_FORMAT, MAX_PRESENCE_BYTES, fields=0)
+
+
+class PeerContact:
+    """What was heard, by the address of the sender.
+
+    Args:
+        now: Seconds on the clock that all times here are told by.
+    """
+
+    __slots__ = ("_began", "_heard", "_last")
+
+    def __init__(self, now: float) -> None:
+        self._began = now
+        self._last = float("-inf")
+        self._heard: dict[str, float] = {}
+
+    def heard(self, address: str, now: float) -> None:
+        """Takes in that an entry said something."""
+        self._last = now
+        self._heard[address] = now
+
+    def is_silent(self, address: str, now: float) -> bool:
+        """Returns True where an entry says nothing while others do."""
+        if now - self._last > WITHIN_EARSHOT_SECONDS:
+            return False
+        return now - self._heard.get(address, self._began) > SILENT_SECONDS
+
+    def keep(self, addresses: Collection[str]) -> None:
+        """Forgets all other addresses."""
+        self._heard = {each: at for each, at in self._heard.items() if each in addresses}
--- a/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
@@ -18,7 +18,7 @@
 import msgpack
 
 from bilberryplank_core._engine_waits import Urgency
-from bilberryplank_core._errors import BilberryplankError
+from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
 
 WORK_FORMAT = 2
 MAX_NOTICE_BYTES = 8 * 1024
@@ -41,12 +41,6 @@
 sending they take some 1.5 in 100 of a core."""
 
 
-class WorkNoticeInvalid(BilberryplankError):
-    """A datagram that is no notice of this format."""
-
-    code = "work_notice_invalid"
-
-
 @dataclass(slots=True, frozen=True)
 class Placement:
     """A request that was sent to an engine.
@@ -112,19 +106,18 @@
         """Returns the notice in a datagram.
 
         Raises:
-            WorkNoticeInvalid: It holds none, or one of another format.
+            NoticeInvalid: It holds none, or one of another format.
         """
-        if len(data) > MAX_NOTICE_BYTES:
-            raise WorkNoticeInvalid(f"{len(data)} bytes are too many")
+        fields = unpack_notice(data, WORK_FORMAT, MAX_NOTICE_BYTES, fields=5)
+        service, reading, pause, work, placements = fields
+        if not isinstance(service, str):
+            raise NoticeInvalid("its service is no text")
         try:
-            number, service, reading, pause, work, placements = msgpack.unpackb(data)
-            if number != WORK_FORMAT or not isinstance(service, str):
-                raise ValueError("another format")
             speeds = _seconds(reading), _seconds(pause)
             told = {_text(name): _engine_work(count, unread) for name, count, unread in work}
             return cls(service, *speeds, told, tuple(_placement(each) for each in placements))
-        except (msgpack.UnpackException, TypeError, ValueError, AttributeError) as exc:
-            raise WorkNoticeInvalid(f"cannot be read: {exc}") from exc
+        except (TypeError, ValueError, AttributeError) as exc:
+            raise NoticeInvalid(f"cannot be read: {exc}") from exc
 
 
 def notice_interval(peers: int) -> float:
--- a/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
@@ -15,7 +15,7 @@
 
 import msgpack
 
-from bilberryplank_core._errors import BilberryplankError
+from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
 from bilberryplank_core._ranking import is_ranked
 
 TABLE_FORMAT = 1
@@ -32,12 +32,6 @@
 RELAY_JOB = "read the tables"
 
 
-class NoticeInvalid(BilberryplankError):
-    """A datagram that is no notice of this format."""
-
-    code = "notice_invalid"
-
-
 @dataclass(slots=True, frozen=True)
 class TableNotice:
     """A table did not change after one revision and up to another.
@@ -72,16 +66,11 @@
         Raises:
             NoticeInvalid: It holds none, or one of another format.
         """
-        if len(data) > MAX_NOTICE_BYTES:
-            raise NoticeInvalid(f"{len(data)} bytes are too many")
-        try:
-            number, table, quiet_since, upto, store_time = msgpack.unpackb(data)
-        except (msgpack.UnpackException, TypeError, ValueError) as exc:
-            raise NoticeInvalid(f"cannot be read: {exc}") from exc
-        types = [type(each) for each in (number, table, quiet_since, upto)]
+        fields = unpack_notice(data, TABLE_FORMAT, MAX_NOTICE_BYTES, fields=4)
+        table, quiet_since, upto, store_time = fields
         known_time = store_time is None or type(store_time) is float
-        if types != [int, str, int, int] or not known_time or number != TABLE_FORMAT:
-            raise NoticeInvalid("other fields or another format")
+        if [type(each) for each in fields[:3]] != [str, int, int] or not known_time:
+            raise NoticeInvalid("fields of other types")
         if len(table) > MAX_TABLE_CHARS or not 0 <= quiet_since <= upto:
             raise NoticeInvalid("its revisions or its table make no sense")
         return cls(table, quiet_since, upto, store_time)
--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -46,6 +46,10 @@
         """Returns the windows whose counts changed since they were stored, the oldest first."""
         return sorted(self._dirty)
 
+    def ended(self, now: float) -> list[int]:
+        """Returns those of the unsaved windows that have ended at `now`, in true time."""
+        return [number for number in self.unsaved() if number < int(now // self._window)]
+
     def value(self, number: int) -> dict[str, int]:
         """Returns the counts of a window so far."""
         return dict(self._counts.get(number, ()))
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -30,16 +30,30 @@
 from bilberryplank_core._engine_pace import EnginePace, Patience, has_moved
 from bilberryplank_core._fleet_members import RESERVE_FACTOR, FleetMembers
 from bilberryplank_core._leases import LeaseHolder
+from bilberryplank_core._notice_format import NoticeInvalid
+from bilberryplank_core._peer_contact import (
+    PRESENCE_FORMAT,
+    PRESENCE_SECONDS,
+    PeerContact,
+    check_presence,
+    presence_notice,
+)
 from bilberryplank_core._peer_work import (
     WORK_FORMAT,
     WorkNotice,
-    WorkNoticeInvalid,
     notice_interval,
 )
 from bilberryplank_core._roster import Roster, RosterChange
 from bilberryplank_core._service_board import ServiceBoard
-from bilberryplank_core._table_notices import TABLE_FORMAT, NoticeInvalid, QuietSpan, TableNotice
+from bilberryplank_core._table_notices import TABLE_FORMAT, QuietSpan, TableNotice
 from bilberryplank_core._upstream_health import UpstreamHealth
+from bilberryplank_core._usage_notices import (
+    COUNTS_FORMAT,
+    LEASE_FORMAT,
+    CountsNotice,
+    LeaseNotice,
+    TakenCounts,
+)
 from bilberryplank_core._window_counts import (
     SEAL_DELAY_SECONDS,
     TrueTime,
@@ -52,6 +66,16 @@
 from bilberryplank_core._window_retry_budget import WindowRetryBudget
 
 __all__ = [
+    "presence_notice",
+    "check_presence",
+    "PRESENCE_SECONDS",
+    "PRESENCE_FORMAT",
+    "PeerContact",
+    "TakenCounts",
+    "LeaseNotice",
+    "CountsNotice",
+    "LEASE_FORMAT",
+    "COUNTS_FORMAT",
     "TABLE_FORMAT",
     "WORK_FORMAT",
     "AnswerHead",
@@ -99,7 +123,6 @@
     "WindowRetryBudget",
     "WindowSeal",
     "WorkNotice",
-    "WorkNoticeInvalid",
     "draw_service",
     "engine_rank",
     "has_moved",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_interleavings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_interleavings.py
@@ -71,6 +71,53 @@
         assert len(set(self.orders)) == len(set(fences)), "a fencing number given twice"
 
 
+class GivenUpWorld(LeaseWorld):
+    """The first process gives its lease up when it has sent an order, and tells the other so.
+
+    The notice may be heard at any later moment, as the other's calls may come back at any moment.
+    """
+
+    told = None
+
+    async def serve(self, lease, owner, process):
+        if owner != "p0":
+            await self.contend(lease, owner, process)
+            return
+        while self.told is None:
+            process.trace.clear()
+            try:
+                await lease.try_acquire()
+                guard = lease.guard()
+                await lease._table.read("orders", "any")
+                guard.check()
+                self.orders.append((guard.fence, owner))
+                self.told = lease.give_up()
+            except (LeaseLost, PlatformUnavailable):
+                pass
+        await lease.release()
+
+    async def contend(self, lease, owner, process):
+        while True:
+            process.trace.clear()
+            try:
+                if self.told:
+                    lease.take_given_up(self.told)
+                await lease.try_acquire()
+                guard = lease.guard()
+                await lease._table.read("orders", "any")
+                guard.check()
+                self.orders.append((guard.fence, owner))
+            except (LeaseLost, PlatformUnavailable):
+                pass
+
+    def state(self):
+        given_up = [lease._given_up for lease, _ in self.leases]
+        return repr((super().state(), self.told, given_up))
+
+
 class LeaseInterleavingsTest(unittest.TestCase):
+    def test_never_two_in_charge_where_one_gives_up_and_says_so(self):
+        self.assertGreater(explore(GivenUpWorld, 9), 1000)
+
     def test_never_two_in_charge_whatever_the_interleaving(self):
         self.assertGreater(explore(LeaseWorld, 9), 10000)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
@@ -131,6 +131,41 @@
         self.assertFalse(self.first.held(self.now))
         self.assertTrue(await self.second.try_acquire())
 
+    async def test_the_last_holder_takes_an_expired_lease_at_once(self):
+        await self.first.try_acquire()
+        self.assertFalse(self.first.expects_free())
+        self.now += DURATION
+        self.assertTrue(self.first.expects_free())
+        self.assertTrue(await self.first.try_acquire())
+        self.assertEqual(self.first.fence, 2)
+
+    async def test_the_last_holder_waits_like_any_other_once_somebody_took_it(self):
+        await self.first.try_acquire()
+        self.assertFalse(await self.second.try_acquire())
+        self.now += DURATION + MARGIN
+        self.assertTrue(await self.second.try_acquire())
+        self.assertFalse(await self.first.try_acquire())
+        self.assertFalse(self.first.expects_free())
+
+    async def test_a_grant_given_up_is_free_though_the_table_was_not_told(self):
+        await self.first.try_acquire()
+        grant = self.first.give_up()
+        self.assertFalse(self.first.held(self.now))
+        self.assertFalse(await self.second.try_acquire())
+        self.second.take_given_up(grant)
+        self.assertTrue(self.second.expects_free())
+        self.assertTrue(await self.second.try_acquire())
+        self.assertEqual(self.second.fence, 2)
+
+    async def test_an_older_grant_given_up_frees_nothing(self):
+        await self.first.try_acquire()
+        grant = self.first.give_up()
+        await self.first.release()
+        await self.first.try_acquire()
+        self.second.take_given_up(grant)
+        self.assertFalse(await self.second.try_acquire())
+        self.assertFalse(self.second.expects_free())
+
     async def test_fence_condition_holds_through_renewals_only(self):
         await self.first.try_acquire()
         condition = self.first.fence_condition()
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
@@ -13,10 +13,10 @@
     MOST_HEARD_PER_SECOND,
     WORK_FORMAT,
     EngineWork,
+    NoticeInvalid,
     PeerWork,
     Placement,
     WorkNotice,
-    WorkNoticeInvalid,
     notice_interval,
 )
 from bilberryplank_core.direct import (
@@ -200,7 +200,7 @@
             ),
         )
         for data in bad:
-            with self.subTest(data[:40]), self.assertRaises(WorkNoticeInvalid):
+            with self.subTest(data[:40]), self.assertRaises(NoticeInvalid):
                 WorkNotice.decode(data)
 
     def test_what_an_entry_hears_is_bounded_at_any_size(self):
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -24,6 +24,7 @@
 from bilberryplank._platform_metrics import meter_direct_platform
 from bilberryplank._seeds import new_epoch, process_rng
 from bilberryplank._table_relay import TableRelay
+from bilberryplank._usage_relay import UsageRelay
 from bilberryplank._work_relay import WorkRelay
 from bilberryplank_core.direct import (
     DirectConfiguration,
@@ -31,11 +32,14 @@
     Trust,
     WindowCounts,
 )
-from bilberryplank_core.errors import PlatformError, RefusalReason, SettingsInvalid
+from bilberryplank_core.errors import RefusalReason, SettingsInvalid
 from bilberryplank_core.settings import DirectEntrySettings
 
 POLL_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 2.0
+
+LAST_FLUSH_SECONDS = 0.5
+"""Time that the store has at a stop to take the counts, before other entries get them."""
 """The settings file may change without a signal."""
 
 SettingsReader = Callable[[], DirectEntrySettings]
@@ -94,8 +98,15 @@
         self._client = DirectClient()
         counts = WindowCounts(cfg.usage_window)
         writer = f"{cfg.name}/{self.epoch}"
+        usage_relay = UsageRelay(self._relay, writer, self._rng)
         self._usage = UsageStore(
-            writer, platform.table, counts, true_time, self._flush_interval, self._rng
+            writer,
+            platform.table,
+            counts,
+            true_time,
+            self._flush_interval,
+            self._rng,
+            usage_relay.hand_over,
         )
         self._members = MembersKeeper(
             cfg.name,
@@ -106,6 +117,7 @@
             self._state.members_changed,
             self._rng,
         )
+        self._relay.hear_strangers(self._members.hear_stranger)
         self._requests = DirectRequests(
             self._state,
             self._client,
@@ -146,8 +158,12 @@
                 true_time,
                 self._state.members,
                 self._rng,
+                usage_relay.give_up,
+                self._relay.is_silent,
+                self._usage.flush,
             )
             await self._start_part(self._reporter)
+        usage_relay.hear(self._usage.take, self._take_given_up)
         await self._start_part(self._server)
         self.add_future(self._keep_readiness())
         self.add_future(self._keep_settings())
@@ -168,11 +184,7 @@
         self._requests.closed = True
         await self._requests.wait_idle(began + cfg.lame_duck + cfg.drain_timeout - boot_time())
         await self._server.stop_listening()
-        try:
-            async with asyncio.timeout(POLL_SECONDS * 5):
-                await self._usage.flush()
-        except (PlatformError, TimeoutError) as exc:
-            log_event(logger, "usage_not_stored", level="WARNING", cause=exc)
+        await self._usage.finish(LAST_FLUSH_SECONDS)
         log_event(logger, "stopped", in_flight=self._requests.in_flight)
 
     async def on_shutdown(self) -> None:
@@ -197,6 +209,10 @@
             running=self._requests.in_flight,
         )
 
+    def _take_given_up(self, lease: str, grant: str) -> None:
+        if self._reporter is not None:
+            self._reporter.take_given_up(lease, grant)
+
     def _flush_interval(self) -> float:
         cfg = self._settings
         return self._state.members.flush_interval(
--- a/packages/bilberryplank/bilberryplank/_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/_direct_members.py
@@ -9,7 +9,9 @@
 from loguru import logger
 from mode import Service
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._dependency import Dependency
+from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
 from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import FleetMembers, TrueTime, WatchedTable
@@ -25,6 +27,13 @@
 
 REFRESH_SECONDS = 60.0
 RETRY_SECONDS = 2.0
+
+STRANGER_SECONDS = 10.0
+"""Least time between two looks at the rows for senders of notices that are not among them."""
+
+ENTRIES_PER_SECOND = 40.0
+"""Entries that hear a new one at the same moment look at the rows at about this rate together."""
+
 SPREAD = 0.2
 """Pauses differ by this share, so that entries that started together do not call together."""
 
@@ -65,6 +74,8 @@
         self._written = self._withdrawn = False
         self._written_at = 0.0
         self._dependency = Dependency("entries")
+        self._stranger = asyncio.Event()
+        self._looked_at = float("-inf")
 
     async def on_started(self) -> None:
         """Begins to write and read."""
@@ -78,6 +89,11 @@
         except PlatformError as exc:
             self._dependency.failed(exc)
 
+    def hear_stranger(self) -> None:
+        """Has the rows read soon: an entry that is not known here sent a notice."""
+        if boot_time() - self._looked_at > STRANGER_SECONDS:
+            self._stranger.set()
+
     async def refresh(self) -> None:
         """Reads all rows, and writes this entry's row where it is due.
 
@@ -107,7 +123,11 @@
     async def _keep(self) -> None:
         pause = 0.0
         while not (self.should_stop or self._withdrawn):
-            await asyncio.sleep(self._spread(pause))
+            if await set_within(self._stranger, self._spread(pause)):
+                await asyncio.sleep(
+                    self._rng.uniform(0, (self._members.size or 1) / ENTRIES_PER_SECOND)
+                )
+            self._looked_at = boot_time()
             pause = await self._next_pause()
 
     async def _next_pause(self) -> float:
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
 
 from loguru import logger
@@ -12,13 +12,16 @@
 
 from bilberryplank._clocks import boot_time
 from bilberryplank._dependency import Dependency
+from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
 from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import (
     RESERVE_FACTOR,
     SEAL_DELAY_SECONDS,
+    CountsNotice,
     FleetMembers,
     LeaseHolder,
+    TakenCounts,
     TrueTime,
     WatchedTable,
     WindowCounts,
@@ -41,16 +44,29 @@
 WRITER_WINDOWS = 3
 """Windows back from which writers are awaited: longer than a process is usually cut off."""
 
+LOOK_SPREAD_SECONDS = 0.2
+"""Entries that hear of a lease given up look at it spread over this long."""
+
 FLUSH_SPREAD_SECONDS = 1.0
 """Processes store their counts spread over this long after a window's end, before it is summed."""
 
 START_SPREAD_SECONDS = 0.5
 """Entries that start together look for the lease spread over this long."""
 
+MAX_NAMES_LOGGED = 8
+"""Names in one line of the log."""
+
 KEPT_WINDOWS = 12
 """Windows whose rows are kept for a report that is late."""
 
 
+HandOver = Callable[[Mapping[int, Mapping[str, int]]], None]
+"""Tells other entries the final counts of this process, by window."""
+
+GiveUp = Callable[[str, str], None]
+"""Tells other entries a lease and its grant on which this process acts no more."""
+
+
 class TrueTimeKeeper(Service):
     """Learns the fleet's figure of true time; writes it where nobody has."""
 
@@ -108,9 +124,14 @@
         true_time: TrueTime,
         interval: Callable[[], float],
         rng: Random,
+        hand_over: HandOver,
     ) -> None:
         super().__init__()
         self._writer = writer
+        self._hand_over = hand_over
+        self._handed_over: set[int] = set()
+        self._taken = TakenCounts()
+        self._woken = asyncio.Event()
         self._true_time = true_time
         self._offset = rng.uniform(0, FLUSH_SPREAD_SECONDS)
         self._table = table
@@ -122,35 +143,69 @@
         """Begins to store."""
         self.add_future(self._flush_regularly())
 
+    def take(self, notice: CountsNotice) -> bool:
+        """Takes in another process's counts, to be stored here; returns False for known ones."""
+        taken = self._taken.take(notice)
+        if taken:
+            self._woken.set()
+        return taken
+
     async def flush(self) -> None:
-        """Stores what has changed, the current window included.
+        """Stores what has changed, the current window and the counts of others included.
 
         Raises:
             PlatformError: The store did not take it; the counts stay here.
         """
-        numbers = self._counts.unsaved()
-        values = {number: self._counts.value(number) for number in numbers}
-        if not values:
+        own = {number: self._counts.value(number) for number in self._counts.unsaved()}
+        taken = self._taken.unsaved()
+        rows = {**taken, **{(number, self._writer): value for number, value in own.items()}}
+        if not rows:
             return
         puts = [
-            Put(COUNTS_TABLE, f"{number:012d}/{self._writer}", value)
-            for number, value in values.items()
+            Put(COUNTS_TABLE, f"{number:012d}/{writer}", dict(value))
+            for (number, writer), value in rows.items()
         ]
         await self._table.commit([], list(puts))
-        for number, value in values.items():
+        for number, value in own.items():
             self._counts.saved(number, value)
-        self._counts.forget_before(max(numbers) - KEPT_WINDOWS)
+        self._taken.saved(taken)
+        oldest = max(number for number, _ in rows) - KEPT_WINDOWS
+        self._counts.forget_before(oldest)
+        self._taken.forget_before(oldest)
+
+    async def finish(self, timeout: float) -> None:
+        """Stores all counts at the end of this process, or hands them over.
+
+        Args:
+            timeout: Seconds that the store has.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                await self.flush()
+        except (PlatformError, TimeoutError) as exc:
+            log_event(logger, "usage_not_stored", level="WARNING", cause=exc)
+            rows = self._counts.unsaved()
+            self._hand_over({number: self._counts.value(number) for number in rows})
 
     async def _flush_regularly(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(self._pause())
+            await set_within(self._woken, self._pause())
             try:
                 await self.flush()
             except PlatformError as exc:
                 self._dependency.failed(exc)
+                self._hand_over_ended()
             else:
                 self._dependency.answered()
 
+    def _hand_over_ended(self) -> None:
+        """Lets others store the windows that have ended, as this process may be cut off alone."""
+        now = self._true_time.now()
+        rows = [] if now is None else self._counts.ended(now)
+        fresh = [number for number in rows if number not in self._handed_over]
+        self._handed_over = set(rows)
+        self._hand_over({number: self._counts.value(number) for number in fresh})
+
     def _pause(self) -> float:
         now = self._true_time.now()
         if now is None:
@@ -172,6 +227,9 @@
         true_time: TrueTime,
         members: FleetMembers,
         rng: Random,
+        give_up: GiveUp,
+        is_silent: Callable[[str], bool],
+        flush: Callable[[], Awaitable[None]],
         clock: Callable[[], float] = boot_time,
     ) -> None:
         super().__init__()
@@ -187,6 +245,11 @@
         self._rng = rng
         self._next: int | None = None
         self._retired = False
+        self._give_up = give_up
+        self._is_silent = is_silent
+        self._flush = flush
+        self._awaited: tuple[int, set[str]] = (0, set())
+        self._given_up = asyncio.Event()
         self._lease_calls = Dependency("usage lease")
         self._report_calls = Dependency("usage reports")
 
@@ -202,10 +265,19 @@
         """
         self._retired = True
         held = self.lease.held(self._clock())
+        grant = self.lease.give_up()
+        if grant:
+            self._give_up(LEASE, grant)
         await self.lease.release()
         if held:
             log_event(logger, "lease_released", lease=LEASE, fence=self.lease.fence)
 
+    def take_given_up(self, lease: str, grant: str) -> None:
+        """Takes in that another entry acts on a grant no more."""
+        if lease == LEASE and self._members.contends(LEASE):
+            self.lease.take_given_up(grant)
+            self._given_up.set()
+
     async def _contend(self) -> None:
         # Entries that start together would else all find the lease free.
         await asyncio.sleep(self._rng.uniform(0, START_SPREAD_SECONDS))
@@ -225,10 +297,14 @@
                     log_event(logger, event, lease=LEASE, fence=self.lease.fence)
                     self._next = None
             holds = self.lease.held(self._clock())
-            await asyncio.sleep(self.lease.delay() if holds else self._look_again())
+            pause = self.lease.delay() if holds else self._look_again()
+            if await set_within(self._given_up, pause):
+                await asyncio.sleep(self._rng.uniform(0, LOOK_SPREAD_SECONDS))
 
     def _look_again(self) -> float:
-        """Returns the seconds until another look at the lease of somebody else."""
+        """Returns the seconds until another look at a lease that is not held here."""
+        if self.lease.expects_free():
+            return RETRY_SECONDS
         wait = self.lease.takeover_delay()
         return wait if self._members.contends(LEASE) else wait * RESERVE_FACTOR
 
@@ -301,17 +377,28 @@
         row = await self._table.read(SEALS_TABLE, key)
         if row is not None:
             return read_seal(row.value)
+        # This process may hold counts of others, taken over while the store did not answer.
+        await self._flush()
         counts = await self._counts_of(number)
         expected: set[str] = set()
         for before in range(number - WRITER_WINDOWS, number):
             expected |= _names(await self._counts_of(before))
-        if not may_seal(age, self._settings.usage_deadline, _names(counts), expected):
+        expected = {name for name in expected if not self._is_silent(name)}
+        present = _names(counts)
+        if not may_seal(age, self._settings.usage_deadline, present, expected):
+            self._log_awaited(number, age, expected - present)
             return None
         seal = WindowSeal(sum_counts(counts.values()))
         conditions = [Condition(SEALS_TABLE, key, 0), self.lease.fence_condition()]
         await self._table.commit(conditions, [Put(SEALS_TABLE, key, seal.to_value())])
         return seal
 
+    def _log_awaited(self, number: int, age: float, missing: set[str]) -> None:
+        if missing and self._awaited != (number, missing):
+            self._awaited = number, missing
+            names = sorted(missing)[:MAX_NAMES_LOGGED]
+            log_event(logger, "usage_awaited", window=number, age=round(age, 2), entries=names)
+
     async def _counts_of(self, number: int) -> dict[str, dict[str, int]]:
         """Returns the counts that each process stored for a window."""
         rows = await self._table.scan(COUNTS_TABLE, f"{number:012d}/")
--- a/packages/bilberryplank/bilberryplank/_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/_table_relay.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from random import Random
 from typing import Any
 
 from loguru import logger
 from mode import Service
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
 from bilberryplank_core.direct import (
     TABLE_FORMAT,
     Changes,
     FleetMembers,
     NoticeInvalid,
+    PeerContact,
     QuietSpan,
     TableNotice,
     TrueTime,
@@ -55,6 +58,8 @@
         self._heard: dict[str, TableNotice] = {}
         self._arrivals: dict[str, asyncio.Event] = {}
         self._odd_senders: set[str] = set()
+        self._contact = PeerContact(boot_time())
+        self._stranger: Callable[[], None] = lambda: None
         self._takers: dict[int, Taker] = {TABLE_FORMAT: self._take_notice}
 
     async def on_start(self) -> None:
@@ -102,13 +107,35 @@
         """
         self._takers[number] = taker
 
+    def hear_strangers(self, taker: Callable[[], None]) -> None:
+        """Has `taker` called for each notice from an address that no known entry has."""
+        self._stranger = taker
+
     def tell(self, data: bytes) -> None:
         """Sends a notice to all other entries."""
+        self._send(data, self._members.addresses)
+
+    def tell_some(self, data: bytes, most: int, rng: Random) -> int:
+        """Sends a notice to some of the entries that are not silent; returns how many."""
+        now = boot_time()
+        known = sorted(self._members.addresses)
+        addresses = [each for each in known if not self._contact.is_silent(each, now)]
+        chosen = rng.sample(addresses, min(most, len(addresses)))
+        return self._send(data, chosen)
+
+    def _send(self, data: bytes, addresses: Collection[str]) -> int:
         if self._transport is None:
-            return
-        for address in self._members.addresses:
+            return 0
+        for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
+        return len(addresses)
+
+    def is_silent(self, name: str) -> bool:
+        """Returns True where an entry says nothing while others do."""
+        self._contact.keep(self._members.addresses)
+        address = self._members.address_of(name)
+        return address is not None and self._contact.is_silent(address, boot_time())
 
     def lost(self, table: str) -> None:
         """Takes in that a read of a table failed."""
@@ -133,7 +160,9 @@
         """Takes in a datagram."""
         try:
             if address not in self._members.addresses:
+                self._stranger()
                 raise NoticeInvalid("no entry is known at this address")
+            self._contact.heard(address, boot_time())
             # The first byte says how many elements follow, the second is the first of them.
             taker = self._takers.get(data[1] if len(data) > 1 else -1)
             if taker is None:
--- a/packages/bilberryplank/bilberryplank/_work_relay.py
+++ b/packages/bilberryplank/bilberryplank/_work_relay.py
@@ -1,4 +1,4 @@
-"""Tells the other entries what this one has at engines, and hears what they have."""
+"""Tells the other entries that this one lives and what it has at engines, and hears them."""
 
 from __future__ import annotations
 
@@ -6,13 +6,22 @@
 
 from mode import Service
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._direct_state import DirectState
 from bilberryplank._table_relay import TableRelay
-from bilberryplank_core.direct import WORK_FORMAT, WorkNotice, notice_interval
+from bilberryplank_core.direct import (
+    PRESENCE_FORMAT,
+    PRESENCE_SECONDS,
+    WORK_FORMAT,
+    WorkNotice,
+    check_presence,
+    notice_interval,
+    presence_notice,
+)
 
 
 class WorkRelay(Service):
-    """Sends notices of this entry's work while there is any.
+    """Sends notices of this entry's work, and of its presence while there is none.
 
     Args:
         relay: Carries the notices.
@@ -29,17 +38,24 @@
     async def on_started(self) -> None:
         """Begins to tell and to hear."""
         self._relay.hear(WORK_FORMAT, self._take)
+        self._relay.hear(PRESENCE_FORMAT, check_presence)
         self.add_future(self._tell())
 
     def _take(self, sender: str, data: bytes) -> None:
         self._state.heard_work(sender, WorkNotice.decode(data))
 
     async def _tell(self) -> None:
+        told_at = float("-inf")
         while not self.should_stop:
             peers = len(self._state.members.addresses)
             await asyncio.sleep(notice_interval(peers))
             if not peers:
                 continue
             self._state.note_peers()
-            for notice in self._state.work_notices():
-                self._relay.tell(notice.encode())
+            notices = [notice.encode() for notice in self._state.work_notices()]
+            now = boot_time()
+            if not notices and now - told_at >= PRESENCE_SECONDS:
+                notices = [presence_notice()]
+            for data in notices:
+                self._relay.tell(data)
+                told_at = now
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_members.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._direct_members import MEMBERS_TABLE, MembersKeeper
 from bilberryplank_core.contracts import Delete
 from bilberryplank_core.direct import Changes, FleetMembers, TrueTime
@@ -47,6 +48,15 @@
         # Each but the last saw only those before it at first.
         self.assertEqual(self.changes, 9)
 
+    async def test_an_entry_that_is_heard_and_not_known_is_looked_up_now_and_then(self):
+        one = self.keeper("e1")
+        one.hear_stranger()
+        self.assertTrue(one._stranger.is_set())
+        one._stranger.clear()
+        one._looked_at = boot_time()
+        one.hear_stranger()
+        self.assertFalse(one._stranger.is_set())
+
     async def test_one_that_stopped_is_gone_at_once_and_does_not_come_back(self):
         one, two = self.keeper("e1"), self.keeper("e2")
         for each in (one, two):
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -5,7 +5,7 @@
 
 from bilberryplank._direct_usage import COUNTS_TABLE, SEALS_TABLE, UsageReporter, UsageStore
 from bilberryplank_core.contracts import Put
-from bilberryplank_core.direct import FleetMembers, TrueTime, WindowCounts
+from bilberryplank_core.direct import CountsNotice, FleetMembers, TrueTime, WindowCounts
 from bilberryplank_core.errors import PlatformUnavailable, ReportRejected
 from bilberryplank_core.settings import DirectEntrySettings
 from bilberryplank_core.tests._memory_platform import MemoryTable
@@ -30,12 +30,15 @@
         self.sent.append((window, counts, fence))
 
 
-class UsageReporterTest(unittest.IsolatedAsyncioTestCase):
+class UsageCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.now = START
         self.table = MemoryTable()
         self.table.forget = self.forget
         self.reports = Reports()
+        self.given_up, self.handed_over = [], []
+        self.silent = set()
+        self.store = None
         self.time = TrueTime(lambda: self.now)
         self.time.observe(0.0, START, START)
         self.time.agree(START)
@@ -43,6 +46,21 @@
     async def forget(self, keys):
         return None
 
+    def usage_store(self, writer, counts):
+        return UsageStore(
+            writer,
+            self.table,
+            counts,
+            self.time,
+            lambda: 1.0,
+            Random(1),
+            lambda rows: self.handed_over.append(rows),
+        )
+
+    async def flush(self):
+        if self.store is not None:
+            await self.store.flush()
+
     def reporter(self, name):
         settings = DirectEntrySettings(
             name,
@@ -61,6 +79,9 @@
             self.time,
             FleetMembers(name),
             Random(1),
+            lambda *grant: self.given_up.append(grant),
+            lambda writer: writer in self.silent,
+            self.flush,
             lambda: self.now,
         )
 
@@ -73,6 +94,8 @@
             await reporter.lease.try_acquire()
         await reporter._advance()
 
+
+class UsageReporterTest(UsageCase):
     async def test_a_window_waits_for_a_process_that_was_cut_off_for_windows(self):
         one = self.reporter("one")
         for number in (FIRST - 2, FIRST - 1):
@@ -122,16 +145,74 @@
         await self.at(one, 1.0)
         await one.retire()
         self.assertFalse(one.lease.held(self.now))
+        self.assertEqual([lease for lease, _ in self.given_up], ["usage"])
         two = self.reporter("two")
         self.now += 0.1
         self.assertTrue(await two.lease.try_acquire())
 
     async def test_counts_stay_here_until_the_store_has_them(self):
         counts = WindowCounts(WINDOW)
-        store = UsageStore("a/1", self.table, counts, self.time, lambda: 1.0, Random(1))
+        store = self.usage_store("a/1", counts)
         counts.add("org", START)
         await store.flush()
         self.assertEqual(counts.unsaved(), [])
         row = await self.table.read(COUNTS_TABLE, f"{FIRST:012d}/a/1")
         self.assertEqual(row.value, {"org": 1})
         self.assertIsNone(await self.table.read(SEALS_TABLE, f"{FIRST:012d}"))
+
+
+class OutageTest(UsageCase):
+    """Load pattern: entries stop, or are cut off alone, while the store does not answer."""
+
+    async def test_a_silent_entry_is_not_awaited(self):
+        one = self.reporter("one")
+        for writer in ("a/1", "b/1"):
+            await self.count(writer, FIRST - 1, org=1)
+        await self.count("a/1", FIRST, org=2)
+        self.silent = {"b"}
+        await self.at(one, 7.6)
+        self.assertIn((FIRST, {"org": 2}, 1), self.reports.sent)
+
+    async def test_one_that_stops_in_an_outage_hands_its_counts_over(self):
+        counts = WindowCounts(WINDOW)
+        store = self.usage_store("a/1", counts)
+        counts.add("org", START)
+        counts.add("org", START + WINDOW)
+        self.table.down = True
+        await store.finish(0.5)
+        self.assertEqual(self.handed_over, [{FIRST: {"org": 1}, FIRST + 1: {"org": 1}}])
+
+    async def test_one_that_is_cut_off_hands_over_each_ended_window_once(self):
+        counts = WindowCounts(WINDOW)
+        store = self.usage_store("a/1", counts)
+        counts.add("org", START)
+        for after, handed in ((1.0, []), (6.0, [FIRST]), (7.0, [FIRST])):
+            self.now = START + after
+            store._hand_over_ended()
+            with self.subTest(after=after):
+                self.assertEqual([each for rows in self.handed_over for each in rows], handed)
+
+    async def test_the_holder_counts_what_it_took_over_exactly_once(self):
+        one = self.reporter("one")
+        self.store = self.usage_store("one/1", WindowCounts(WINDOW))
+        other = self.usage_store("other/1", WindowCounts(WINDOW))
+        notice = CountsNotice(FIRST, "a/1", {"org": 3})
+        await self.count("a/1", FIRST - 1, org=1)
+        await self.count("a/1", FIRST, org=2)
+        for store in (self.store, self.store, other):
+            store.take(notice)
+        await other.flush()
+        await self.at(one, 7.6)
+        self.assertIn((FIRST, {"org": 3}, 1), self.reports.sent)
+
+    async def test_those_that_hear_of_a_lease_given_up_look_at_once(self):
+        one, two = self.reporter("one"), self.reporter("two")
+        await self.at(one, 1.0)
+        self.assertFalse(await two.lease.try_acquire())
+        self.table.down = True
+        await one.retire()
+        self.table.down = False
+        two.take_given_up(*self.given_up[0])
+        self.assertTrue(two._given_up.is_set())
+        self.assertLess(two._look_again(), 1.0)
+        self.assertTrue(await two.lease.try_acquire())
--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -5,10 +5,11 @@
 import unittest
 from random import Random
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._direct_feeds import TableWatch
 from bilberryplank._table_relay import TableRelay
 from bilberryplank_core.contracts import Row
-from bilberryplank_core.direct import Changes, FleetMembers, TrueTime
+from bilberryplank_core.direct import Changes, FleetMembers, PeerContact, TrueTime
 from bilberryplank_core.errors import PlatformUnavailable
 
 ENTRIES = 12
@@ -133,6 +134,24 @@
         self.assertFalse(other.listens)
         await other.stop()
 
+    async def test_a_notice_to_some_goes_to_those_that_are_heard(self):
+        relay = self.relays[0]
+        known = sorted(relay._members.addresses)
+        now = boot_time()
+        relay._contact = PeerContact(now - 60.0)
+        for address in known[:3]:
+            relay._contact.heard(address, now)
+        sent = []
+        relay._send = lambda data, addresses: sent.append(set(addresses))
+        relay.tell_some(b"", 9, Random(1))
+        relay.tell_some(b"", 2, Random(1))
+        self.assertEqual(sent[0], set(known[:3]))
+        self.assertEqual(len(sent[1] & set(known[:3])), 2)
+        strangers = []
+        relay.hear_strangers(lambda: strangers.append(1))
+        relay.take(b"junk", "127.0.0.9:1")
+        self.assertEqual(strangers, [1])
+
     async def test_strangers_and_garbage_are_refused(self):
         await asyncio.sleep(0.4)
         relay = self.relays[self.listeners()[0]]
