Send long bodies in pieces on slow links, so that events need not wait for them

Change: `LinkShare`: bodies that take the link for more than 10 ms go out in pieces of 5 ms, all together at 0.8 of its rate. Other links, and links whose rate the settings do not tell, are as before.

--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -246,6 +246,7 @@
         usage_deadline: A window is reported within this long after its end.
         lease_duration: Length of the reporter's lease.
         lease_margin: A holder stops this much earlier, a contender waits this much longer.
+        link_rate: Bytes a second of the host's network link; None where it is not known.
     """
 
     name: str
@@ -265,6 +266,7 @@
     usage_deadline: float = 10.0
     lease_duration: float = 6.0
     lease_margin: float = 1.0
+    link_rate: float | None = None
     retries: RetryBudgetSettings = RetryBudgetSettings()
     callers: CallerSettings = CallerSettings()
     logs: LogSettings = LogSettings()
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -21,6 +21,7 @@
 
 from bilberryplank._header_fields import AUTOMATIC_HEADERS
 from bilberryplank._single_call import SendOnce, UpstreamBroke, UpstreamNotReached
+from bilberryplank_core.direct import LinkShare
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """A living upstream accepts within milliseconds; a dark one must not cost an objective."""
@@ -124,11 +125,16 @@
 
 
 class DirectClient:
-    """Calls upstreams."""
+    """Calls upstreams.
 
-    __slots__ = ("_questions", "_session")
+    Args:
+        link: The host's link, which bodies share with events.
+    """
+
+    __slots__ = ("_link", "_questions", "_session")
 
-    def __init__(self) -> None:
+    def __init__(self, link: LinkShare) -> None:
+        self._link = link
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         loop = asyncio.get_running_loop()
         connector._factory = functools.partial(_StrictHandler, loop=loop)
@@ -190,12 +196,18 @@
             UpstreamNotReached: No byte of the request went out.
             UpstreamBroke: It may have run.
         """
+        headers = CIMultiDict(fields)
+        data: bytes | AsyncIterator[bytes] | None = body or None
+        size = self._link.piece_bytes(len(body))
+        if size < len(body):
+            headers["Content-Length"] = str(len(body))
+            data = self._pieces(body, size)
         try:
             resp = await self._session.request(
                 method,
                 URL(f"http://{address}{target}", encoded=True),
-                headers=CIMultiDict(fields),
-                data=body or None,
+                headers=headers,
+                data=data,
                 allow_redirects=False,
                 middlewares=(SendOnce(),),
             )
@@ -204,3 +216,9 @@
         except (aiohttp.ClientError, OSError) as exc:
             raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
         return UpstreamAnswer(resp)
+
+    async def _pieces(self, body: bytes, size: int) -> AsyncIterator[bytes]:
+        for begin in range(0, len(body), size):
+            piece = body[begin : begin + size]
+            await asyncio.sleep(self._link.reserve(len(piece), asyncio.get_running_loop().time()))
+            yield piece
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -29,6 +29,7 @@
 from bilberryplank_core.direct import (
     DirectConfiguration,
     DirectPlatform,
+    LinkShare,
     Trust,
     WindowCounts,
 )
@@ -95,7 +96,7 @@
             cfg.stale_limit,
             self._relay,
         )
-        self._client = DirectClient()
+        self._client = DirectClient(LinkShare(cfg.link_rate))
         counts = WindowCounts(cfg.usage_window)
         writer = f"{cfg.name}/{self.epoch}"
         usage_relay = UsageRelay(self._relay, writer, self._rng)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
@@ -8,11 +8,12 @@
 
 from bilberryplank._direct_client import DirectClient
 from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
+from bilberryplank_core.direct import LinkShare
 
 
 class RawUpstreamCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.client = DirectClient()
+        self.client = DirectClient(LinkShare(None))
         self.answer, self.endless, self.resets = b"", b"", False
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
@@ -105,3 +106,53 @@
                         await self.ask()
                 after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
                 self.assertLess((after - before) * 1024, self.MOST_GROWTH_BYTES)
+
+
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Load pattern: long prompts beside streams on a slow link."""
+
+    BODY = bytes(range(256)) * 200
+    RATE = 1e6
+
+    async def asyncSetUp(self):
+        self.client = DirectClient(LinkShare(self.RATE))
+        self.arrived = []
+        self.answers_early = False
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        self.head = await reader.readuntil(b"\r\n\r\n")
+        if not self.answers_early:
+            body = await reader.readexactly(len(self.BODY))
+            self.arrived.append((body, asyncio.get_running_loop().time()))
+        writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy")
+        await writer.drain()
+        await reader.read()
+        writer.close()
+
+    async def post(self):
+        answer = await self.client.send(self.address, "POST", "/x", [], self.BODY)
+        try:
+            return answer.status, await answer.body(1000)
+        finally:
+            answer.close()
+
+    async def test_bodies_arrive_whole_with_their_length_and_share_the_link(self):
+        began = asyncio.get_running_loop().time()
+        self.assertEqual(await asyncio.gather(self.post(), self.post()), [(503, b"busy")] * 2)
+        self.assertEqual([body for body, _ in self.arrived], [self.BODY] * 2)
+        self.assertIn(b"Content-Length: 51200\r\n", self.head)
+        self.assertNotIn(b"chunked", self.head.lower())
+        both = 2 * len(self.BODY) / self.RATE
+        self.assertGreater(self.arrived[-1][1] - began, 0.9 * both)
+
+    async def test_an_answer_that_comes_before_the_body_went_out_is_taken(self):
+        self.answers_early = True
+        began = asyncio.get_running_loop().time()
+        self.assertEqual(await self.post(), (503, b"busy"))
+        self.assertLess(asyncio.get_running_loop().time() - began, len(self.BODY) / self.RATE)
