Price what is read again where another engine keeps it, not by homes

Entries tell each other what they had read since the last landing, but an engine that keeps the parts and is not their home still cost seven times their reading, and the home nothing, kept or not. Ruled out: parts that entries do not know of (what they believed unread, 37 million tokens, is what was read, 36 million).

Change: while peers are heard, an engine costs the shared tokens that it does not keep and another does; only what nobody keeps goes by homes. Where they are not heard, an engine known to keep the parts costs nothing more.

Also: the streams that a crossing makes late are listed once a choice. Test: PartsMovedByBurstTest, fails on the code before.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -1,8 +1,8 @@
 """Choice among the engines of a service, by what each would have to read.
 
-Each shared part of a prompt has a home: the engine that rendezvous hashing names for it, the same
-at every entry. There it is read once and kept. Another engine takes the request only where the wait
-at home is longer than what reading the part again would cost the fleet.
+A request goes to an engine that keeps its shared parts, unless the wait there is longer than what
+reading them again elsewhere would cost the fleet. A part that nobody keeps has a home: the engine
+that rendezvous hashing names for it, the same at every entry.
 
 Load pattern: bursts of long prompts with shared parts, from many entries with stale reports.
 """
@@ -248,9 +248,12 @@
         else:
             backlogs = told_backlogs(own, self._peers, scale, urgency, turn)
         reading, crowd = self._pace.reading, CROWD_TOKENS * self._pace.token
+        kept = {name: self._cache(name).kept_tokens(keys) for name in names}
+        unkept = shared_tokens - min(shared_tokens, max(kept.values()))
+        flows = self._hasty_flows(len(upstreams) - len(part), now)
         found = []
         for each in usable:
-            unread = max(0, call.prompt_tokens - self._cache(each.name).kept_tokens(keys))
+            unread = max(0, call.prompt_tokens - kept[each.name])
             delay = max(backlogs[each.name].unread * reading, delays[each.name])
             running, age = backlogs[each.name].requests, None
             if scale is None:
@@ -259,31 +262,58 @@
             wait = self._pace.start + delay + unread * reading
             at_home = rank[each.name] == 0
             choice = EngineChoice(each, patience, urgency, unread, delay, wait, age, at_home)
-            cost = wait + running * crowd + self._extra(each, rank[each.name], shared_tokens)
+            missing = shared_tokens - min(shared_tokens, kept[each.name])
+            again = self._read_again(missing, unkept, rank[each.name], scale is not None)
+            cost = wait + running * crowd + self._extra(each, again)
             late = late_chance(wait, patience.first)
             if each.name not in part:
-                late += self._crossing(patience, unread * reading, len(upstreams) - len(part), now)
+                late += self._crossing(patience, unread * reading, flows)
             cost += LATE_SECONDS * late
             found.append(_Weighed(choice, cost, rank[each.name]))
         return found
 
-    def _crossing(self, patience: Patience, reading: float, others: int, now: float) -> float:
-        """Returns the requests that are late because this one goes to engines of the other kind.
+    @staticmethod
+    def _read_again(missing: int, unkept: int, home_rank: int, hears_peers: bool) -> float:
+        """Returns the tokens of shared parts that count as read again at an engine.
 
         Args:
-            patience: What its stream bears.
-            reading: Seconds for which its prompt is read.
-            others: Engines of the other kind.
+            missing: Tokens of shared parts that the engine is not known to keep.
+            unkept: Those of them that no engine is known to keep.
+            home_rank: Rank of the engine among the homes of the parts.
+            hears_peers: True where other entries tell what they had read.
+        """
+        share = STRANGE_SHARES.get(home_rank, 1.0)
+        if not hears_peers:
+            return missing * share
+        # What no engine keeps is read once wherever it goes; at home all entries agree on where.
+        return missing - unkept + unkept * share
+
+    def _hasty_flows(self, others: int, now: float) -> list[tuple[Patience, float]]:
+        """Returns the streams that bear no reading, and how many a second one engine gets.
+
+        Args:
+            others: Engines of the other kind than the request's.
             now: Seconds on the boot clock.
         """
-        if not self._pace.bears_reading(patience):
-            return self._pace.late_among_readers(patience)
         each_engine = self._share.factor() / max(1, others)
-        flows = [
+        return [
             (each, self._flows.per_second(each, now) * each_engine)
             for each in self._flows.known()
             if not self._pace.bears_reading(each)
         ]
+
+    def _crossing(
+        self, patience: Patience, reading: float, flows: Sequence[tuple[Patience, float]]
+    ) -> float:
+        """Returns the requests that are late because this one goes to engines of the other kind.
+
+        Args:
+            patience: What its stream bears.
+            reading: Seconds for which its prompt is read.
+            flows: The streams that bear no reading, and how many a second one engine gets.
+        """
+        if not self._pace.bears_reading(patience):
+            return self._pace.late_among_readers(patience)
         paused = sum(
             rate * self._stay * self._pace.late_pauses(each)
             for each, rate in flows
@@ -414,11 +444,10 @@
             delay += fresh * (load.waiting * self._reading - delay)
         return delay, running, now - at
 
-    def _extra(self, upstream: DirectUpstream, home_rank: int, shared_tokens: int) -> float:
+    def _extra(self, upstream: DirectUpstream, again: float) -> float:
         away = 0.0 if upstream.zone == self._zone else OTHER_ZONE_SECONDS
-        reread = shared_tokens * REREAD_WEIGHT * self._pace.reading
-        strange = reread * STRANGE_SHARES.get(home_rank, 1.0)
-        return away + strange + FAILURE_SECONDS * self._health.failure_share(upstream.name)
+        reread = again * REREAD_WEIGHT * self._pace.reading
+        return away + reread + FAILURE_SECONDS * self._health.failure_share(upstream.name)
 
     def _cache(self, name: str) -> PromptCache:
         if name not in self._caches:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
@@ -19,6 +19,7 @@
     ServiceBoard,
     UpstreamHealth,
     UpstreamLoad,
+    WorkNotice,
     may_enter,
     return_after,
 )
@@ -220,6 +221,53 @@
         self.assertLess(max(burst.values()), 1.5 * self.SLOTS)
 
 
+class PartsMovedByBurstTest(unittest.TestCase):
+    """Load pattern: a burst moves shared parts from their homes; their next requests come soon."""
+
+    def hear(self, one, now):
+        one.set_peers({"peer"})
+        notice = WorkNotice("s", one.pace.reading, one.pace.reading_pause, {})
+        one.heard("peer", notice, {each.name for each in ENGINES}, now)
+
+    def busy(self, one, names, now):
+        for number, name in enumerate(list(names) * 6):
+            engine = next(each for each in ENGINES if each.name == name)
+            load = call(f"-busy{number}", shared=f"other{number}", own=60_000)
+            choice = one.choose(load, PATIENT, LEAST, [engine], now)
+            one.begin(choice, load, now)
+
+    def test_a_part_is_read_again_only_where_no_engine_that_keeps_it_is_nearly_as_good(self):
+        for busy, again in ((0, False), (1, False), (2, True)):
+            with self.subTest(busy=busy):
+                one = board()
+                homes = [one.choose(call(0), PATIENT, LEAST, ENGINES, 0.0).upstream]
+                one.begin(one.choose(call(0), PATIENT, LEAST, homes, 0.0), call(0), 0.0)
+                # The home is held out for a while, and another engine reads the part.
+                rest = [each for each in ENGINES if each not in homes]
+                second = one.choose(call(1), PATIENT, LEAST, rest, 0.0)
+                one.begin(second, call(1), 0.0)
+                for number in range(2):
+                    one.events(f"r{number}", 1, 1.0)
+                    one.end(f"r{number}", 1.0)
+                keepers = [homes[0].name, second.upstream.name]
+                self.hear(one, 20.0)
+                self.busy(one, keepers[:busy], 20.0)
+                choice = one.choose(call(2), PATIENT, LEAST, ENGINES, 20.0)
+                self.assertEqual(choice.upstream.name not in keepers, again)
+                self.assertEqual(choice.unread > 3_700, again)
+
+    def test_a_part_that_only_its_second_engine_keeps_is_not_read_at_home(self):
+        one = board()
+        home = one.choose(call(0), PATIENT, LEAST, ENGINES, 0.0).upstream
+        rest = [each for each in ENGINES if each is not home]
+        second = one.choose(call(1), PATIENT, LEAST, rest, 0.0)
+        one.begin(second, call(1), 0.0)
+        one.events("r1", 1, 1.0)
+        one.end("r1", 1.0)
+        self.hear(one, 20.0)
+        self.assertEqual(one.choose(call(2), PATIENT, LEAST, ENGINES, 20.0).unread, 3_700)
+
+
 class TrafficShareTest(unittest.TestCase):
     """Load pattern: many entries, each with a request at few of the engines."""
 
