Weigh what is read again 20 times its reading, 7 where it is only guessed

Hypothesis: with its price where it is, reading a part again delays all that wait there and come meanwhile, more of them the higher the load.

Also: the store of counts and true time in modules of their own, and a notice of counts whose window is not of these minutes is refused (it could have dropped the counts kept here; test in OutageTest).

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -54,13 +54,17 @@
 """Share of the cost of reading a shared part again, by rank among its homes: the second home often
 has it, as all entries turn to the same one."""
 
+GUESSED_SHARE = 0.35
+"""Share of that cost where other entries do not tell what they had read: an engine may keep a part
+that this entry did not send there."""
+
 READING_WEIGHT = 0.05
 """Weight of one request in the mean reading time of those that wait."""
 
 OTHER_ZONE_SECONDS = 0.01
 """Cost of an engine in another zone: bytes between zones are billed."""
 
-REREAD_WEIGHT = 7.0
+REREAD_WEIGHT = 20.0
 """Wait worth accepting for a shared token that is not read again, in times of its reading: it also
 delays all others that wait there, several times over under load."""
 
@@ -284,7 +288,7 @@
         """
         share = STRANGE_SHARES.get(home_rank, 1.0)
         if not hears_peers:
-            return missing * share
+            return missing * share * GUESSED_SHARE
         # What no engine keeps is read once wherever it goes; at home all entries agree on where.
         return missing - unkept + unkept * share
 
--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -38,17 +38,21 @@
 
     def add(self, organisation: str, true_time: float) -> None:
         """Counts a request that began at `true_time`, in seconds since 1970."""
-        number = int(true_time // self._window)
+        number = self.number_at(true_time)
         self._counts.setdefault(number, Counter())[organisation] += 1
         self._dirty.add(number)
 
+    def number_at(self, now: float) -> int:
+        """Returns the number of the window that runs at `now`, in true time."""
+        return int(now // self._window)
+
     def unsaved(self) -> list[int]:
         """Returns the windows whose counts changed since they were stored, the oldest first."""
         return sorted(self._dirty)
 
     def ended(self, now: float) -> list[int]:
         """Returns those of the unsaved windows that have ended at `now`, in true time."""
-        return [number for number in self.unsaved() if number < int(now // self._window)]
+        return [number for number in self.unsaved() if number < self.number_at(now)]
 
     def value(self, number: int) -> dict[str, int]:
         """Returns the counts of a window so far."""
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -17,14 +17,16 @@
 from bilberryplank._direct_members import MembersKeeper
 from bilberryplank._direct_requests import DirectRequests
 from bilberryplank._direct_state import DirectState
-from bilberryplank._direct_usage import TrueTimeKeeper, UsageReporter, UsageStore
+from bilberryplank._direct_usage import UsageReporter
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
 from bilberryplank._platform_metrics import meter_direct_platform
 from bilberryplank._seeds import new_epoch, process_rng
 from bilberryplank._table_relay import TableRelay
+from bilberryplank._true_time_keeper import TrueTimeKeeper
 from bilberryplank._usage_relay import UsageRelay
+from bilberryplank._usage_store import UsageStore
 from bilberryplank._work_relay import WorkRelay
 from bilberryplank_core.direct import (
     DirectConfiguration,
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -1,10 +1,9 @@
-"""Usage of a direct entry: counts of windows into the table, and their report by one holder."""
+"""Usage windows: summed from the counts of all entries and reported by one holder of a lease."""
 
 from __future__ import annotations
 
 import asyncio
-import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from loguru import logger
@@ -14,30 +13,25 @@
 from bilberryplank._dependency import Dependency
 from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
+from bilberryplank._usage_store import COUNTS_TABLE, KEPT_WINDOWS
 from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import (
     RESERVE_FACTOR,
     SEAL_DELAY_SECONDS,
-    CountsNotice,
     FleetMembers,
     LeaseHolder,
-    TakenCounts,
     TrueTime,
     WatchedTable,
-    WindowCounts,
     WindowReports,
     WindowSeal,
     may_seal,
     read_seal,
     sum_counts,
 )
-from bilberryplank_core.errors import Conflict, LeaseLost, PlatformError, ReportRejected
+from bilberryplank_core.errors import LeaseLost, PlatformError, ReportRejected
 from bilberryplank_core.settings import DirectEntrySettings
 
-COUNTS_TABLE = "usage-counts"
 SEALS_TABLE = "usage-seals"
-TIME_TABLE = "true-time"
-TIME_KEY = "offset"
 LEASE = "usage"
 POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
@@ -47,172 +41,17 @@
 LOOK_SPREAD_SECONDS = 0.2
 """Entries that hear of a lease given up look at it spread over this long."""
 
-FLUSH_SPREAD_SECONDS = 1.0
-"""Processes store their counts spread over this long after a window's end, before it is summed."""
-
 START_SPREAD_SECONDS = 0.5
 """Entries that start together look for the lease spread over this long."""
 
 MAX_NAMES_LOGGED = 8
 """Names in one line of the log."""
 
-KEPT_WINDOWS = 12
-"""Windows whose rows are kept for a report that is late."""
-
-
-HandOver = Callable[[Mapping[int, Mapping[str, int]]], None]
-"""Tells other entries the final counts of this process, by window."""
 
 GiveUp = Callable[[str, str], None]
 """Tells other entries a lease and its grant on which this process acts no more."""
 
 
-class TrueTimeKeeper(Service):
-    """Learns the fleet's figure of true time; writes it where nobody has."""
-
-    abstract = False
-
-    def __init__(self, table: WatchedTable, true_time: TrueTime) -> None:
-        super().__init__()
-        self._table = table
-        self._true_time = true_time
-        self._dependency = Dependency("true time")
-
-    async def on_started(self) -> None:
-        """Begins to ask."""
-        self.add_future(self._learn())
-
-    async def _learn(self) -> None:
-        while not self.should_stop:
-            try:
-                offset = await self._offset()
-            except PlatformError as exc:
-                self._dependency.failed(exc)
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self._dependency.answered()
-            self._true_time.agree(offset)
-            log_event(logger, "true_time_agreed", offset=offset)
-            return
-
-    async def _offset(self) -> float:
-        row = await self._table.read(TIME_TABLE, TIME_KEY)
-        if row is None:
-            offset = time.time() - self._true_time.store_time()
-            value = {"offset": offset}
-            try:
-                await self._table.commit(
-                    [Condition(TIME_TABLE, TIME_KEY, 0)], [Put(TIME_TABLE, TIME_KEY, value)]
-                )
-            except Conflict:
-                row = await self._table.read(TIME_TABLE, TIME_KEY)
-            else:
-                return offset
-        return float(row.value["offset"]) if row is not None else await self._offset()
-
-
-class UsageStore(Service):
-    """Stores the counts of this process once a window has ended."""
-
-    abstract = False
-
-    def __init__(
-        self,
-        writer: str,
-        table: WatchedTable,
-        counts: WindowCounts,
-        true_time: TrueTime,
-        interval: Callable[[], float],
-        rng: Random,
-        hand_over: HandOver,
-    ) -> None:
-        super().__init__()
-        self._writer = writer
-        self._hand_over = hand_over
-        self._handed_over: set[int] = set()
-        self._taken = TakenCounts()
-        self._woken = asyncio.Event()
-        self._true_time = true_time
-        self._offset = rng.uniform(0, FLUSH_SPREAD_SECONDS)
-        self._table = table
-        self._counts = counts
-        self._interval = interval
-        self._dependency = Dependency("usage store")
-
-    async def on_started(self) -> None:
-        """Begins to store."""
-        self.add_future(self._flush_regularly())
-
-    def take(self, notice: CountsNotice) -> bool:
-        """Takes in another process's counts, to be stored here; returns False for known ones."""
-        taken = self._taken.take(notice)
-        if taken:
-            self._woken.set()
-        return taken
-
-    async def flush(self) -> None:
-        """Stores what has changed, the current window and the counts of others included.
-
-        Raises:
-            PlatformError: The store did not take it; the counts stay here.
-        """
-        own = {number: self._counts.value(number) for number in self._counts.unsaved()}
-        taken = self._taken.unsaved()
-        rows = {**taken, **{(number, self._writer): value for number, value in own.items()}}
-        if not rows:
-            return
-        puts = [
-            Put(COUNTS_TABLE, f"{number:012d}/{writer}", dict(value))
-            for (number, writer), value in rows.items()
-        ]
-        await self._table.commit([], list(puts))
-        for number, value in own.items():
-            self._counts.saved(number, value)
-        self._taken.saved(taken)
-        oldest = max(number for number, _ in rows) - KEPT_WINDOWS
-        self._counts.forget_before(oldest)
-        self._taken.forget_before(oldest)
-
-    async def finish(self, timeout: float) -> None:
-        """Stores all counts at the end of this process, or hands them over.
-
-        Args:
-            timeout: Seconds that the store has.
-        """
-        try:
-            async with asyncio.timeout(timeout):
-                await self.flush()
-        except (PlatformError, TimeoutError) as exc:
-            log_event(logger, "usage_not_stored", level="WARNING", cause=exc)
-            rows = self._counts.unsaved()
-            self._hand_over({number: self._counts.value(number) for number in rows})
-
-    async def _flush_regularly(self) -> None:
-        while not self.should_stop:
-            await set_within(self._woken, self._pause())
-            try:
-                await self.flush()
-            except PlatformError as exc:
-                self._dependency.failed(exc)
-                self._hand_over_ended()
-            else:
-                self._dependency.answered()
-
-    def _hand_over_ended(self) -> None:
-        """Lets others store the windows that have ended, as this process may be cut off alone."""
-        now = self._true_time.now()
-        rows = [] if now is None else self._counts.ended(now)
-        fresh = [number for number in rows if number not in self._handed_over]
-        self._handed_over = set(rows)
-        self._hand_over({number: self._counts.value(number) for number in fresh})
-
-    def _pause(self) -> float:
-        now = self._true_time.now()
-        if now is None:
-            return self._interval()
-        return self._counts.until_flush(now, self._interval(), self._offset)
-
-
 class UsageReporter(Service):
     """Sums each window once, under a lease, and reports exactly what was sealed."""
 
--- a/packages/bilberryplank/bilberryplank/direct.py
+++ b/packages/bilberryplank/bilberryplank/direct.py
@@ -4,10 +4,10 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._direct_entry import DirectEntry, run_direct_entry
 from bilberryplank._direct_members import MEMBERS_TABLE
-from bilberryplank._direct_usage import COUNTS_TABLE
 from bilberryplank._guarded_http import GuardedClient
 from bilberryplank._header_fields import forwarded_fields
 from bilberryplank._platform_http import ServiceClient
+from bilberryplank._usage_store import COUNTS_TABLE
 
 __all__ = [
     "BoundedOutput",
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -3,9 +3,16 @@
 import unittest
 from random import Random
 
-from bilberryplank._direct_usage import COUNTS_TABLE, SEALS_TABLE, UsageReporter, UsageStore
+from bilberryplank._direct_usage import SEALS_TABLE, UsageReporter
+from bilberryplank._usage_store import COUNTS_TABLE, KEPT_WINDOWS, UsageStore
 from bilberryplank_core.contracts import Put
-from bilberryplank_core.direct import CountsNotice, FleetMembers, TrueTime, WindowCounts
+from bilberryplank_core.direct import (
+    CountsNotice,
+    FleetMembers,
+    NoticeInvalid,
+    TrueTime,
+    WindowCounts,
+)
 from bilberryplank_core.errors import PlatformUnavailable, ReportRejected
 from bilberryplank_core.settings import DirectEntrySettings
 from bilberryplank_core.tests._memory_platform import MemoryTable
@@ -205,6 +212,15 @@
         await self.at(one, 7.6)
         self.assertIn((FIRST, {"org": 3}, 1), self.reports.sent)
 
+    async def test_a_window_that_cannot_be_due_is_refused_and_drops_nothing(self):
+        counts = WindowCounts(WINDOW)
+        store = self.usage_store("one/1", counts)
+        counts.add("org", START)
+        for window in (FIRST - KEPT_WINDOWS - 1, FIRST + KEPT_WINDOWS + 1, 10**12):
+            with self.subTest(window=window), self.assertRaises(NoticeInvalid):
+                store.take(CountsNotice(window, "a/1", {"org": 3}))
+        self.assertEqual(counts.unsaved(), [FIRST])
+
     async def test_those_that_hear_of_a_lease_given_up_look_at_once(self):
         one, two = self.reporter("one"), self.reporter("two")
         await self.at(one, 1.0)
