Weigh a few engines of a large fleet, not all

Change: above 96 engines the homes, 16 that keep most of the prompt and a random sample of either side of the border are weighed; peers' work is walked once; places on the line that is divided are kept; two homes are found without sorting. At 96 engines and fewer decisions are the same.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_backlogs.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_backlogs.py
@@ -87,18 +87,20 @@
         urgency: Urgency of the new request.
         turn: Tokens that are left on average of the prompt that is being read.
     """
-    found = {}
-    for name, part in own.items():
-        for work in peers.at(name):
-            part.requests += work.requests
-            for other, tokens in work.unread:
-                if other <= urgency:
-                    part.ahead += tokens
-                else:
-                    part.behind += tokens
-        then = min(scale * part.behind, turn)
-        found[name] = Backlog(scale * part.requests, scale * part.ahead + then)
-    return found
+    for name, work in peers.told():
+        part = own.get(name)
+        if part is None:
+            continue
+        part.requests += work.requests
+        for other, tokens in work.unread:
+            if other <= urgency:
+                part.ahead += tokens
+            else:
+                part.behind += tokens
+    return {
+        name: Backlog(scale * part.requests, scale * part.ahead + min(scale * part.behind, turn))
+        for name, part in own.items()
+    }
 
 
 def likely_backlogs(own: dict[str, _OwnPart], entries: float, turn: float) -> dict[str, Backlog]:
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_board.py
@@ -10,9 +10,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
-from heapq import nsmallest
+from heapq import nlargest, nsmallest
 from random import Random
 
 from bilberryplank_core._direct_world import (
@@ -50,6 +50,9 @@
 ASKED_AGAIN_SECONDS = 0.1
 """A load that is no older is not asked for again; engines tell it some 200 ms late."""
 
+MOST_WEIGHED, MOST_KEEPERS = 96, 16
+"""Engines that are weighed for one request, and those of them that keep most of its prompt."""
+
 STRANGE_SHARES = {0: 0.0, 1: 0.6}
 """Share of the cost of reading a shared part again, by rank among its homes: the second home often
 has it, as all entries turn to the same one."""
@@ -240,9 +243,14 @@
         self._rng.shuffle(usable)
         keys = prefix_keys(call.model, call.prompt)
         shared = _shared_key(call, keys)
-        homes = sorted(usable, key=lambda each: (each.name not in part, -weight(shared, each.name)))
+        homes = nsmallest(
+            HOMES, usable, key=lambda each: (each.name not in part, -weight(shared, each.name))
+        )
         rank = {each.name: place for place, each in enumerate(homes)}
         shared_tokens = sum(tokens for _, tokens in keys[:-1])
+        kept = {each.name: self._cache(each.name).kept_tokens(keys) for each in usable}
+        unkept = shared_tokens - min(shared_tokens, max(kept.values()))
+        usable = _candidates(usable, homes, kept, part)
         names = [each.name for each in usable]
         delays = self._waits.delays(names, urgency, now)
         scale = self._peers.scale(now)
@@ -252,8 +260,6 @@
         else:
             backlogs = told_backlogs(own, self._peers, scale, urgency, turn)
         reading, crowd = self._pace.reading, CROWD_TOKENS * self._pace.token
-        kept = {name: self._cache(name).kept_tokens(keys) for name in names}
-        unkept = shared_tokens - min(shared_tokens, max(kept.values()))
         flows = self._hasty_flows(len(upstreams) - len(part), now)
         found = []
         for each in usable:
@@ -264,16 +270,17 @@
                 delay, running, age = self._told(each.name, delay, running, urgency, now)
             delay += slot_wait(running, each.slots, self._stay)
             wait = self._pace.start + delay + unread * reading
-            at_home = rank[each.name] == 0
+            home_rank = rank.get(each.name, HOMES)
+            at_home = home_rank == 0
             choice = EngineChoice(each, patience, urgency, unread, delay, wait, age, at_home)
             missing = shared_tokens - min(shared_tokens, kept[each.name])
-            again = self._read_again(missing, unkept, rank[each.name], scale is not None)
-            cost = wait + running * crowd + self._extra(each, again)
+            again = self._read_again(missing, unkept, home_rank, scale is not None)
+            cost = wait + running * crowd + self._extra(each, again * reading)
             late = late_chance(wait, patience.first)
             if each.name not in part:
                 late += self._crossing(patience, unread * reading, flows)
             cost += LATE_SECONDS * late
-            found.append(_Weighed(choice, cost, rank[each.name]))
+            found.append(_Weighed(choice, cost, home_rank))
         return found
 
     @staticmethod
@@ -448,10 +455,13 @@
             delay += fresh * (load.waiting * self._reading - delay)
         return delay, running, now - at
 
-    def _extra(self, upstream: DirectUpstream, again: float) -> float:
+    def _extra(self, upstream: DirectUpstream, reading_again: float) -> float:
         away = 0.0 if upstream.zone == self._zone else OTHER_ZONE_SECONDS
-        reread = again * REREAD_WEIGHT * self._pace.reading
-        return away + reread + FAILURE_SECONDS * self._health.failure_share(upstream.name)
+        return (
+            away
+            + REREAD_WEIGHT * reading_again
+            + FAILURE_SECONDS * self._health.failure_share(upstream.name)
+        )
 
     def _cache(self, name: str) -> PromptCache:
         if name not in self._caches:
@@ -459,6 +469,36 @@
         return self._caches[name]
 
 
+def _candidates(
+    shuffled: Sequence[DirectUpstream],
+    homes: Sequence[DirectUpstream],
+    kept: Mapping[str, int],
+    part: Collection[str],
+) -> Sequence[DirectUpstream]:
+    """Returns the engines that are weighed: all of a small fleet, a few of a large one.
+
+    Of a large fleet these are homes, engines that keep most of the prompt, and a random sample of
+    either side of the border. The best of a few dozen is hardly worse than the best of all (Azar,
+    Broder, Karlin and Upfal, 1994), and the cost of a choice does not follow the fleet's size.
+
+    Load pattern: hundreds of engines of one service, ten long prompts a second at an entry.
+
+    Args:
+        shuffled: Engines in random order.
+        homes: Homes of the prompt's shared parts.
+        kept: Tokens of the prompt that each engine keeps.
+        part: Names of the engines on the request's side of the border.
+    """
+    if len(shuffled) <= MOST_WEIGHED:
+        return shuffled
+    keepers = nlargest(MOST_KEEPERS, shuffled, key=lambda each: kept[each.name])
+    inside = [each for each in shuffled if each.name in part]
+    outside = [each for each in shuffled if each.name not in part]
+    half = (MOST_WEIGHED - MOST_KEEPERS - HOMES) // 2
+    chosen = [*homes, *keepers, *inside[:half], *outside[:half]]
+    return list({each.name: each for each in chosen}.values())
+
+
 def slot_wait(requests: float, slots: int, stay: float) -> float:
     """Returns the seconds until an engine's batch has room for one more request.
 
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_split.py
@@ -18,6 +18,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 
 from bilberryplank_core._direct_world import DirectUpstream
 from bilberryplank_core._engine_pace import EnginePace, Patience
@@ -46,6 +47,9 @@
 ASSUMED_WORK = 0.1
 """Engine-seconds assumed of each kind, so that the first of a kind do not all get one engine."""
 
+MOST_PLACES = 4096
+"""Engines whose places are kept from one request to the next: all of several large services."""
+
 HYSTERESIS_ENGINES = 0.7
 """A border moves once the wanted place is further off than this."""
 
@@ -115,7 +119,7 @@
         self, patience: Patience, engines: Sequence[DirectUpstream], now: float
     ) -> list[DirectUpstream]:
         """Returns the engines for requests whose streams bear so much."""
-        ordered = sorted(engines, key=lambda each: weight("split", each.name))
+        ordered = sorted(engines, key=lambda each: _place(each.name))
         patient = self._pace.bears_reading(patience)
         work = self._work_of_kinds(now)
         kinds = sorted({*work, patient}, reverse=True)
@@ -156,3 +160,9 @@
         borders.append(borders[-1] + count * share / total)
     borders[-1] = float(count)
     return borders
+
+
+@lru_cache(maxsize=MOST_PLACES)
+def _place(name: str) -> int:
+    """Returns the place of an engine on the line that is divided."""
+    return weight("split", name)
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_waits.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_waits.py
@@ -97,10 +97,13 @@
 
     def _evidence(self, engine: str, urgency: Urgency, now: float) -> _Evidence:
         seen = self._seen.get(engine, {}).get(urgency)
+        pending = self._pending.get(engine)
+        if seen is None and not pending:
+            return _NO_EVIDENCE
         overdue = max(
             (
                 now - each.sent_at - each.reading
-                for each in self._pending.get(engine, {}).values()
+                for each in (pending or {}).values()
                 if each.urgency <= urgency
             ),
             default=0.0,
@@ -110,6 +113,9 @@
         return _Evidence(seen.delay, _freshness(seen, now), max(0.0, overdue))
 
 
+_NO_EVIDENCE = _Evidence(0.0, 0.0, 0.0)
+
+
 def _freshness(seen: _Seen, now: float) -> float:
     return max(0.0, 1.0 - (now - seen.at) / SEEN_SECONDS)
 
--- a/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -160,10 +160,10 @@
             return None
         return (1 + max(heard, self._peers)) / (1 + heard)
 
-    def at(self, engine: str) -> Iterable[EngineWork]:
-        """Returns what the peers heard have at an engine; `scale` drops what is too old."""
-        found = (told.work.get(engine) for told in self._told.values())
-        return [each for each in found if each is not None]
+    def told(self) -> Iterator[tuple[str, EngineWork]]:
+        """Yields what each peer heard has at each engine; `scale` drops what is too old."""
+        for told in self._told.values():
+            yield from told.work.items()
 
 
 def _is_fresh(told: _Told, now: float) -> bool:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_board.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from random import Random
 
+from bilberryplank_core._engine_board import MOST_WEIGHED
 from bilberryplank_core._engine_pace import EnginePace, Patience
 from bilberryplank_core._engine_split import EngineSplit
 from bilberryplank_core._engine_waits import EngineWaits
@@ -268,6 +269,37 @@
         self.assertEqual(one.choose(call(2), PATIENT, LEAST, ENGINES, 20.0).unread, 3_700)
 
 
+class LargeFleetTest(unittest.TestCase):
+    """Load pattern: hundreds of engines of one service; parts are kept at few of them."""
+
+    ENGINES = [
+        DirectUpstream(f"e{n}", "s", f"1.1.{n // 250}.{n % 250}:1", "z", 64) for n in range(690)
+    ]
+
+    def test_few_are_weighed_among_them_the_one_that_keeps_the_prompt(self):
+        one = board()
+        keeper = self.ENGINES[345]
+        alone = one.choose(call(0), PATIENT, LEAST, [keeper], 0.0)
+        one.begin(alone, call(0), 0.0)
+        one.events("r0", 1, 0.5)
+        one.end("r0", 0.5)
+        one.set_peers({"peer"})
+        one.heard("peer", WorkNotice("s", 1 / RATE, 0.1, {}), set(), 9.0)
+        weighed = one._weigh(call(1), PATIENT, LEAST, self.ENGINES, 9.0)
+        self.assertLessEqual(len(weighed), MOST_WEIGHED)
+        self.assertEqual(one.choose(call(1), PATIENT, LEAST, self.ENGINES, 9.0).upstream, keeper)
+
+    def test_a_burst_of_prompts_that_share_nothing_spreads(self):
+        one = board()
+        placed = Counter()
+        for number in range(690):
+            new = call(number, shared=f"p{number}", shared_tokens=0, own=9_000)
+            choice = one.choose(new, PATIENT, LEAST, self.ENGINES, number / 1000)
+            one.begin(choice, new, number / 1000)
+            placed[choice.upstream.name] += 1
+        self.assertLessEqual(max(placed.values()), 4)
+
+
 class TrafficShareTest(unittest.TestCase):
     """Load pattern: many entries, each with a request at few of the engines."""
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
@@ -149,9 +149,9 @@
         work.take("a", {"e0": EngineWork(3, ((URGENT, 9),))}, 0.0)
         self.assertEqual(work.scale(0.5), 1.5)
         work.take("b", {"e0": EngineWork(1)}, 0.6)
-        self.assertEqual((work.scale(0.6), len(work.at("e0"))), (1.0, 2))
+        self.assertEqual((work.scale(0.6), len(list(work.told()))), (1.0, 2))
         work.take("a", {}, 0.7)
-        self.assertEqual((work.scale(0.7), len(work.at("e0"))), (1.0, 1))
+        self.assertEqual((work.scale(0.7), len(list(work.told()))), (1.0, 1))
         self.assertIsNone(work.scale(0.8 + FRESH_SECONDS))
 
 
