Drop lapsed upstreams when their grace ends, not with the table's next answer

Ruled out: a lost change of the table (it was taken in as lapsed).

Change: a timer in `RosterWatch`, due when the grace is over.

--- a/packages/bilberryplank-core/bilberryplank_core/_roster.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_roster.py
@@ -89,6 +89,11 @@
         """Takes in changed rows and the names of removed ones."""
         return self._apply({each.name: each for each in rows}, set(removed), now)
 
+    @property
+    def expires_at(self) -> float | None:
+        """When `expire` is due; None where no row may have lapsed."""
+        return self._grace_until if self._lapsed else None
+
     def expire(self, now: float) -> RosterChange:
         """Drops upstreams whose rows did not come back in time."""
         if now < self._grace_until or not self._lapsed:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_roster.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_roster.py
@@ -25,9 +25,11 @@
         self.roster.store_returned(10.0)
         self.assertFalse(self.roster.replace([A], 10.1))
         self.assertEqual(self.names(), {"a", "b"})
+        self.assertEqual(self.roster.expires_at, 12.0)
         self.assertFalse(self.roster.expire(11.9))
         self.assertEqual([each.name for each in self.roster.expire(12.0).gone], ["b"])
         self.assertEqual(self.names(), {"a"})
+        self.assertIsNone(self.roster.expires_at)
 
     def test_a_row_that_came_back_stays(self):
         self.roster.store_returned(10.0)
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -46,6 +46,9 @@
 SILENCE_SHARE = 1.2
 """An entry for which others read does so itself once it heard nothing for this share of a wait."""
 
+LEAST_EXPIRY_SECONDS = 0.01
+"""Bounds the timers where two clocks differ a little."""
+
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.5
 """Pauses between failed reads, growing, so that a store that is down sees few calls."""
@@ -264,6 +267,12 @@
         self._rows = rows
         self._changed = changed
         self._unreadable: set[str] = set()
+        self._expiry: asyncio.TimerHandle | None = None
+
+    async def on_stop(self) -> None:
+        """Ends the wait for lapsed rows."""
+        if self._expiry is not None:
+            self._expiry.cancel()
 
     def returned(self) -> None:
         """Gives rows that lapsed meanwhile the time to come back."""
@@ -272,6 +281,7 @@
     def take_all(self, changes: Changes) -> None:
         """Takes in all rows."""
         self._tell(self.roster.replace(self._read_rows(changes.rows), boot_time()))
+        self._expire_in_time()
 
     def take_changes(self, changes: Changes) -> None:
         """Takes in what changed."""
@@ -280,11 +290,24 @@
         # A row that can no longer be read names no upstream to use.
         spoilt = {row.key for row in changes.rows} - {each.name for each in found}
         self._tell(self.roster.update(found, {*changes.removed, *spoilt}, now))
+        self._expire_in_time()
 
     def take_quiet(self, as_of: float) -> None:
         """Drops upstreams whose rows did not come back in time."""
         self._tell(self.roster.expire(boot_time()))
 
+    def _expire_in_time(self) -> None:
+        """Has lapsed rows dropped when they are due: the table's next answer may come later."""
+        due = self.roster.expires_at
+        if due is not None and self._expiry is None:
+            delay = max(LEAST_EXPIRY_SECONDS, due - boot_time())
+            self._expiry = asyncio.get_running_loop().call_later(delay, self._expire)
+
+    def _expire(self) -> None:
+        self._expiry = None
+        self._tell(self.roster.expire(boot_time()))
+        self._expire_in_time()
+
     def _read_rows(self, rows: Iterable[Row]) -> list[DirectUpstream]:
         found = []
         for row in rows:
