--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -118,6 +118,8 @@
         self._failed: tuple[int, Headers, bytes] | None = None
         self._counted = False
         self._last_event: str | None = call.last_event_id
+        self._attempt_began = arrived
+        self._pieces = 0
         limit = found.route.timeout
         if call.time_limit is not None:
             limit = min(limit, call.time_limit)
@@ -254,6 +256,7 @@
         outcome = Outcome.UNKNOWN
         abandoned = False
         answer: UpstreamAnswer | None = None
+        self._attempt_began, self._pieces = began, 0
         try:
             answer = await self._send(upstream, began)
             outcome, resp = await self._take(upstream, answer)
@@ -343,6 +346,7 @@
         splitter = EventSplitter() if self._resumable else None
         async for data in answer.pieces():
             self._events(data.count(EVENT_END))
+            self._pieces += 1
             self._answer.pace.event(boot_time())
             for piece in [data] if splitter is None else splitter.feed(data):
                 await self._answer.begin(answer.status, fields)
@@ -448,4 +452,7 @@
             upstream=upstream.name,
             outcome=outcome.value,
             cause=cause,
+            seconds=round(boot_time() - self._attempt_began, 3),
+            pieces=self._pieces,
+            parts=",".join(each.segment_id for each in self._call.prompt[:-1]),
         )
