Reproduce engines that crash on a prompt part in a test that fails

Cause: nothing keeps requests with such a part from the next engine. Change: the stand-in engine crashes on given prompt parts once its response head is out: every connection ends, new ones are refused, then it starts again.

--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
@@ -16,6 +16,7 @@
 NEVER_RAN = "X-Bilberryplank-Not-Executed"
 LOAD = "X-Bilberryplank-Server-Load"
 LEAVING = "Server-Leaving"
+PROMPT = "X-Bilberryplank-Prompt-Prefix"
 RETRY_AFTER = "Retry-After"
 
 
@@ -37,6 +38,9 @@
         foreign_id: True to answer under another request's id.
         mute: True to leave questions for its load unanswered.
         waiting: Requests that wait, as it tells.
+        deadly: Prompt parts on which it crashes once it begins an answer.
+        reading: Seconds from a request to its first event.
+        down: Seconds from a crash to the next start.
     """
 
     status: int = 200
@@ -52,6 +56,9 @@
     foreign_id: bool = False
     mute: bool = False
     waiting: int = 0
+    deadly: frozenset[str] = frozenset()
+    reading: float = 0.0
+    down: float = 1.0
 
 
 @dataclass(slots=True)
@@ -74,6 +81,7 @@
     runs: list[Run] = field(default_factory=list)
     refused: int = 0
     questions: int = 0
+    crashes: int = 0
 
 
 class StandInUpstream(FakeServer):
@@ -91,10 +99,34 @@
         self.name = name
         self.manner = Manner()
         self.seen = UpstreamState()
+        self._open: set[asyncio.BaseTransport] = set()
+        self._restart: asyncio.Task[None] | None = None
         super().__init__(("upstream",))
         self.app.router.add_get("/api/report", self._report)
         self.app.router.add_route("*", "/{path:.*}", self._take)
 
+    async def stop(self) -> None:
+        """Closes the listening socket and every connection, also between a crash and a start."""
+        if self._restart is not None:
+            self._restart.cancel()
+        await super().stop()
+
+    def crash(self) -> None:
+        """Closes all connections and refuses new ones until it starts again."""
+        self.seen.crashes += 1
+        for transport in self._open:
+            transport.close()
+        if self._restart is None or self._restart.done():
+            self._restart = asyncio.create_task(self._start_again())
+
+    async def _start_again(self) -> None:
+        assert self._runner is not None
+        host, port = self._runner.addresses[0][:2]
+        for site in list(self._runner.sites):
+            await site.stop()
+        await asyncio.sleep(self.manner.down)
+        await web.TCPSite(self._runner, host, port).start()
+
     async def _report(self, request: web.Request) -> web.Response:
         self.seen.questions += 1
         if self.manner.mute:
@@ -124,15 +156,19 @@
             time.monotonic(),
         )
         self.seen.runs.append(run)
+        assert request.transport is not None
+        self._open.add(request.transport)
         try:
             return await self._answer(request, run)
         finally:
             run.ended = True
+            self._open.discard(request.transport)
 
     async def _answer(self, request: web.Request, run: Run) -> web.StreamResponse:
         manner = self.manner
         if manner.silent:
             await asyncio.Event().wait()
+        await asyncio.sleep(manner.reading)
         shown_id = "another" if manner.foreign_id else run.request_id
         fields = {ID: shown_id, SIGNATURE: f"sig-{self.name}", LOAD: "1,0,4", **self._leaving()}
         if not manner.events:
@@ -144,6 +180,9 @@
             resp.force_close()
             resp._length_check = False
         await resp.prepare(request)
+        if self._crashes_on(request):
+            self.crash()
+            raise ConnectionResetError
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, manner.events + 1):
             if manner.breaks_after is not None and number > manner.breaks_after:
@@ -154,3 +193,7 @@
             await resp.write(f"id: {number}\ndata: {number}\n\n".encode())
             await asyncio.sleep(manner.pause)
         return resp
+
+    def _crashes_on(self, request: web.Request) -> bool:
+        parts = request.headers.get(PROMPT, "").split(",")[:-1]
+        return any(each.partition(":")[0].strip() in self.manner.deadly for each in parts)
