Quarantine prompt parts that crash engines, on evidence that all entries share

Cause: a lost response was recorded against the engine only, by the entry that lost it, and the request was retried. Nothing carried what was learnt about its prompt to the next request or the next entry: a request that destroys each upstream it reaches. Change: an entry that loses a response checks whether the engine still listens. A crash makes suspects of the segments of the requests that had a header and no event; two separate crashes quarantine a segment that no engine answered since. Records of crashes only grow and merge in any order; they go to all entries by datagram at once and to random ones every second, and into a table for restarts. Suspects are not retried, and requests that wait with a quarantined segment are ended. Segments that came together with the guilty one are tried one request at a time.

--- a/packages/bilberryplank-core/bilberryplank_core/_errors.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_errors.py
@@ -39,6 +39,7 @@
     CANCELLED = "cancelled"
     OUTCOME_UNKNOWN = "outcome_unknown"
     PREEMPTED = "preempted"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     INTERNAL = "internal"
 
 
@@ -223,6 +224,7 @@
     RefusalReason.CANCELLED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.OUTCOME_UNKNOWN: HTTPStatus.BAD_GATEWAY,
     RefusalReason.PREEMPTED: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.PROMPT_QUARANTINED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
 }
 """HTTP status of the response to the caller, by refusal reason."""
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -1,6 +1,14 @@
 """Decisions of an entry that calls its upstreams directly, without sidecars."""
 
 from bilberryplank_core._configuration_freshness import Freshness, FreshnessTracker
+from bilberryplank_core._crash_evidence import CrashRecord
+from bilberryplank_core._crash_notices import (
+    CRASH_FORMAT,
+    crash_row,
+    decode_crashes,
+    encode_crashes,
+    read_crash_row,
+)
 from bilberryplank_core._direct_attempts import (
     NextAction,
     Outcome,
@@ -58,6 +66,13 @@
     WorkNotice,
     notice_interval,
 )
+from bilberryplank_core._prompt_quarantine import (
+    SETTLED_SECONDS,
+    PromptQuarantine,
+    Quarantine,
+    Withheld,
+    shared_segments,
+)
 from bilberryplank_core._table_notices import TABLE_FORMAT, TableNotice, UnchangedSpan
 from bilberryplank_core._upstream_health import UpstreamHealth
 from bilberryplank_core._upstream_registry import RegistryChange, UpstreamRegistry
@@ -81,6 +96,17 @@
 from bilberryplank_core._window_retry_budget import WindowRetryBudget
 
 __all__ = [
+    "CRASH_FORMAT",
+    "CrashRecord",
+    "PromptQuarantine",
+    "Quarantine",
+    "SETTLED_SECONDS",
+    "crash_row",
+    "decode_crashes",
+    "encode_crashes",
+    "read_crash_row",
+    "Withheld",
+    "shared_segments",
     "LinkPacer",
     "heartbeat_notice",
     "check_heartbeat",
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -175,6 +175,23 @@
         except (aiohttp.ClientError, OSError) as exc:
             raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
 
+    async def is_listening(self, address: str) -> bool | None:
+        """Returns whether an upstream accepts connections; None if it does not respond.
+
+        Args:
+            address: `ip:port` of the upstream.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return None
+        writer.close()
+        return True
+
     async def send(
         self,
         address: str,
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -11,6 +11,8 @@
 
 from bilberryplank._caller_server import CallerServer
 from bilberryplank._clocks import boot_time
+from bilberryplank._crash_guard import CrashGuard
+from bilberryplank._crash_relay import CrashRelay
 from bilberryplank._decisions import DecisionJournal
 from bilberryplank._direct_client import DirectClient
 from bilberryplank._direct_feeds import ConfigurationWatch, UpstreamRegistryWatch
@@ -99,6 +101,10 @@
             self._relay,
         )
         self._client = DirectClient(LinkPacer(cfg.link_rate))
+        guard = CrashGuard(self._state, self._client, self.metrics)
+        crash_relay = CrashRelay(
+            self._relay, platform.table, fleet_clock, self._state.members, guard, self._rng
+        )
         counts = WindowCounts(cfg.usage_window)
         writer = f"{cfg.name}/{self.epoch}"
         usage_relay = UsageRelay(self._relay, writer, self._rng)
@@ -124,6 +130,7 @@
         self._requests = DirectRequests(
             self._state,
             self._client,
+            guard,
             platform.header_codec,
             counts,
             fleet_clock,
@@ -149,6 +156,7 @@
             keeper,
             self._members,
             WorkRelay(self._relay, self._state),
+            crash_relay,
             self._usage,
         ):
             await self._start_part(part)
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -10,6 +10,7 @@
 from bilberryplank._caller_answer import CallerGone
 from bilberryplank._caller_request import receive
 from bilberryplank._clocks import boot_time
+from bilberryplank._crash_guard import CrashGuard
 from bilberryplank._direct_client import DirectClient
 from bilberryplank._direct_run import DirectRun, RunParts
 from bilberryplank._direct_state import DirectState
@@ -49,6 +50,7 @@
         self,
         state: DirectState,
         client: DirectClient,
+        crashes: CrashGuard,
         header_codec: HeaderCodec,
         counts: WindowCounts,
         fleet_clock: FleetClock,
@@ -64,7 +66,7 @@
         self._header_codec = header_codec
         self._metrics = metrics
         self._callers = callers
-        self._parts = RunParts(state, client, header_codec, counts, fleet_clock, metrics)
+        self._parts = RunParts(state, client, crashes, header_codec, counts, fleet_clock, metrics)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Returns the final answer to a request."""
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -13,6 +13,7 @@
 from bilberryplank._caller_answer import CallerGone
 from bilberryplank._caller_request import ReceivedRequest
 from bilberryplank._clocks import boot_time
+from bilberryplank._crash_guard import CrashGuard
 from bilberryplank._direct_client import DirectClient, UpstreamAnswer
 from bilberryplank._direct_delivery import Delivery
 from bilberryplank._direct_state import DirectState
@@ -20,6 +21,7 @@
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
 from bilberryplank_core.direct import (
+    SETTLED_SECONDS,
     ClassifiedRequest,
     DirectUpstream,
     EngineChoice,
@@ -32,6 +34,7 @@
     RequestAttempts,
     RequestHead,
     WindowCounts,
+    Withheld,
     choose_service,
     classify_response,
     engine_rank,
@@ -58,6 +61,9 @@
 
 EVENT_END = b"\n\n"
 
+NOT_RUN_REASONS = (RefusalReason.DEADLINE_UNREACHABLE, RefusalReason.PROMPT_QUARANTINED)
+"""Reasons with a status that tells a caller that its request was not executed."""
+
 RETRY_REASONS = {
     Outcome.NOT_REACHED: RetryReason.LINK_FAILED,
     Outcome.NOT_RUN: RetryReason.NOT_RUN,
@@ -72,6 +78,7 @@
 
     state: DirectState
     client: DirectClient
+    crashes: CrashGuard
     header_codec: HeaderCodec
     counts: WindowCounts
     fleet_clock: FleetClock
@@ -120,6 +127,11 @@
         self._last_event: str | None = call.last_event_id
         self._attempt_began = arrived
         self._pieces = 0
+        self._first_piece_at = arrived
+        self._settled = False
+        self._task = asyncio.current_task()
+        self._withheld: Withheld | None = None
+        self._guarded = parts.crashes.guard(call, self._stop)
         limit = found.route.timeout
         if call.time_limit is not None:
             limit = min(limit, call.time_limit)
@@ -138,6 +150,11 @@
         try:
             async with asyncio.timeout(left):
                 return await self._attempts()
+        except asyncio.CancelledError:
+            if self._withheld is None or self._task is None:
+                raise
+            self._task.uncancel()
+            raise self._withhold(self._withheld) from None
         except TimeoutError:
             message = "no whole answer came before the time limit"
             raise self._give_up(RefusalReason.DEADLINE_PASSED, message) from None
@@ -155,6 +172,21 @@
                 raise self._failure(outcome)
             self._parts.metrics.retried(RETRY_REASONS[outcome])
 
+    def _stop(self, withheld: Withheld) -> None:
+        """Ends the attempt, whose prompt was quarantined while it waited for an engine."""
+        self._withheld = withheld
+        if self._task is not None:
+            self._task.cancel()
+
+    def _withhold(self, withheld: Withheld) -> Exception:
+        """Returns the end of a request that must not reach an engine."""
+        quarantine = withheld.quarantine
+        message = (
+            f"prompt part {quarantine.segment} crashed {len(quarantine.engines)} engines; "
+            f"it may be tried again in {withheld.retry_after:.0f} s"
+        )
+        return self._give_up(RefusalReason.PROMPT_QUARANTINED, message, withheld.retry_after)
+
     async def _ask_loads(self) -> None:
         """Asks the engines that are likely to take the request for their loads."""
         board = self._parts.state.board(self._service)
@@ -199,6 +231,9 @@
         board = state.board(self._service)
         note: dict[str, object] = {"known": len(fresh)}
         if isinstance(board, EngineSelector):
+            withheld = self._parts.crashes.admit(self._guarded)
+            if withheld is not None:
+                raise self._withhold(withheld)
             choice = board.choose(
                 self._call, self._latency_objective, self._found.urgency, fresh, now
             )
@@ -256,7 +291,8 @@
         outcome = Outcome.UNKNOWN
         abandoned = False
         answer: UpstreamAnswer | None = None
-        self._attempt_began, self._pieces = began, 0
+        self._attempt_began, self._pieces, self._settled = began, 0, False
+        self._parts.crashes.begin(self._guarded)
         try:
             answer = await self._send(upstream, began)
             outcome, resp = await self._take(upstream, answer)
@@ -267,6 +303,9 @@
             return outcome, None
         except UpstreamBroke as exc:
             self._log_failed(upstream, outcome, exc)
+            if not self._settled:
+                has_head = answer is not None and self._pieces == 0
+                await self._parts.crashes.lost(self._guarded, upstream, has_head)
             if self._answer.begun and not self._may_resume():
                 self._answer.cut_off("the upstream broke off its answer")
             return outcome, None
@@ -276,6 +315,7 @@
         finally:
             if answer is not None:
                 answer.close()
+            self._parts.crashes.end(self._guarded)
             seconds = boot_time() - began if outcome is Outcome.ANSWERED else None
             self._left(upstream, seconds)
             self._log.record(outcome)
@@ -336,6 +376,8 @@
                 await self._answer.piece(bytes(held))
                 held.clear()
         self._count()
+        self._first_piece_at = self._attempt_began
+        self._settle()
         if not self._answer.begun:
             return self._answer.whole(answer.status, fields, bytes(held), upstream.name)
         await self._answer.piece(bytes(held))
@@ -346,7 +388,7 @@
         splitter = EventSplitter() if self._resumable else None
         async for data in answer.pieces():
             self._events(data.count(EVENT_END))
-            self._pieces += 1
+            self._note_piece()
             self._answer.pace.event(boot_time())
             for piece in [data] if splitter is None else splitter.feed(data):
                 await self._answer.begin(answer.status, fields)
@@ -357,9 +399,27 @@
                 raise UpstreamBroke(f"an event has more than {MAX_EVENT_BYTES} bytes")
         if splitter is not None and splitter.incomplete_event:
             raise UpstreamBroke("the stream ended within an event")
+        self._settle()
         await self._answer.begin(answer.status, fields)
         return await self._answer.finish(upstream.name)
 
+    def _note_piece(self) -> None:
+        self._pieces += 1
+        if self._settled:
+            return
+        now = boot_time()
+        if self._pieces == 1:
+            self._first_piece_at = now
+            self._parts.crashes.begun(self._guarded)
+        elif now - self._first_piece_at >= SETTLED_SECONDS:
+            self._settle()
+
+    def _settle(self) -> None:
+        """Records that the engine outlived the begin of its response."""
+        if not self._settled:
+            self._settled = True
+            self._parts.crashes.settled(self._guarded, self._first_piece_at)
+
     def _note_event(self, event: bytes) -> None:
         for line in event.splitlines():
             if line.startswith(b"id:"):
@@ -405,6 +465,8 @@
             return False
         if outcome is Outcome.NOT_REACHED:
             return True
+        if outcome is Outcome.UNKNOWN and self._parts.crashes.is_suspect(self._guarded):
+            return False
         return self._parts.state.budget(self._service).try_spend(boot_time())
 
     def _failure(self, outcome: Outcome) -> Exception:
@@ -424,7 +486,7 @@
             if retry_after is None:
                 retry_after = RETURN_SECONDS * self._parts.state.rng.uniform(0.6, 1.4)
             return Refused(reason, message, retry_after=retry_after)
-        if reason is RefusalReason.DEADLINE_UNREACHABLE:
+        if reason in NOT_RUN_REASONS:
             reason = RefusalReason.UPSTREAM_FAILED
         return Refused(reason, message, not_run=self._log.not_run)
 
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -169,6 +169,14 @@
         """Counts an upstream taken out of choice as a straggler."""
         self._ejections.inc()
 
+    def engine_crashed(self) -> None:
+        """Counts a crash of an engine that this entry confirmed."""
+        self._engine_crashes.inc()
+
+    def set_quarantines(self, count: int) -> None:
+        """Sets the number of prompt segments that are withheld from engines."""
+        self._quarantines.set(count)
+
     def platform_called(
         self, service: PlatformService, outcome: PlatformOutcome, seconds: float | None
     ) -> None:
@@ -235,6 +243,9 @@
         self._handshakes_failed = self._counter("handshakes_failed", "Peers turned away.")
         self._ejections = self._counter("upstream_ejections", "Stragglers taken out of choice.")
 
+        self._engine_crashes = self._counter("engine_crashes", "Crashes of engines confirmed.")
+        self._quarantines = self._gauge("prompt_quarantines", "Prompt segments withheld.")
+
     def _build_platform_metrics(self) -> None:
         self._platform_calls = self._counter(
             "platform_calls", "Calls to the platform by outcome.", "service", "outcome"
--- a/packages/bilberryplankctl/bilberryplankctl/_log_lines.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_log_lines.py
@@ -32,6 +32,11 @@
 CONTEXT_BEFORE = timedelta(seconds=10)
 """How long before a request such an event may explain it: longer than an entry may be stale."""
 
+QUARANTINE_EVENTS = frozenset(
+    {"prompt_quarantined", "prompt_quarantine_ended", "prompt_quarantine_lifted"}
+)
+"""Events about a prompt part, which explain its requests for as long as the quarantine lasts."""
+
 _FIELD = re.compile(r'([A-Za-z0-9_.]+)=("(?:[^"\\]|\\.)*"|\S*)')
 
 
@@ -74,11 +79,13 @@
         raise NotFound(f"no line is about request {request_id}")
     processes = {line.fields.get("process") for line in own}
     upstreams = {line.fields["upstream"] for line in own if "upstream" in line.fields}
+    parts = {line.fields["part"] for line in own if "part" in line.fields}
     first, last = min(line.at for line in own), max(line.at for line in own)
     around = [
         line
         for line in parsed
-        if line.fields.get("event") in CONTEXT_EVENTS
+        if _is_of_part(line, parts, processes, last)
+        or line.fields.get("event") in CONTEXT_EVENTS
         and first - CONTEXT_BEFORE <= line.at <= last
         and line.fields.get("process") in processes
         and line.fields.get("upstream", "") in {"", *upstreams}
@@ -87,6 +94,15 @@
     return [line.text for line in sorted([*own, *around], key=lambda line: line.at)]
 
 
+def _is_of_part(line: _Line, parts: set[str], processes: set[str | None], last: datetime) -> bool:
+    return (
+        line.fields.get("event") in QUARANTINE_EVENTS
+        and line.fields.get("part") in parts
+        and line.fields.get("process") in processes
+        and line.at <= last
+    )
+
+
 def _parse(text: str) -> _Line | None:
     fields = {name: value.strip('"') for name, value in _FIELD.findall(text)}
     try:
