Break off a stream that ends within an event, also one that may run only once

What callers saw: an upstream's stream without length or chunks that stopped within an event was passed on as complete, where its route may run once only. Cause: event boundaries were checked only where a stream may be resumed. Change: EventTail follows the end of every stream that is passed on.

--- a/packages/bilberryplank-core/bilberryplank_core/_events.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_events.py
@@ -6,6 +6,7 @@
 
 MAX_EVENT_BYTES = 1024 * 1024
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_BOUNDARIES = (b"\r\n\r\n", b"\n\n", b"\r\r")
 _LINES = re.compile(rb"\r\n|\n|\r")
 _MAX_BOUNDARY_BYTES = 4
 
@@ -43,6 +44,24 @@
         return events
 
 
+class EventTail:
+    """Tracks whether a stream that is passed on unsplit is between two events."""
+
+    __slots__ = ("_last",)
+
+    def __init__(self) -> None:
+        self._last = b""
+
+    @property
+    def at_boundary(self) -> bool:
+        """True if the bytes so far end with a whole event, or there are none."""
+        return not self._last or self._last.endswith(_BOUNDARIES)
+
+    def feed(self, data: bytes) -> None:
+        """Records the next bytes."""
+        self._last = (self._last + data[-_MAX_BOUNDARY_BYTES:])[-_MAX_BOUNDARY_BYTES:]
+
+
 def event_data(event: bytes) -> bytes | None:
     """Returns the payload of an event; None if it has no data lines, for example a comment."""
     lines = [line for line in _LINES.split(event) if line.startswith(b"data:")]
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -42,7 +42,7 @@
     should_admit,
 )
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
-from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter
+from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter, EventTail
 
 if TYPE_CHECKING:
     from bilberryplank_core.messages import Headers
@@ -386,10 +386,12 @@
     async def _stream(self, upstream: DirectUpstream, answer: UpstreamAnswer) -> web.StreamResponse:
         fields = self._parts.header_codec.response_fields(answer.fields.items())
         splitter = EventSplitter() if self._resumable else None
+        tail = EventTail()
         async for data in answer.pieces():
             self._events(data.count(EVENT_END))
             self._note_piece()
             self._answer.pace.event(boot_time())
+            tail.feed(data)
             for piece in [data] if splitter is None else splitter.feed(data):
                 await self._answer.begin(answer.status, fields)
                 await self._answer.piece(piece)
@@ -397,7 +399,7 @@
                     self._note_event(piece)
             if splitter is not None and splitter.overflowed:
                 raise UpstreamBroke(f"an event has more than {MAX_EVENT_BYTES} bytes")
-        if splitter is not None and splitter.incomplete_event:
+        if not tail.at_boundary:
             raise UpstreamBroke("the stream ended within an event")
         self._settle()
         await self._answer.begin(answer.status, fields)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
@@ -70,6 +70,14 @@
             with self.subTest(text=text), self.assertRaises(UpstreamBroke):
                 await self.ask()
 
+    async def test_an_answer_that_ends_within_its_head_broke(self):
+        """A head that was cut must not count as a whole answer without a body."""
+        whole = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 3\r\n"
+        for end in range(1, len(whole) + 1):
+            self.answer = whole[:end]
+            with self.subTest(text=self.answer), self.assertRaises(UpstreamBroke):
+                await self.ask()
+
     async def test_a_port_without_a_listener_was_never_reached(self):
         self.server.close()
         await self.server.wait_closed()
