Take only an event stream as the rest of a stream that broke off

What callers saw: a resumed stream was continued with the text of a signed 200 that is no event stream, or ended as if complete where that answer was empty. Cause: a further attempt was judged by its status alone. Change: an answer that continues a stream must say that it is an event stream; any other counts as lost. On a streaming route an answer that says that it is something else is passed on in one piece. Evidence: test_an_error_after_a_stream_has_begun_is_not_part_of_it failed for two of its answers before (status 200 with a JSON text, and without a body); errors, refusals and answers cut in their head were kept out before, too. 32 tests of three modules pass.

--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -60,6 +60,7 @@
 """A longer answer is passed on as it comes: many at once must not fill a small host's memory."""
 
 EVENT_END = b"\n\n"
+EVENT_STREAM = "text/event-stream"
 
 NOT_RUN_REASONS = (RefusalReason.DEADLINE_UNREACHABLE, RefusalReason.PROMPT_QUARANTINED)
 """Reasons with a status that tells a caller that its request was not executed."""
@@ -347,14 +348,12 @@
         if outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN):
             self._log_failed(upstream, outcome, f"answered {answer.status}")
             return outcome, None
-        if (
-            outcome is Outcome.ANSWERED
-            and head.status < 300
-            and self._found.route.retry_rule.streamed
-        ):
-            return outcome, await self._stream(upstream, answer)
-        if self._answer.begun:
+        is_stream = outcome is Outcome.ANSWERED and head.status < 300 and self._is_stream(answer)
+        if self._answer.begun and not is_stream:
+            self._log_failed(upstream, Outcome.UNKNOWN, f"answered {answer.status} to a resume")
             return Outcome.UNKNOWN, None
+        if is_stream:
+            return outcome, await self._stream(upstream, answer)
         if outcome is Outcome.ANSWERED:
             return outcome, await self._whole(upstream, answer)
         body = await answer.body(MAX_HELD_BYTES)
@@ -383,6 +382,11 @@
         await self._answer.piece(bytes(held))
         return await self._answer.finish(upstream.name)
 
+    def _is_stream(self, answer: UpstreamAnswer) -> bool:
+        """Returns True for an event stream; one that resumes another must say that it is one."""
+        content_type = answer.fields.get("Content-Type", "" if self._answer.begun else EVENT_STREAM)
+        return self._found.route.retry_rule.streamed and content_type.startswith(EVENT_STREAM)
+
     async def _stream(self, upstream: DirectUpstream, answer: UpstreamAnswer) -> web.StreamResponse:
         fields = self._parts.header_codec.response_fields(answer.fields.items())
         splitter = EventSplitter() if self._resumable else None
