Give each call of a sidecar a connection of its own, and take a reset for a broken answer

What callers saw: an upstream that wrote an earlier refusal once more on a kept connection made the sidecar say 'not run' of a request that the upstream had run; an answer without a length that ended in a reset was passed on as whole. Cause: calls that may be repeated shared kept connections, where an answer carries no id; only the direct entry's client took a reset for the end of a broken answer. Change: one connector for both clients (single_connector). Checks: test_connections_are_kept_for_calls_that_may_be_repeated demanded the fault; test_each_call_has_a_connection_of_its_own takes its place, as strict, for both kinds of calls; the header test expects Connection: close.

--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -20,7 +20,12 @@
 from yarl import URL
 
 from bilberryplank._header_fields import AUTOMATIC_HEADERS
-from bilberryplank._single_call import SendOnce, UpstreamBroke, UpstreamNotReached
+from bilberryplank._single_call import (
+    SendOnce,
+    UpstreamBroke,
+    UpstreamNotReached,
+    single_connector,
+)
 from bilberryplank_core.direct import LinkPacer
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -46,15 +51,6 @@
     body: bytes
 
 
-class _StrictHandler(ResponseHandler):
-    """Takes an answer without a stated length that ends in a reset for broken, not for whole."""
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        if exc is not None and self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(aiohttp.ClientPayloadError(f"connection reset: {exc}"))
-        super().connection_lost(exc)
-
-
 class _KeptHandler(ResponseHandler):
     """Closes a kept connection on which an answer came that nobody asked for.
 
@@ -135,18 +131,15 @@
 
     def __init__(self, link: LinkPacer) -> None:
         self._link = link
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        loop = asyncio.get_running_loop()
-        connector._factory = functools.partial(_StrictHandler, loop=loop)
         self._session = aiohttp.ClientSession(
-            connector=connector,
+            connector=single_connector(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=AUTOMATIC_HEADERS,
         )
         kept = aiohttp.TCPConnector(limit_per_host=QUESTION_CONNECTIONS)
-        kept._factory = functools.partial(_KeptHandler, loop=loop)
+        kept._factory = functools.partial(_KeptHandler, loop=asyncio.get_running_loop())
         self._questions = aiohttp.ClientSession(
             connector=kept,
             timeout=aiohttp.ClientTimeout(total=QUESTION_SECONDS),
--- a/packages/bilberryplank/bilberryplank/_single_call.py
+++ b/packages/bilberryplank/bilberryplank/_single_call.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
+
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 from bilberryplank_core.errors import BilberryplankError
 
@@ -41,3 +45,23 @@
         except Exception as exc:
             self._failure = exc
             raise
+
+
+class _StrictHandler(ResponseHandler):
+    """Treats an answer without a stated length that ends in a reset as incomplete."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None and self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(aiohttp.ClientPayloadError(f"connection reset: {exc}"))
+        super().connection_lost(exc)
+
+
+def single_connector() -> aiohttp.TCPConnector:
+    """Returns a connector that opens a connection for each call.
+
+    A kept connection may be closed by the upstream just then, or hold a second copy of an earlier
+    answer, which would pass for the answer to the next call.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector._factory = functools.partial(_StrictHandler, loop=asyncio.get_running_loop())
+    return connector
--- a/packages/bilberryplank/bilberryplank/_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_call.py
@@ -11,7 +11,12 @@
 from yarl import URL
 
 from bilberryplank._header_fields import AUTOMATIC_HEADERS
-from bilberryplank._single_call import SendOnce, UpstreamBroke, UpstreamNotReached
+from bilberryplank._single_call import (
+    SendOnce,
+    UpstreamBroke,
+    UpstreamNotReached,
+    single_connector,
+)
 from bilberryplank._upstream_headers import answer_headers, request_headers
 from bilberryplank._usage_meter import UsageMeter
 from bilberryplank_core.messages import Dispatch, Headers, Usage
@@ -37,41 +42,34 @@
 
 @dataclass(slots=True)
 class UpstreamCaller:
-    """Calls one upstream.
-
-    A call that may run only once gets a connection of its own, because one that was kept open may
-    be closed by the upstream just then, and nobody could tell whether the call arrived.
+    """Calls one upstream, each time over a connection of its own.
 
     Attributes:
         url: `http://ip:port` of the upstream.
         kind: Engine or plain service.
-        kept: Session whose connections are kept open.
-        single: Session that opens a connection for each call.
+        session: Opens the connections.
     """
 
     url: str
     kind: UpstreamKind
-    kept: aiohttp.ClientSession
-    single: aiohttp.ClientSession
+    session: aiohttp.ClientSession
 
     @classmethod
     def from_url(
         cls, url: str, kind: UpstreamKind, connect_timeout: float = CONNECT_TIMEOUT_SECONDS
     ) -> UpstreamCaller:
-        """Returns a caller with sessions of its own."""
-        options = {
-            "timeout": aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout),
-            "auto_decompress": False,
-            "cookie_jar": aiohttp.DummyCookieJar(),
-        }
-        kept = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), **options)
-        closing = aiohttp.TCPConnector(limit=0, force_close=True)
-        return cls(url.rstrip("/"), kind, kept, aiohttp.ClientSession(connector=closing, **options))
+        """Returns a caller with a session of its own."""
+        session = aiohttp.ClientSession(
+            connector=single_connector(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        return cls(url.rstrip("/"), kind, session)
 
     async def close(self) -> None:
-        """Closes both sessions."""
-        await self.kept.close()
-        await self.single.close()
+        """Closes the session."""
+        await self.session.close()
 
     async def run(self, dispatch: Dispatch, rank: int, sink: AnswerSink) -> Usage:
         """Makes the call, passes the answer to `sink` and returns what it used.
@@ -97,8 +95,7 @@
     async def _exchange(
         self, dispatch: Dispatch, rank: int, sink: AnswerSink, limit: asyncio.Timeout
     ) -> Usage:
-        session = self.kept if dispatch.idempotent else self.single
-        async with session.request(
+        async with self.session.request(
             dispatch.method,
             URL(self.url + dispatch.path, encoded=True),
             headers=request_headers(dispatch, rank, self.kind),
--- a/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 import socket
+import struct
 import unittest
 
 from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
@@ -105,6 +106,35 @@
         writer.close()
 
 
+class RepeatingUpstream(RawUpstream):
+    """Refuses the first request of all, and repeats on each connection its last answer."""
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        earlier = b""
+        try:
+            while head := await self._request(reader):
+                writer.write(earlier)
+                earlier = self._answer if self.received else answer("503 Service Unavailable")
+                self.received.append(head)
+                writer.write(earlier)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+class ResettingUpstream(RawUpstream):
+    """Sends an answer without a length and resets the connection."""
+
+    async def _write(self, writer):
+        writer.write(self._answer)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
 class HugeUpstream(RawUpstream):
     """Sends an answer of 50 MB and counts what it could send."""
 
@@ -232,11 +262,37 @@
             await self.check(200, dispatch(idempotent=False))
             self.assertEqual((len(self.upstream.received), self.upstream.connections), (count,) * 2)
 
-    async def test_connections_are_kept_for_calls_that_may_be_repeated(self):
-        await self.raw(answer(), closes=False)
-        for _ in range(3):
-            await self.check(200, dispatch())
-        self.assertEqual((len(self.upstream.received), self.upstream.connections), (3, 1))
+    async def test_each_call_has_a_connection_of_its_own(self):
+        for idempotent in (True, False):
+            await self.raw(answer(), closes=False)
+            for _ in range(3):
+                await self.check(200, dispatch(idempotent=idempotent))
+            self.assertEqual((len(self.upstream.received), self.upstream.connections), (3, 3))
+
+    async def test_an_earlier_refusal_that_comes_once_more_answers_no_later_call(self):
+        """Clients were told that a request which an upstream ran did not run."""
+        for kind, refused in ((ENGINE, UpstreamNotReached), (SERVICE, 503)):
+            for idempotent in (True, False):
+                with self.subTest(kind=kind, idempotent=idempotent):
+                    await self.raw(answer(), kind, closes=False, upstream=RepeatingUpstream)
+                    await self.check(refused, dispatch(idempotent=idempotent))
+                    for _ in range(3):
+                        await self.check(200, dispatch(idempotent=idempotent))
+
+    async def test_an_answer_without_a_length_that_ends_in_a_reset_is_not_whole(self):
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        for idempotent in (True, False):
+            await self.raw(head + b"part", upstream=ResettingUpstream)
+            await self.check(UpstreamBroke, dispatch(idempotent=idempotent))
+            await self.raw(head + b"whole")
+            await self.check(200, dispatch(idempotent=idempotent))
+
+    async def test_an_answer_that_ends_within_its_head_is_none(self):
+        whole = b"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 3\r\n"
+        for end in range(1, len(whole) + 1, 3):
+            with self.subTest(end=end):
+                await self.raw(whole[:end])
+                await self.check(UpstreamBroke, dispatch())
 
 
 class UpstreamPassingTest(UpstreamCase):
@@ -264,7 +320,12 @@
             first, *lines = self.upstream.received[0].rstrip("abc").strip().split("\r\n")
             self.assertEqual(first, "POST /a%2Fb?x=%20 HTTP/1.1")
             sent = sorted(line.lower() for line in lines if not line.lower().startswith("host"))
-            expected = ["content-encoding: gzip", "content-length: 3", "content-type: text/x"]
+            expected = [
+                "connection: close",
+                "content-encoding: gzip",
+                "content-length: 3",
+                "content-type: text/x",
+            ]
             expected += ["x-request-id: r1", "x-two: 1", "x-two: 2", *added]
             self.assertEqual(sent, sorted(expected))
 
