Tell a second crash of an engine from the first where its start is not known anew

What the soak showed: engines that crash again before their row shows a new start were counted once, so a part was quarantined after six crashes; engines that end one after the other within half a second counted as one failure. Cause: a record was named by the engine and the start in its row alone; crashes within 0.3 s were taken for one. Change: a crash more than a second after the last known one of the same start has a record of its own; 0.15 s for what counts as one failure.

--- a/packages/bilberryplank-core/bilberryplank_core/_crash_evidence.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_crash_evidence.py
@@ -19,6 +19,9 @@
 EVIDENCE_SECONDS = 900.0
 """Time after which a crash no longer counts."""
 
+SAME_CRASH_SECONDS = 1.0
+"""Entries notice one crash of an engine within this time."""
+
 MAX_CRASHES = 64
 """Crashes kept; the oldest is dropped first."""
 
@@ -34,7 +37,8 @@
     """What is known of one crash of an engine.
 
     Attributes:
-        engine: Name and start of the engine, which can crash only once.
+        engine: Name and start of the engine, and the number of the crash if the same start is
+            known to have crashed before.
         at: Time of the crash, in seconds on the clock of this process.
         begun: Segments of the requests whose response had a header and no event.
         unsettled: Segments of the requests without a response, or whose first event was recent.
@@ -101,6 +105,19 @@
             del self._crashes[oldest.engine]
         return True
 
+    def crash_id(self, engine: str, at: float) -> str:
+        """Returns the `engine` of the record of a crash.
+
+        Args:
+            engine: Name and start of the engine; the start may be out of date.
+            at: When the crash was noticed.
+        """
+        number, name = 1, engine
+        while (known := self._crashes.get(name)) and at - known.at > SAME_CRASH_SECONDS:
+            number += 1
+            name = f"{engine}#{number}"
+        return name
+
     def record_sound(self, segments: Collection[str], began_at: float) -> bool:
         """Records segments of a request that did not crash its engine.
 
--- a/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
@@ -28,7 +28,7 @@
 SOUND_QUARANTINE_CRASHES = 3
 """Separate crashes that quarantine a segment that is not known to be sound, or that is."""
 
-COINCIDENCE_SECONDS = 0.3
+COINCIDENCE_SECONDS = 0.15
 """Crashes that follow the first of a group within this time count as one."""
 
 QUARANTINE_SECONDS = 120.0
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
@@ -180,6 +180,13 @@
             seen.add(str(state))
         self.assertEqual(len(seen), 1)
 
+    def test_an_engine_that_crashes_again_under_its_name_has_another_record(self):
+        for at, expected in ((1.0, "e/1"), (1.5, "e/1"), (4.0, "e/1#2"), (4.2, "e/1#2")):
+            name = self.evidence.crash_id("e/1", at)
+            self.assertEqual(name, expected)
+            self.evidence.add(CrashRecord(name, at, {"dead"}))
+        self.assertFalse(self.admitted(4.3, "dead"))
+
     def test_a_prompt_names_its_shared_segments_by_model_within_bounds(self):
         prompt = tuple(PromptSegment(f"{number:x}", 10) for number in range(200))
         self.assertEqual(len(shared_segments(RequestHead("r", model="m", prompt=prompt))), 64)
--- a/packages/bilberryplank/bilberryplank/_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/_crash_guard.py
@@ -200,7 +200,8 @@
     def _record(
         self, guarded: GuardedRequest, upstream: DirectUpstream, has_head: bool, lost_at: float
     ) -> None:
-        record = CrashRecord(_engine_key(upstream), lost_at)
+        evidence = self.quarantine.evidence
+        record = CrashRecord(evidence.crash_id(_engine_key(upstream), lost_at), lost_at)
         (record.begun if has_head else record.unsettled).update(guarded.segments)
         log_event(
             logger,
@@ -212,7 +213,7 @@
             parts=",".join(guarded.segments),
         )
         self.confirmed.add(record.engine)
-        if self.quarantine.evidence.add(record):
+        if evidence.add(record):
             self._refresh()
             self.told()
 
