--- a/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from enum import Enum
 
 CHUNK_BYTES = 64 * 1024
@@ -40,14 +42,27 @@
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._refusing: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Begins to listen."""
         host, _, port = self.listen.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
+    def refuse_for(self, seconds: float) -> None:
+        """Refuses new connections, as the host of a program that has ended does."""
+        if self._server is not None and (self._refusing is None or self._refusing.done()):
+            self._server.close()
+            self._refusing = asyncio.create_task(self._start_again(seconds))
+
+    async def _start_again(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self.start()
+
     async def stop(self) -> None:
         """Ends every connection."""
+        if self._refusing is not None:
+            self._refusing.cancel()
         if self._server is not None:
             self._server.close()
         self.set(WireState.CUT)
@@ -63,6 +78,9 @@
     def reset(self) -> None:
         """Breaks the open connections."""
         for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            # Closing a socket that way sends a reset; an ordinary end would pass for an answer's.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -91,6 +92,7 @@
         name: Its id.
         manner: How it answers.
         seen: What it saw.
+        crashed: Called at each crash with the seconds to the next start.
     """
 
     cancels_on_disconnect = True
@@ -99,6 +101,7 @@
         self.name = name
         self.manner = Manner()
         self.seen = UpstreamState()
+        self.crashed: Callable[[float], None] = lambda _: None
         self._open: set[asyncio.BaseTransport] = set()
         self._restart: asyncio.Task[None] | None = None
         super().__init__(("upstream",))
@@ -115,7 +118,11 @@
         """Closes all connections and refuses new ones until it starts again."""
         self.seen.crashes += 1
         for transport in self._open:
+            if self.manner.unframed:
+                # Without a length only a part of an event shows that the answer is not whole.
+                transport.write(b"id: cut")
             transport.close()
+        self.crashed(self.manner.down)
         if self._restart is None or self._restart.done():
             self._restart = asyncio.create_task(self._start_again())
 
