Count crashes in quick succession apart where the later request was sent after the earlier crash

What a new test showed: a caller that repeats every 45 ms ended five engines before its part was quarantined, as crashes within 0.15 s counted as one failure. Cause: time alone was taken for coincidence. Change: a record says how long before the crash its latest begun request was sent; a rack that fails ends no request that was sent after it did. The reason that is given for a refusal is the narrowest part.

--- a/packages/bilberryplank-core/bilberryplank_core/_crash_evidence.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_crash_evidence.py
@@ -32,6 +32,10 @@
 """Segments remembered as sound; the one that was not used for longest is dropped first."""
 
 
+UNKNOWN_EXPOSURE_SECONDS = 3600.0
+"""Exposure of a record without a request that had begun."""
+
+
 @dataclass(slots=True)
 class CrashRecord:
     """What is known of one crash of an engine.
@@ -44,6 +48,7 @@
         unsettled: Segments of the requests without a response, or whose first event was recent.
         cleared: Segments that began a response at another engine since, or that an operator lifted.
         sound: Segments that had begun a response before the crash.
+        exposure: Seconds from the sending of the latest request that had begun to the crash.
     """
 
     engine: str
@@ -52,6 +57,7 @@
     unsettled: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
     sound: set[str] = field(default_factory=set)
+    exposure: float = UNKNOWN_EXPOSURE_SECONDS
 
     @property
     def suspects(self) -> set[str]:
@@ -69,11 +75,12 @@
 
     def merge(self, other: CrashRecord) -> bool:
         """Adds what another record of the same crash knows; returns True if anything is new."""
-        before = [len(each) for each in self.sets]
+        before = [self.exposure, *(len(each) for each in self.sets)]
         self.at = min(self.at, other.at)
+        self.exposure = min(self.exposure, other.exposure)
         for mine, theirs in zip(self.sets, other.sets, strict=True):
             _add_bounded(mine, theirs)
-        return before != [len(each) for each in self.sets]
+        return before != [self.exposure, *(len(each) for each in self.sets)]
 
 
 class CrashEvidence:
--- a/packages/bilberryplank-core/bilberryplank_core/_crash_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_crash_notices.py
@@ -25,7 +25,7 @@
     fields: list[Any] = []
     size = 16
     for record in newest:
-        packed = [record.engine, max(0.0, now - record.at), *map(sorted, record.sets)]
+        packed = _fields(record, max(0.0, now - record.at))
         size += len(msgpack.packb(packed))
         if size > MAX_NOTICE_BYTES:
             break
@@ -53,27 +53,36 @@
         now: Current time on the clock of this process.
         store_time: Current time on the clock of the store.
     """
-    fields = [record.engine, *map(sorted, record.sets)]
-    return {"at": store_time - (now - record.at), "crash": fields}
+    age = now - record.at
+    return {"at": store_time - age, "crash": _fields(record, age)}
 
 
 def read_crash_row(value: Any, now: float, store_time: float) -> CrashRecord | None:
     """Returns the record in a row; None if it holds none, or one that no longer counts."""
     try:
-        engine, *sets = value["crash"]
-        record = _record([engine, float(store_time - value["at"]), *sets], now)
+        engine, _, *others = value["crash"]
+        record = _record([engine, float(store_time - value["at"]), *others], now)
     except (KeyError, NoticeInvalid, TypeError, ValueError):
         return None
     return record if now - record.at <= EVIDENCE_SECONDS else None
 
 
+def _fields(record: CrashRecord, age: float) -> list[Any]:
+    return [record.engine, age, record.exposure, *map(sorted, record.sets)]
+
+
 def _record(value: Any, now: float) -> CrashRecord:
-    if not isinstance(value, list) or len(value) != 6:
+    if not isinstance(value, list) or len(value) != 7:
         raise NoticeInvalid("a crash has an unexpected number of fields")
-    engine, age, *sets = value
-    if type(age) is not float or not -1.0 <= age <= 10 * EVIDENCE_SECONDS:
-        raise NoticeInvalid("the age of a crash is out of range")
-    return CrashRecord(_name(engine), now - max(0.0, age), *map(_segments, sets))
+    engine, age, exposure, *sets = value
+    sets = [_segments(each) for each in sets]
+    return CrashRecord(_name(engine), now - _seconds(age), *sets, exposure=_seconds(exposure))
+
+
+def _seconds(value: Any) -> float:
+    if type(value) is not float or not -1.0 <= value <= 10 * EVIDENCE_SECONDS:
+        raise NoticeInvalid("a time of a crash is out of range")
+    return max(0.0, value)
 
 
 def _segments(value: Any) -> set[str]:
--- a/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
@@ -2,8 +2,8 @@
 
 A segment is quarantined once it is suspected of several crashes and has begun no response since the
 first. Crashes within a moment of each other count as one: a rack that fails ends many engines at
-once, and no prompt did that. A segment that was sound before needs one crash more, and its
-quarantine is shorter.
+once, and no prompt did that. They count apart if the later one had a request that was sent after
+the earlier one. A segment that was sound before needs one crash more, and its quarantine is shorter.
 
 Requests that crash engines share more than one segment, and all of these look alike at first. So a
 request is withheld only if one of its own segments must have caused a crash. If other segments
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -109,7 +109,7 @@
         found = (self.find(segment) for segment in sorted(suspects))
         return [each for each in found if each is not None]
 
-    def admit(self, request_id: str, segments: Collection[str], now: float) -> Withheld | None:
+    def admit(self, request_id: str, segments: Sequence[str], now: float) -> Withheld | None:
         """Returns why a request is withheld; None if it may be sent.
 
         A request that may be sent although a segment of it is quarantined is the trial of that
@@ -119,7 +119,8 @@
             return None
         self.evidence.expire(now)
         trials = []
-        for segment in segments:
+        # Later segments are shared by fewer requests, so the reason given is the narrowest.
+        for segment in reversed(segments):
             quarantine = self.find(segment)
             if quarantine is None:
                 continue
@@ -131,9 +132,9 @@
         self._trials.update(dict.fromkeys(trials, request_id))
         return None
 
-    def blocking(self, segments: Collection[str], now: float) -> Quarantine | None:
+    def blocking(self, segments: Sequence[str], now: float) -> Quarantine | None:
         """Returns the quarantine that ends a request at an engine that has not responded."""
-        found = (self.find(segment) for segment in segments)
+        found = (self.find(segment) for segment in reversed(segments))
         return next(
             (each for each in found if each and self._is_in_force(each, segments, now)), None
         )
@@ -185,7 +186,8 @@
     """Returns the times of crashes, oldest first, without those that coincide with an earlier."""
     times: list[float] = []
     for record in records:
-        if not times or record.at - times[-1] > COINCIDENCE_SECONDS:
+        gap = record.at - times[-1] if times else COINCIDENCE_SECONDS
+        if not times or gap > min(COINCIDENCE_SECONDS, record.exposure):
             times.append(record.at)
     return times
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
@@ -97,6 +97,12 @@
             self.crash(1.0 + number * COINCIDENCE_SECONDS / 9, "a", unsettled=["b"])
         self.assertTrue(self.admitted(1.5, "a"))
 
+    def test_crashes_in_quick_succession_count_apart_where_the_later_request_came_after(self):
+        for number in range(2):
+            record = self.crash(1.0 + 0.1 * number, "dead")
+            record.exposure = 0.05
+        self.assertFalse(self.admitted(1.2, "dead"))
+
     def test_a_part_that_was_sound_needs_a_third_crash_and_is_back_soon(self):
         self.evidence.record_sound(["a"], 0.0)
         for at in (1.0, 2.0):
@@ -165,6 +171,7 @@
                 f"e{rng.randrange(4)}",
                 float(rng.randrange(5)),
                 *({rng.choice("abcdef") for _ in range(rng.randrange(4))} for _ in range(4)),
+                rng.random(),
             )
             for _ in range(30)
         ]
@@ -172,9 +179,16 @@
         for _ in range(20):
             evidence = CrashEvidence()
             for record in rng.sample(records, len(records)) + rng.choices(records, k=10):
-                evidence.add(CrashRecord(record.engine, record.at, *map(set, record.sets)))
+                evidence.add(
+                    CrashRecord(record.engine, record.at, *map(set, record.sets), record.exposure)
+                )
             state = sorted(
-                (each.engine, each.at, *(tuple(sorted(every)) for every in each.sets))
+                (
+                    each.engine,
+                    each.at,
+                    each.exposure,
+                    *(tuple(sorted(every)) for every in each.sets),
+                )
                 for each in evidence
             )
             seen.add(str(state))
@@ -206,8 +220,10 @@
         record = self.crash(5.0, "a", unsettled=["b"])
         record.cleared.add("c")
         record.sound.add("d")
+        record.exposure = 0.5
         (heard,) = decode_crashes(encode_crashes(self.evidence, 6.5), 100.0)
         self.assertEqual((heard.engine, heard.sets), ("e1", record.sets))
+        self.assertEqual(heard.exposure, 0.5)
         self.assertAlmostEqual(heard.at, 98.5)
         read = read_crash_row(crash_row(record, 6.5, 1000.0), 100.0, 1002.0)
         self.assertEqual((read.engine, read.sets), ("e1", record.sets))
--- a/packages/bilberryplank/bilberryplank/_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/_crash_guard.py
@@ -119,23 +119,30 @@
             self._refresh()
             self.told()
 
-    async def lost(self, guarded: GuardedRequest, upstream: DirectUpstream, has_head: bool) -> None:
+    async def lost(
+        self, guarded: GuardedRequest, upstream: DirectUpstream, has_head: bool, sent_at: float
+    ) -> None:
         """Records a request as evidence if the engine that lost its response has crashed.
 
         Args:
             guarded: The request, without an event or with a recent first one.
             upstream: The engine.
             has_head: True if the header of the response had arrived, but no event.
+            sent_at: When the request was sent to the engine.
         """
         known = self._state.registry.upstreams.get(upstream.name)
         if not guarded.segments or known is None or known.leaving:
             return
         lost_at = boot_time()
         check = self._check(upstream)
+        found = CrashRecord("", lost_at)
+        (found.begun if has_head else found.unsettled).update(guarded.segments)
+        if has_head:
+            found.exposure = lost_at - sent_at
 
         def record(task: asyncio.Task[bool]) -> None:
             if not task.cancelled() and task.exception() is None and task.result():
-                self._record(guarded, upstream, has_head, lost_at)
+                self._record(guarded, upstream, found)
 
         if check.done():
             record(check)
@@ -198,18 +205,17 @@
         return False
 
     def _record(
-        self, guarded: GuardedRequest, upstream: DirectUpstream, has_head: bool, lost_at: float
+        self, guarded: GuardedRequest, upstream: DirectUpstream, record: CrashRecord
     ) -> None:
         evidence = self.quarantine.evidence
-        record = CrashRecord(evidence.crash_id(_engine_key(upstream), lost_at), lost_at)
-        (record.begun if has_head else record.unsettled).update(guarded.segments)
+        record.engine = evidence.crash_id(_engine_key(upstream), record.at)
         log_event(
             logger,
             "engine_crashed",
             level="WARNING",
             upstream=upstream.name,
             request=guarded.request_id,
-            begun=has_head,
+            begun=bool(record.begun),
             parts=",".join(guarded.segments),
         )
         self.confirmed.add(record.engine)
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -306,7 +306,7 @@
             self._log_failed(upstream, outcome, exc)
             if not self._settled:
                 has_head = answer is not None and self._pieces == 0
-                await self._parts.crashes.lost(self._guarded, upstream, has_head)
+                await self._parts.crashes.lost(self._guarded, upstream, has_head, began)
             if self._answer.begun and not self._may_resume():
                 self._answer.cut_off("the upstream broke off its answer")
             return outcome, None
