--- a/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
@@ -3,7 +3,8 @@
 A segment is quarantined once it is suspected of several crashes and has begun no response since the
 first. Crashes within a moment of each other count as one: a rack that fails ends many engines at
 once, and no prompt did that. They count apart if the later one had a request that was sent after
-the earlier one. A segment that was sound before needs one crash more, and its quarantine is shorter.
+the earlier one. A segment that was sound before needs one crash more, and its quarantine is
+shorter.
 
 Requests that crash engines share more than one segment, and all of these look alike at first. So a
 request is withheld only if one of its own segments must have caused a crash. If other segments
