Let the call of the scenario with a dying sidecar hang instead of being slow

Cause of the known red test: the slow service answered after a second, and on a busy machine the step that kills the sidecars came later; the call was then rightly answered. Change: the service takes the order and never answers, so that the sidecars die while the call runs however late the step is. The check is as strict: the order took effect, the call may have run, at most once.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -42,8 +42,8 @@
     And order 7 took effect 1 time
 
   Scenario: The sidecar dies while the call runs
-    When desk-1 has the fault slow
-    And desk-2 has the fault slow
+    When desk-1 has the fault hang
+    And desk-2 has the fault hang
     And acme posts order 7 through entry-1 as first
     And 0.4 seconds pass
     And sidecar-desk-1 is killed
