Bound what clears of suspects and many suspects cost, and forget what expired

Found on reading the change: each entry that cleared a suspect told all others three times and read the table; the names of confirmed engines were never dropped; evidence that a request expired left its gauge up; all suspects were weighed at each change. Change: clears are gossip, only crashes and lifts go to all; expiry runs each second and drops what belongs to it; segments with one crash are not weighed. Result: two tests more (cleared at one entry, cleared at all; nothing left behind).

--- a/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
@@ -106,7 +107,8 @@
 
     def quarantines(self) -> list[Quarantine]:
         """Returns all quarantines, also those that have ended without a trial."""
-        suspects = {segment for record in self.evidence for segment in record.suspects}
+        crashes = Counter(segment for record in self.evidence for segment in record.suspects)
+        suspects = [each for each, count in crashes.items() if count >= QUARANTINE_CRASHES]
         found = (self.find(segment) for segment in sorted(suspects))
         return [each for each in found if each is not None]
 
--- a/packages/bilberryplank/bilberryplank/_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/_crash_guard.py
@@ -63,13 +63,14 @@
     Attributes:
         quarantine: Decides which segments are withheld.
         confirmed: Engines whose crash this entry confirmed itself.
-        told: Called when this entry learned something that other entries lack.
+        told: Called when this entry learned something that other entries lack, with True if they
+            need it at once.
     """
 
     def __init__(self, state: DirectState, client: DirectClient, metrics: ProcessMetrics) -> None:
         self.quarantine = PromptQuarantine()
         self.confirmed: set[str] = set()
-        self.told: Callable[[], None] = lambda: None
+        self.told: Callable[[bool], None] = lambda _: None
         self._state = state
         self._client = client
         self._metrics = metrics
@@ -117,7 +118,7 @@
         """Records that an engine outlived the begin of a response."""
         if guarded.segments and self.quarantine.evidence.record_sound(guarded.segments, began_at):
             self._refresh()
-            self.told()
+            self.told(False)
 
     async def lost(
         self, guarded: GuardedRequest, upstream: DirectUpstream, has_head: bool, sent_at: float
@@ -166,11 +167,13 @@
         log_event(logger, "prompt_quarantine_lifted", level="WARNING", part=segment, known=cleared)
         if cleared:
             self._refresh()
-            self.told()
+            self.told(True)
 
     def expire(self) -> None:
         """Drops evidence that no longer counts."""
-        self.quarantine.evidence.expire(boot_time())
+        evidence = self.quarantine.evidence
+        evidence.expire(boot_time())
+        self.confirmed &= {record.engine for record in evidence}
         self._refresh()
 
     def _check(self, upstream: DirectUpstream) -> asyncio.Task[bool]:
@@ -221,7 +224,7 @@
         self.confirmed.add(record.engine)
         if evidence.add(record):
             self._refresh()
-            self.told()
+            self.told(True)
 
     def _refresh(self) -> None:
         """Logs quarantines that began or ended, and stops the requests that they concern."""
--- a/packages/bilberryplank/bilberryplank/_crash_relay.py
+++ b/packages/bilberryplank/bilberryplank/_crash_relay.py
@@ -32,9 +32,11 @@
 """An operator writes a row with the name of a segment as its key to lift its quarantine."""
 
 URGENT_PAUSES_SECONDS = (0.0, 0.1, 0.3)
-"""Pauses before each notice about something new; links may lose one."""
+"""Pauses before each notice to all about a crash or a lift; links may lose one. That a suspect was
+cleared is gossip: many entries see it at once."""
 
 GOSSIP_SECONDS = 1.0
+MIN_GOSSIP_SECONDS = 0.1
 GOSSIP_PEERS = 3
 """While evidence counts, each entry sends it to a few random others, so that one that starts anew
 or lost a notice has it soon, and no entry receives more in a large fleet."""
@@ -80,6 +82,7 @@
         self._guard = guard
         self._rng = rng
         self._news = asyncio.Event()
+        self._urgent = False
         self._unsaved = asyncio.Event()
         self._dependency = Dependency("crash evidence")
         guard.told = self._told
@@ -90,23 +93,30 @@
         self.add_future(self._tell())
         self.add_future(self._keep())
 
-    def _told(self) -> None:
+    def _told(self, urgent: bool) -> None:
         self._news.set()
-        self._unsaved.set()
+        if urgent:
+            self._urgent = True
+            self._unsaved.set()
 
     def _take(self, _: str, data: bytes) -> None:
         self._guard.merge(decode_crashes(data, boot_time()))
 
     async def _tell(self) -> None:
-        evidence = self._guard.quarantine.evidence
         while not self.should_stop:
-            if await set_within(self._news, GOSSIP_SECONDS):
-                for pause in URGENT_PAUSES_SECONDS:
-                    await asyncio.sleep(pause)
-                    self._relay.tell(encode_crashes(evidence, boot_time()))
-            elif len(evidence):
+            await set_within(self._news, GOSSIP_SECONDS)
+            if self._urgent:
+                self._urgent = False
+                await self._tell_all()
+            else:
                 self._guard.expire()
                 self._gossip()
+                await asyncio.sleep(MIN_GOSSIP_SECONDS)
+
+    async def _tell_all(self) -> None:
+        for pause in URGENT_PAUSES_SECONDS:
+            await asyncio.sleep(pause)
+            self._relay.tell(encode_crashes(self._guard.quarantine.evidence, boot_time()))
 
     def _gossip(self) -> None:
         now = boot_time()
--- a/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
@@ -242,6 +242,28 @@
         await asyncio.sleep(0.2)
         self.assertIsNotNone(self.withheld(again, "dead"))
 
+    async def test_what_one_entry_cleared_is_cleared_at_all(self):
+        guards = [(await self.start(name))[0] for name in self.rows]
+        for number in range(2):
+            await self.crash(guards[0], f"e{number}", "shared", "dead")
+        trial = guards[1].guard(head("shared", "other"), self.stopped.append)
+        guards[1].settled(trial, boot_time())
+        await asyncio.sleep(2.5)
+        for guard in guards:
+            evidence = guard.quarantine.evidence
+            self.assertEqual(evidence.crashes_of("m/shared"), [])
+            self.assertEqual(len(evidence.crashes_of("m/dead")), 2)
+
+    async def test_evidence_that_expired_leaves_nothing_behind(self):
+        guard, _ = await self.start("x0")
+        for number in range(2):
+            await self.crash(guard, f"e{number}", "dead")
+        for record in guard.quarantine.evidence:
+            record.at -= 2000.0
+        await asyncio.sleep(1.5)
+        self.assertEqual((len(guard.quarantine.evidence), guard.confirmed), (0, set()))
+        self.assertIn(b"bilberryplank_prompt_quarantines 0.0", guard._metrics.render())
+
     async def test_an_operator_lifts_a_quarantine_by_a_row(self):
         guards = [(await self.start(name))[0] for name in list(self.rows)[:2]]
         for number in range(2):
