End the trial of a prompt part also where its request was never sent

Found on reading the change: a request that was admitted as a trial and then found no engine kept its part: all later requests with it were refused until the evidence expired. Cause: a trial ended with an attempt, and there was none. Change: it ends with the request. Result: test_a_trial_that_is_never_sent_does_not_hold_its_part_back failed before (503) and passes.

--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -159,6 +159,9 @@
         except TimeoutError:
             message = "no whole answer came before the time limit"
             raise self._give_up(RefusalReason.DEADLINE_PASSED, message) from None
+        finally:
+            # A trial also ends where its request was never sent.
+            self._parts.crashes.end(self._guarded)
 
     async def _attempts(self) -> web.StreamResponse:
         while True:
