Take a stream that ends with its connection before any event for broken

What callers would have seen: an engine that ends as it begins an answer without length or chunks passed for one whose stream is empty: a 200 without a body, and its prompt parts were noted as sound. Cause: the end of a connection ended such a body whole, also where nothing had come. Change: without an event such an end is a broken answer; an empty stream clears nothing.

--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -90,6 +90,11 @@
         self.status = resp.status
         self.fields: CIMultiDictProxy[str] = resp.headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """True if only the end of the connection ends the body."""
+        return "Content-Length" not in self.fields and "Transfer-Encoding" not in self.fields
+
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yields the bytes of the body as they come.
 
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -408,7 +408,10 @@
                 raise UpstreamBroke(f"an event has more than {MAX_EVENT_BYTES} bytes")
         if not tail.at_boundary:
             raise UpstreamBroke("the stream ended within an event")
-        self._settle()
+        if not self._pieces and answer.ends_with_connection:
+            raise UpstreamBroke("the stream ended with its connection before an event")
+        if self._pieces:
+            self._settle()
         await self._answer.begin(answer.status, fields)
         return await self._answer.finish(upstream.name)
 
