--- a/packages/bilberryplankctl/bilberryplankctl/_log_lines.py
+++ b/packages/bilberryplankctl/bilberryplankctl/_log_lines.py
@@ -17,6 +17,7 @@
         "configuration_unreadable",
         "dependency_lost",
         "dependency_regained",
+        "engine_crashed",
         "log_lines_dropped",
         "readiness_changed",
         "settings_rejected",
--- a/packages/bilberryplankctl/bilberryplankctl/tests/test_log_lines.py
+++ b/packages/bilberryplankctl/bilberryplankctl/tests/test_log_lines.py
@@ -33,6 +33,16 @@
         found = explain_lines(reversed(LINES), "r1")
         self.assertEqual(found, [LINES[0], LINES[2], LINES[4], LINES[6]])
 
+    def test_a_withheld_request_comes_with_the_quarantine_of_its_part_however_old(self):
+        lines = [
+            line(1.0, "prompt_quarantined", part="m/dead", crashes=2),
+            line(1.0, "prompt_quarantined", process="front-2", part="m/dead", crashes=2),
+            line(2.0, "prompt_quarantined", part="m/other", crashes=2),
+            line(55.0, "prompt_withheld", request="r1", part="m/dead", since=54.0),
+            line(56.0, "prompt_quarantine_ended", part="m/dead"),
+        ]
+        self.assertEqual(explain_lines(lines, "r1"), [lines[0], lines[3]])
+
     def test_an_unknown_request_is_said_so(self):
         with self.assertRaises(NotFound):
             explain_lines(LINES, "r9")
