Let the usage reporter begin anew where its lease changed during a report

Cause: TypeError in UsageReporter._advance. The lease was lost and taken again while a report waited for a slow store; that clears the number of the next window, to which the report then added one. An exception in a service ends the process. Change: the number is local to the loop, which ends where it was changed meanwhile. Result: test_a_lease_that_is_lost_and_taken_again_during_a_report_ends_no_process failed before with the same error and passes; 13 tests of the module pass.

--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -169,10 +169,14 @@
         oldest = int((now - self._settings.usage_deadline) // window)
         if self._next is None:
             self._next = await self._first_unreported(oldest)
-        while self._next <= last_ended and self.lease.held(self._clock()):
-            if not await self._report(self._next, now - (self._next + 1) * window):
+        number = self._next
+        while number <= last_ended and self.lease.held(self._clock()):
+            if not await self._report(number, now - (number + 1) * window):
                 return
-            self._next += 1
+            if self._next != number:
+                # The lease was lost and taken again meanwhile; others may have reported since.
+                return
+            self._next = number = number + 1
 
     async def _first_unreported(self, oldest: int) -> int:
         rows = await self._table.scan(SEALS_TABLE)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -103,6 +103,25 @@
 
 
 class UsageReporterTest(UsageCase):
+    async def test_a_lease_that_is_lost_and_taken_again_during_a_report_ends_no_process(self):
+        """The reporter added to a window number that the change of the lease had cleared."""
+        reporter = self.reporter("one")
+        send = self.reports.send
+
+        async def send_while_the_lease_changes(*report):
+            await send(*report)
+            reporter._next = None
+
+        self.reports.send = send_while_the_lease_changes
+        await self.count("a/1", FIRST, org=1)
+        for seconds in (2 * WINDOW, 2 * WINDOW + 1.0):
+            await self.at(reporter, seconds)
+        self.reports.send = send
+        await self.at(reporter, 3 * WINDOW)
+        windows = [window for window, _, _ in self.reports.sent]
+        self.assertEqual(windows, sorted(set(windows)))
+        self.assertIn(FIRST, windows)
+
     async def test_a_window_waits_for_a_process_that_was_cut_off_for_windows(self):
         one = self.reporter("one")
         for number in (FIRST - 2, FIRST - 1):
