Bind conditional writes to the era of the store in which they were made

Cause: a store that comes back from an older copy gives out revisions again for other content, and the client took a revision for valid for ever. On the code before, a conditional write of the first process on a revision that the second had been given after a restore was accepted and overwrote the second's row (tried with both stores against the stand-in: 'accepted 2', 'first again'). Change: the adapter's client reads Store-Era of each answer and tells EraTracker; an answer of another era than its call is discarded as EraChanged, a PlatformUnavailable. EraTable adds the row of the present era to the conditions of each conditional write; the first process that learns of an era writes that row and deletes those of earlier eras, so that a late write of an earlier era fails. The stand-in store can copy itself and come back from the copy, and tells its era.

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -16,6 +16,7 @@
     UpstreamLoad,
 )
 from bilberryplank_core._errors import PlatformError, Refused
+from bilberryplank_core._store_era import EraTracker
 from bilberryplank_core._window_counts import FleetClock
 
 HeaderFields = Iterable[tuple[str, str]]
@@ -172,6 +173,7 @@
         reports: Receiver of usage reports; None if usage is not reported.
         header_codec: Converts headers of callers and upstreams.
         fleet_clock: Time of day shared by all entries; the adapter feeds it the store's clock.
+        eras: Eras of the store; the adapter tells it the era of each answer.
     """
 
     table: WatchedTable
@@ -179,3 +181,4 @@
     reports: UsageReportSink | None
     header_codec: HeaderCodec
     fleet_clock: FleetClock
+    eras: EraTracker
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -73,6 +73,15 @@
     Withheld,
     shared_segments,
 )
+from bilberryplank_core._store_era import (
+    ERA_TABLE,
+    EraChanged,
+    EraOpening,
+    EraTracker,
+    era_key,
+    era_of_fence,
+    next_fence,
+)
 from bilberryplank_core._table_notices import TABLE_FORMAT, TableNotice, UnchangedSpan
 from bilberryplank_core._upstream_health import UpstreamHealth
 from bilberryplank_core._upstream_registry import RegistryChange, UpstreamRegistry
@@ -96,6 +105,13 @@
 from bilberryplank_core._window_retry_budget import WindowRetryBudget
 
 __all__ = [
+    "ERA_TABLE",
+    "EraChanged",
+    "EraOpening",
+    "EraTracker",
+    "era_key",
+    "era_of_fence",
+    "next_fence",
     "CRASH_FORMAT",
     "CrashRecord",
     "PromptQuarantine",
--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_store.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_store.py
@@ -1,13 +1,15 @@
 """Stand-in of the users' platform: its store of rows, and its interface for usage reports.
 
 Written from the published protocol: rows with one version counter, transactions under conditions, a
-feed of changes with a bounded history, refusals, and answers that are lost.
+feed of changes with a bounded history, refusals, answers that are lost, and returns from an older
+copy, of which the era in each answer tells.
 """
 
 from __future__ import annotations
 
 import asyncio
 import base64
+import copy
 import json
 import time
 from dataclasses import dataclass, field
@@ -31,11 +33,13 @@
         status: Every call is refused with it; None for none.
         lose_answers: Writes are done, and their connections closed without an answer.
         lose_history: The next read of changes finds none of what it asks for.
+        era: Written in place of the era; None for none.
     """
 
     status: int | None = None
     lose_answers: bool = False
     lose_history: bool = False
+    era: str | None = None
 
 
 @dataclass(slots=True)
@@ -62,6 +66,13 @@
         return self.version
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """A copy of the store's rows and of its version counter."""
+
+    rows: _Rows
+
+
 class StandInStore(FakeServer):
     """The store and the usage interface on one address.
 
@@ -69,15 +80,18 @@
         misbehaviour: Faults in force.
         reports: Usage reports that were accepted, in order: window, counts, holder, number.
         calls: Calls by path.
+        era: Number of the present era.
     """
 
     def __init__(self) -> None:
         self.misbehaviour = StoreFaults()
         self.reports: list[tuple[int, dict[str, int], str, int]] = []
         self.calls: dict[str, int] = {}
+        self.era = 1
         self._rows = _Rows()
         self._changed = asyncio.Condition()
         super().__init__(("store",))
+        self.app.on_response_prepare.append(self._tell_era)
         router = self.app.router
         router.add_get("/api/rows-get", self._get)
         router.add_get("/api/rows-feed", self._feed)
@@ -102,6 +116,18 @@
         """Returns the keys of a table's rows in all parts."""
         return sorted(key for name, _, key in self._rows.rows if name == table)
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy from which the store may come back later."""
+        return StoreCopy(copy.deepcopy(self._rows))
+
+    def restore(self, kept: StoreCopy) -> None:
+        """Comes back from a copy: what was written since is gone, and a new era begins."""
+        self._rows = copy.deepcopy(kept.rows)
+        self.era += 1
+
+    async def _tell_era(self, _: web.Request, resp: web.StreamResponse) -> None:
+        resp.headers["Store-Era"] = self.misbehaviour.era or str(self.era)
+
     async def _apply(self, puts: list[tuple[RowKey, str]], deletes: list[RowKey]) -> int:
         version = self._rows.apply(puts, deletes)
         async with self._changed:
@@ -128,6 +154,8 @@
             self.misbehaviour.lose_history = False
             return web.json_response({}, status=HTTPStatus.GONE)
         table, after = request.query["table"], int(request.query["after"])
+        if after > self._rows.version:
+            return web.json_response({}, status=HTTPStatus.GONE)
         wait = int(request.query.get("wait_ms", 0)) / MS_PER_SECOND
         try:
             async with asyncio.timeout(wait), self._changed:
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -20,6 +20,7 @@
 from bilberryplank._direct_requests import DirectRequests
 from bilberryplank._direct_state import DirectState
 from bilberryplank._direct_usage import UsageReporter
+from bilberryplank._era_table import EraTable
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
@@ -80,10 +81,11 @@
         cfg = self._settings
         platform = meter_direct_platform(self._platform, self.metrics)
         self._state = DirectState(cfg, self._rng)
-        fleet_clock = platform.fleet_clock
+        fleet_clock, eras = platform.fleet_clock, platform.eras
+        table = EraTable(platform.table, eras, fleet_clock)
         self._relay = TableRelay(cfg.peer_listen, self._state.members, fleet_clock)
         self._registry_watch = UpstreamRegistryWatch(
-            platform.table,
+            table,
             platform.rows,
             self._state.registry,
             self._state.apply_roster,
@@ -92,7 +94,7 @@
             self._relay,
         )
         self._watch = ConfigurationWatch(
-            platform.table,
+            table,
             platform.rows,
             self._state.freshness_tracker,
             self._configured,
@@ -103,14 +105,14 @@
         self._client = DirectClient(LinkPacer(cfg.link_rate))
         guard = CrashGuard(self._state, self._client, self.metrics)
         crash_relay = CrashRelay(
-            self._relay, platform.table, fleet_clock, self._state.members, guard, self._rng
+            self._relay, table, fleet_clock, self._state.members, guard, self._rng
         )
         counts = WindowCounts(cfg.usage_window)
         writer = f"{cfg.name}/{self.epoch}"
         usage_relay = UsageRelay(self._relay, writer, self._rng)
         self._usage = UsageStore(
             writer,
-            platform.table,
+            table,
             counts,
             fleet_clock,
             self._flush_interval,
@@ -120,7 +122,7 @@
         self._members = MembersKeeper(
             cfg.name,
             cfg.peer_listen,
-            platform.table,
+            table,
             fleet_clock,
             self._state.members,
             self._state.members_changed,
@@ -147,7 +149,7 @@
             self.status,
             further_addresses=(cfg.metrics_listen,),
         )
-        keeper = TrueTimeKeeper(platform.table, fleet_clock)
+        keeper = TrueTimeKeeper(table, fleet_clock)
         for part in (
             self._operations,
             self._relay,
@@ -164,7 +166,7 @@
             self._reporter = UsageReporter(
                 cfg,
                 cfg.name,
-                platform.table,
+                table,
                 platform.reports,
                 fleet_clock,
                 self._state.members,
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -20,10 +20,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
-    """Status and whole body of an HTTP answer."""
+    """Status, whole body and header fields of an HTTP answer."""
 
     status: int
     body: bytes
+    fields: Mapping[str, str] = field(default_factory=dict)
 
     def json(self) -> Any:
         """Returns the body as JSON; raises `PlatformUnavailable` where it is none."""
@@ -78,7 +79,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
-                return Answer(resp.status, await resp.read())
+                return Answer(resp.status, await resp.read(), resp.headers)
 
     async def call_json(
         self,
@@ -87,8 +88,10 @@
         parameters: dict[str, Any] | None = None,
         body: Any = None,
         waits: float = 0.0,
-    ) -> tuple[int, Any]:
-        """Returns status and decoded JSON body of a call; the body of a failure is None.
+    ) -> tuple[int, Any, Mapping[str, str]]:
+        """Returns status, decoded JSON body and header fields of a call.
+
+        The body of a failure is None.
 
         Raises:
             PlatformUnavailable: Timeout, connection failure, or an answer that is not JSON.
@@ -96,7 +99,8 @@
         target = path + (query(**parameters) if parameters else "")
         data = None if body is None else dump_json(body)
         answer = await self.call(method, target, data, JSON_FIELDS if data else None, waits)
-        return answer.status, answer.json() if answer.status == HTTPStatus.OK else None
+        decoded = answer.json() if answer.status == HTTPStatus.OK else None
+        return answer.status, decoded, answer.fields
 
 
 @contextmanager
--- a/packages/bilberryplank/bilberryplank/direct.py
+++ b/packages/bilberryplank/bilberryplank/direct.py
@@ -4,6 +4,7 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._direct_entry import DirectEntry, run_direct_entry
 from bilberryplank._direct_members import MEMBERS_TABLE
+from bilberryplank._era_table import EraTable
 from bilberryplank._guarded_http import GuardedClient
 from bilberryplank._header_fields import forwarded_fields
 from bilberryplank._platform_http import ServiceClient
@@ -13,6 +14,7 @@
     "BoundedOutput",
     "COUNTS_TABLE",
     "DirectEntry",
+    "EraTable",
     "GuardedClient",
     "MEMBERS_TABLE",
     "ServiceClient",
--- a/packages/bilberryplank/bilberryplank/tests/test_platform_metrics.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_platform_metrics.py
@@ -53,7 +53,7 @@
         self.metrics = ProcessMetrics()
         self.table = mock.create_autospec(WatchedTable, instance=True)
         reports = mock.create_autospec(UsageReportSink, instance=True)
-        inner = DirectPlatform(self.table, None, reports, None, None)
+        inner = DirectPlatform(self.table, None, reports, None, None, None)
         times = iter(range(0, 1000, 1))
         self.platform = meter_direct_platform(inner, self.metrics, lambda: next(times))
 
