Read the tables again in a new era of the store, and tie peers' notices to their era

What callers would see: a configuration or an upstream's leaving that is written after a restore is not followed, until the counter has passed the position that an entry holds. Cause: a position of the old era may lie beyond the new counter or among versions given out again; reads after it, and other entries' notices about it, then pass changes over in silence. Entries for which others read make no call of their own, so no failure tells them. Evidence: the new test of twelve entries, with eras not told, holds change 50 of the era before for all twelve where the restored table's change 9 is due.

--- a/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
@@ -2,8 +2,9 @@
 
 A table poller reports that a table did not change between two revisions, as of a time on the
 store's clock. An entry that holds the table as of the first revision or later then holds it as of
-the second, and knows its age without a call. Any other entry must read the table. So a notice never
-carries rows, and a late, lost, duplicated or reordered notice cannot bring back older state.
+the second, and knows its age without a call. Any other entry must read the table, and so must one
+that holds it as of another era of the store. So a notice never carries rows, and a late, lost,
+duplicated or reordered notice cannot bring back older state.
 
 Motivating load: hundreds of entries that each need the age of the configuration every second or
 two.
@@ -40,6 +41,7 @@
 
     Attributes:
         table: Name of the table.
+        era: Era of the store in which the revisions were given out.
         unchanged_since: Revision after which the table did not change.
         upto: Revision up to which this is known.
         store_time: Time of the store's answer in seconds on its clock; None right after a change,
@@ -47,18 +49,30 @@
     """
 
     table: str
+    era: int
     unchanged_since: int
     upto: int
     store_time: float | None
 
-    def covers(self, revision: int) -> bool:
+    def covers(self, era: int, revision: int) -> bool:
         """Returns True if a copy of the table as of `revision` is also valid as of `upto`."""
-        return revision >= self.unchanged_since
+        return era == self.era and revision >= self.unchanged_since
+
+    def is_newer_than(self, other: TableNotice) -> bool:
+        """Returns True if this notice tells of the same moment as another, or a later one."""
+        return (self.era, self.upto) >= (other.era, other.upto)
 
     def encode(self) -> bytes:
         """Returns the notice as a datagram."""
         return msgpack.packb(
-            [TABLE_FORMAT, self.table, self.unchanged_since, self.upto, self.store_time]
+            [
+                TABLE_FORMAT,
+                self.table,
+                self.era,
+                self.unchanged_since,
+                self.upto,
+                self.store_time,
+            ]
         )
 
     @classmethod
@@ -68,22 +82,23 @@
         Raises:
             NoticeInvalid: The datagram is malformed or has another format.
         """
-        fields = unpack_notice(data, TABLE_FORMAT, MAX_NOTICE_BYTES, fields=4)
-        table, unchanged_since, upto, store_time = fields
+        fields = unpack_notice(data, TABLE_FORMAT, MAX_NOTICE_BYTES, fields=5)
+        table, era, unchanged_since, upto, store_time = fields
         valid_time = store_time is None or type(store_time) is float
-        if [type(field) for field in fields[:3]] != [str, int, int] or not valid_time:
+        if [type(field) for field in fields[:4]] != [str, int, int, int] or not valid_time:
             raise NoticeInvalid("fields have unexpected types")
-        if len(table) > MAX_TABLE_CHARS or not 0 <= unchanged_since <= upto:
+        if len(table) > MAX_TABLE_CHARS or era < 0 or not 0 <= unchanged_since <= upto:
             raise NoticeInvalid("table name or revisions are out of range")
-        return cls(table, unchanged_since, upto, store_time)
+        return cls(table, era, unchanged_since, upto, store_time)
 
 
 class UnchangedSpan:
-    """Tracks since which revision a table that this entry polls has not changed."""
+    """Tracks since which revision of an era a table that this entry polls has not changed."""
 
-    __slots__ = ("_changed", "_unchanged_since", "_upto")
+    __slots__ = ("_changed", "_era", "_unchanged_since", "_upto")
 
-    def __init__(self) -> None:
+    def __init__(self, era: int) -> None:
+        self._era = era
         self._changed = False
         self._unchanged_since: int | None = None
         self._upto = 0
@@ -109,7 +124,7 @@
         if self._unchanged_since is None:
             return None
         as_of = None if self._changed else store_time
-        return TableNotice(table, self._unchanged_since, self._upto, as_of)
+        return TableNotice(table, self._era, self._unchanged_since, self._upto, as_of)
 
 
 def is_table_poller(name: str, names: Iterable[str]) -> bool:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_table_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_table_notices.py
@@ -34,7 +34,7 @@
 
 class TablePoller:
     def __init__(self, store):
-        self.store, self.revision, self.span = store, None, UnchangedSpan()
+        self.store, self.revision, self.span = store, None, UnchangedSpan(1)
 
     def read(self):
         if self.revision is None:
@@ -64,7 +64,7 @@
 
     def receive(self, notice):
         """Returns the time as of which the table is confirmed; None if it is not."""
-        if not notice.covers(self.revision):
+        if not notice.covers(1, self.revision):
             self.read()
             return None
         if notice.store_time is not None:
@@ -109,20 +109,28 @@
         self.assertLess(calls, 0.5 * delivered)
 
     def test_after_a_failed_read_a_poller_sends_nothing_until_it_has_read_all_rows(self):
-        span = UnchangedSpan()
+        span = UnchangedSpan(1)
         self.assertIsNone(span.make_notice("t", 1.0))
         span.record_answer(5, True)
         span.record_answer(9, False)
-        self.assertEqual(span.make_notice("t", 2.0), TableNotice("t", 5, 9, 2.0))
+        self.assertEqual(span.make_notice("t", 2.0), TableNotice("t", 1, 5, 9, 2.0))
         span.record_failure()
         self.assertIsNone(span.make_notice("t", 3.0))
         span.record_answer(12, False)
-        self.assertFalse(span.make_notice("t", 4.0).covers(9))
+        self.assertFalse(span.make_notice("t", 4.0).covers(1, 9))
+
+    def test_a_revision_of_another_era_is_not_covered(self):
+        span = UnchangedSpan(2)
+        span.record_answer(5, True)
+        notice = span.make_notice("t", 1.0)
+        self.assertTrue(notice.covers(2, 9))
+        self.assertFalse(notice.covers(1, 9))
+        self.assertTrue(notice.is_newer_than(TableNotice("t", 1, 40, 90, 0.5)))
 
 
 class EncodingTest(unittest.TestCase):
     def test_decoding_reverses_encoding(self):
-        for notice in (TableNotice("op", 3, 9, 12.5), TableNotice("op", 0, 0, None)):
+        for notice in (TableNotice("op", 1, 3, 9, 12.5), TableNotice("op", 0, 0, 0, None)):
             self.assertEqual(TableNotice.decode(notice.encode()), notice)
 
     @settings(max_examples=300, deadline=None)
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -83,7 +83,7 @@
         self._state = DirectState(cfg, self._rng)
         fleet_clock, eras = platform.fleet_clock, platform.eras
         table = EraTable(platform.table, eras, fleet_clock)
-        self._relay = TableRelay(cfg.peer_listen, self._state.members, fleet_clock)
+        self._relay = TableRelay(cfg.peer_listen, self._state.members, fleet_clock, eras)
         self._registry_watch = UpstreamRegistryWatch(
             table,
             platform.rows,
@@ -92,6 +92,7 @@
             self._rng,
             cfg.leaving_limit,
             self._relay,
+            eras,
         )
         self._watch = ConfigurationWatch(
             table,
@@ -101,6 +102,7 @@
             self._rng,
             cfg.stale_limit,
             self._relay,
+            eras,
         )
         self._client = DirectClient(LinkPacer(cfg.link_rate))
         guard = CrashGuard(self._state, self._client, self.metrics)
--- a/packages/bilberryplank/bilberryplank/_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/_table_relay.py
@@ -14,6 +14,7 @@
 from bilberryplank._logs import log_event
 from bilberryplank_core.direct import (
     TABLE_FORMAT,
+    EraTracker,
     FleetClock,
     FleetMembers,
     NoticeInvalid,
@@ -44,15 +45,20 @@
         listen: `ip:port` to hear at; empty to tell and hear nothing.
         members: The entries of the fleet.
         fleet_clock: Turns the store's times into those of this process.
+        eras: Eras of the store.
     """
 
     abstract = False
 
-    def __init__(self, listen: str, members: FleetMembers, fleet_clock: FleetClock) -> None:
+    def __init__(
+        self, listen: str, members: FleetMembers, fleet_clock: FleetClock, eras: EraTracker
+    ) -> None:
         super().__init__()
         self._listen = listen
         self._members = members
         self._fleet_clock = fleet_clock
+        self._eras = eras
+        eras.subscribe(self._forget_revisions)
         self._transport: asyncio.DatagramTransport | None = None
         self._spans: dict[str, UnchangedSpan] = {}
         self._heard: dict[str, TableNotice] = {}
@@ -80,6 +86,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    @property
+    def entries(self) -> int:
+        """Number of entries known."""
+        return self._members.size or 1
+
     @property
     def listens(self) -> bool:
         """True where others read the tables for this entry."""
@@ -89,7 +100,7 @@
     def answered(self, table: str, changes: TableChanges, whole: bool) -> None:
         """Takes in an answer of a table, and tells the others where this entry reads for them."""
         changed = whole or bool(changes.rows or changes.removed)
-        span = self._spans.setdefault(table, UnchangedSpan())
+        span = self._span(table)
         span.record_answer(changes.revision, changed)
         if self._transport is None or changes.store_time is None:
             return
@@ -139,10 +150,20 @@
 
     def lost(self, table: str) -> None:
         """Takes in that a read of a table failed."""
-        self._spans.setdefault(table, UnchangedSpan()).record_failure()
+        self._span(table).record_failure()
+
+    def _span(self, table: str) -> UnchangedSpan:
+        return self._spans.setdefault(table, UnchangedSpan(self._eras.current))
+
+    def _forget_revisions(self, _: int) -> None:
+        """Forgets what was said of an earlier era, and has the tables read at once."""
+        self._spans.clear()
+        self._heard.clear()
+        for arrival in self._arrivals.values():
+            arrival.set()
 
     async def next(self, table: str, timeout: float) -> TableNotice | None:
-        """Returns the newest notice that was not taken yet; None where none comes in time."""
+        """Returns the newest notice that was not taken yet; None where a read is due."""
         arrival = self._arrivals.setdefault(table, asyncio.Event())
         try:
             async with asyncio.timeout(max(0.0, timeout)):
@@ -180,7 +201,7 @@
         before = self._heard.get(notice.table)
         if before is None and len(self._heard) >= MAX_TABLES:
             return
-        if before is None or notice.upto >= before.upto:
+        if before is None or notice.is_newer_than(before):
             self._heard[notice.table] = notice
             self._arrivals.setdefault(notice.table, asyncio.Event()).set()
 
--- a/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
@@ -14,6 +14,7 @@
 from bilberryplank_core.contracts import Delete, Put, Row
 from bilberryplank_core.direct import (
     DirectUpstream,
+    EraTracker,
     FleetClock,
     FleetMembers,
     PromptSegment,
@@ -206,7 +207,7 @@
         guard, members, clock = self.new_guard(), FleetMembers(name), FleetClock(boot_time)
         members.update(self.rows, 0.0)
         clock.record_answer(boot_time(), boot_time(), boot_time())
-        relay = TableRelay(self.rows[name]["address"], members, clock)
+        relay = TableRelay(self.rows[name]["address"], members, clock, EraTracker())
         crashes = CrashRelay(relay, self.table, clock, members, guard, Random(name))
         for part in (relay, crashes):
             await part.start()
--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -6,10 +6,16 @@
 from random import Random
 
 from bilberryplank._clocks import boot_time
-from bilberryplank._direct_feeds import TableWatch
 from bilberryplank._table_relay import TableRelay
+from bilberryplank._table_watch import TableWatch
 from bilberryplank_core.contracts import Row
-from bilberryplank_core.direct import FleetClock, FleetMembers, PeerLiveness, TableChanges
+from bilberryplank_core.direct import (
+    EraTracker,
+    FleetClock,
+    FleetMembers,
+    PeerLiveness,
+    TableChanges,
+)
 from bilberryplank_core.errors import PlatformUnavailable
 
 ENTRIES = 12
@@ -18,24 +24,26 @@
 class Table:
     """A table whose revision and rows the test sets."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, eras):
         self.clock, self.revision, self.changed_at, self.calls = clock, 1, 1, 0
-        self.down = False
+        self.eras, self.era, self.down = eras, 1, False
 
     async def snapshot(self, table):
-        return self.answer(True)
+        return self.answer(True, self.eras.current)
 
     async def changes(self, table, after, wait):
+        sent_in = self.eras.current
         for _ in range(max(1, int(wait / 0.02))):
             if self.changed_at > after or not wait:
                 break
             await asyncio.sleep(0.02)
-        return self.answer(self.changed_at > after)
+        return self.answer(self.changed_at > after, sent_in)
 
-    def answer(self, changed):
+    def answer(self, changed, sent_in):
         self.calls += 1
         if self.down:
             raise PlatformUnavailable("down")
+        self.eras.record_answer(sent_in, self.era)
         rows = (Row("t", "k", self.changed_at, self.changed_at),) if changed else ()
         now = self.clock()
         return TableChanges(rows, (), self.revision, now, now)
@@ -43,13 +51,14 @@
 
 class Watch(TableWatch):
     abstract = False
-    seen, confirmed = 0, float("-inf")
+    seen, newest, confirmed = 0, 0, float("-inf")
 
     def take_all(self, changes):
         self.take_changes(changes)
 
     def take_changes(self, changes):
         self.seen = max([self.seen, *(row.value for row in changes.rows)])
+        self.newest = changes.rows[0].value if changes.rows else self.newest
         self.take_quiet(changes.as_of)
 
     def take_quiet(self, as_of):
@@ -72,10 +81,12 @@
             members, time = FleetMembers(name), FleetClock(self.clock)
             members.update(rows, 0.0)
             time.record_answer(self.clock(), self.clock(), self.clock())
-            relay, table = TableRelay(value["address"], members, time), Table(self.clock)
+            eras = EraTracker()
+            relay = TableRelay(value["address"], members, time, eras)
+            table = Table(self.clock, eras)
             self.relays.append(relay)
             self.tables.append(table)
-            self.watches.append(Watch(table, "t", Random(name), self.WAIT, relay))
+            self.watches.append(Watch(table, "t", Random(name), self.WAIT, relay, eras))
         for part in (*self.relays, *self.watches):
             await part.start()
 
@@ -107,6 +118,18 @@
         await asyncio.sleep(0.15)
         self.assertEqual([watch.seen for watch in self.watches], [7] * ENTRIES)
 
+    async def test_changes_after_a_restore_are_seen_though_known_revisions_lie_beyond_them(self):
+        await asyncio.sleep(0.6)
+        self.change(50)
+        await asyncio.sleep(0.2)
+        for table in self.tables:
+            table.revision, table.changed_at, table.era = 10, 9, 2
+        await asyncio.sleep(2 * self.WAIT)
+        self.assertEqual([watch.newest for watch in self.watches], [9] * ENTRIES)
+        self.change(11)
+        await asyncio.sleep(0.2)
+        self.assertEqual([watch.newest for watch in self.watches], [11] * ENTRIES)
+
     async def test_without_readers_each_reads_for_itself(self):
         await asyncio.sleep(0.6)
         for number in range(ENTRIES):
@@ -129,7 +152,7 @@
 
     async def test_an_entry_whose_port_is_taken_reads_for_itself(self):
         taken = self.relays[0]
-        other = TableRelay(taken._listen, taken._members, taken._fleet_clock)
+        other = TableRelay(taken._listen, taken._members, taken._fleet_clock, EraTracker())
         await other.start()
         self.assertFalse(other.listens)
         await other.stop()
