Keep upstreams that left out of use after the store came back from an older copy

What callers would see: requests to upstreams that announced their leaving seconds ago, or that have ended and whose address another service may have by now; sound upstreams that joined in the forgotten span are dropped. Cause: the registry took each row as the newest word of its upstream; a copy calls a leaving upstream ready and shows rows of removed and earlier instances. Change: an instance known to leave stays leaving; the row of an instance that was removed, or replaced by a later one, is held back until it is written in the new era, or for the time within which the store drops a row that nobody writes; upstreams that the copy lacks have the grace of an outage.

--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_upstream_registry.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_upstream_registry.py
@@ -7,7 +7,7 @@
 B = DirectUpstream("b", "s", "1.1.1.2:1", "z", 4, started_at=1)
 
 
-class UpstreamRegistryTest(unittest.TestCase):
+class RegistryTestCase(unittest.TestCase):
     def setUp(self):
         self.registry = UpstreamRegistry()
         self.registry.replace_all([A, B], 0.0)
@@ -15,6 +15,8 @@
     def available_names(self):
         return {upstream.name for upstream in self.registry.available("s")}
 
+
+class UpstreamRegistryTest(RegistryTestCase):
     def test_a_leaving_or_removed_upstream_gets_no_new_requests_at_once(self):
         change = self.registry.update([replace(A, leaving=True)], ["b"], 1.0)
         self.assertEqual([upstream.name for upstream in change.leaving], ["a"])
@@ -84,3 +86,66 @@
         self.registry.update([], ["a"], 3.0)
         self.registry.update([unknown], [], 4.0)
         self.assertEqual(self.available_names(), {"a", "b"})
+
+
+class RestoredStoreTest(RegistryTestCase):
+    """The store came back from a copy in which A and B are ready."""
+
+    def restore(self, now):
+        self.registry.begin_era(now)
+        return self.registry.replace_all([A, B], now + 0.1)
+
+    def test_an_upstream_that_left_stays_leaving_though_the_copy_calls_it_ready(self):
+        self.registry.update([replace(A, leaving=True)], [], 1.0)
+        self.assertFalse(self.restore(5.0))
+        self.assertEqual(self.available_names(), {"b"})
+        self.registry.update([A], [], 30.0)
+        self.assertEqual(self.available_names(), {"b"})
+
+    def test_an_upstream_that_left_and_ended_gets_nothing_though_the_copy_has_its_row(self):
+        self.registry.update([replace(A, leaving=True)], [], 1.0)
+        self.registry.update([], ["a"], 2.0)
+        self.restore(5.0)
+        self.assertEqual(self.available_names(), {"b"})
+        self.registry.expire(30.0)
+        self.assertEqual(self.available_names(), {"b"})
+
+    def test_a_removed_upstream_is_held_back_until_it_writes_its_row(self):
+        self.registry.update([], ["a"], 2.0)
+        self.restore(5.0)
+        self.assertEqual((self.available_names(), self.registry.held_back), ({"b"}, 1))
+        self.registry.replace_all([A, B], 6.0)
+        self.assertEqual(self.available_names(), {"b"})
+        change = self.registry.update([A], [], 7.0)
+        self.assertEqual([upstream.name for upstream in change.joined], ["a"])
+        self.assertEqual((self.available_names(), self.registry.held_back), ({"a", "b"}, 0))
+
+    def test_a_removed_upstream_whose_row_does_not_expire_is_used_again(self):
+        self.registry.update([], ["a"], 2.0)
+        self.restore(5.0)
+        self.assertEqual(self.registry.expires_at, 11.0)
+        self.assertFalse(self.registry.expire(10.9))
+        self.assertEqual([upstream.name for upstream in self.registry.expire(11.0).joined], ["a"])
+        self.assertEqual(self.available_names(), {"a", "b"})
+
+    def test_a_removed_upstream_whose_row_expires_is_not_used_again(self):
+        self.registry.update([], ["a"], 2.0)
+        self.restore(5.0)
+        self.registry.update([], ["a"], 8.0)
+        self.assertFalse(self.registry.expire(30.0))
+        self.assertEqual(self.available_names(), {"b"})
+
+    def test_an_upstream_that_the_copy_lacks_has_time_to_write_its_row(self):
+        newcomer = replace(A, name="c")
+        self.registry.update([newcomer], [], 1.0)
+        self.assertFalse(self.restore(5.0))
+        self.assertEqual(self.available_names(), {"a", "b", "c"})
+        self.registry.update([newcomer], [], 6.0)
+        self.assertFalse(self.registry.expire(30.0))
+        self.assertEqual(self.available_names(), {"a", "b", "c"})
+
+    def test_the_row_of_an_earlier_instance_does_not_take_the_place_of_the_present_one(self):
+        self.registry.update([replace(A, started_at=2, address="1.1.1.3:1")], [], 1.0)
+        self.assertFalse(self.restore(5.0))
+        self.assertEqual(self.registry.upstreams["a"].started_at, 2)
+        self.assertEqual(self.available_names(), {"a", "b"})
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -157,6 +157,10 @@
         """Gives rows that lapsed meanwhile the time to come back."""
         self.registry.record_store_recovery(boot_time())
 
+    def restored(self) -> None:
+        """Has outdated rows told from present ones."""
+        self.registry.begin_era(boot_time())
+
     def take_all(self, changes: TableChanges) -> None:
         """Takes in all rows."""
         self._tell(self.registry.replace_all(self._read_rows(changes.rows), boot_time()))
