Let a restored store confirm no configuration that is older than one in force, or may be

What callers would see: a key that was withdrawn works again, at an entry that starts or comes back from a cut right after the store was restored; entries that know better vouch for the store. Cause: each answer of the store confirmed the configuration in force, also one from a copy that lacks it, and a process without a recent configuration took the copy's for the newest. Change: while the store has an older version than the one in force it confirms nothing (and store_behind is logged); a process that was stale when the era began, or that starts within 2 s of its opening, is confirmed only after those 2 s, in which the operator writes again what is missing. All others go on as before.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_freshness.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_freshness.py
@@ -5,6 +5,10 @@
 it, on a clock that continues while the host is suspended, and refuses requests once the time limit
 can no longer be met.
 
+A store that comes back from an older copy may lack the newest configuration until the operator has
+written it again. It confirms nothing while it has an older one than this process, nor, for a while,
+for a process that can't tell.
+
 Motivating load: a key is withdrawn while some hosts can't reach the store.
 """
 
@@ -35,12 +39,14 @@
         stale_limit: Age in seconds above which nothing is served; None for no limit.
     """
 
-    __slots__ = ("_confirmed_at", "_stale_limit", "_sure_limit")
+    __slots__ = ("_confirmed_at", "_doubted_until", "_is_behind", "_stale_limit", "_sure_limit")
 
     def __init__(self, sure_limit: float, stale_limit: float | None) -> None:
         self._sure_limit = sure_limit
         self._stale_limit = stale_limit
         self._confirmed_at: float | None = None
+        self._doubted_until = float("-inf")
+        self._is_behind = False
 
     def set_limits(self, sure_limit: float, stale_limit: float | None) -> None:
         """Sets the limits from reloaded settings."""
@@ -48,10 +54,31 @@
         self._stale_limit = stale_limit
 
     def confirm(self, as_of: float) -> None:
-        """Records that the active configuration was the newest at `as_of`, or later."""
+        """Records that the store had the active configuration at `as_of`, or later.
+
+        It does not confirm anything while the store is known to have an older one, or may have one.
+        """
+        if self._is_behind or as_of < self._doubted_until:
+            return
         if self._confirmed_at is None or as_of > self._confirmed_at:
             self._confirmed_at = as_of
 
+    def doubt_until(self, until: float) -> None:
+        """Records that the store may have an older configuration up to a time.
+
+        It came back from an older copy. The operator writes again what is missing, but a process
+        that holds no recent configuration can't tell whether anything is.
+        """
+        self._doubted_until = max(self._doubted_until, until)
+
+    def doubt_left(self, now: float) -> float:
+        """Returns the seconds until an answer of the store confirms the configuration again."""
+        return max(0.0, self._doubted_until - now)
+
+    def set_behind(self, is_behind: bool) -> None:
+        """Records whether the store's configuration is older than the active one."""
+        self._is_behind = is_behind
+
     def age(self, now: float) -> float:
         """Returns the seconds since the last confirmation; infinity before the first."""
         return float("inf") if self._confirmed_at is None else now - self._confirmed_at
--- a/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -16,7 +16,7 @@
     UpstreamLoad,
 )
 from bilberryplank_core._errors import PlatformError, Refused
-from bilberryplank_core._store_era import EraTracker
+from bilberryplank_core._store_era import EraOpening, EraTracker
 from bilberryplank_core._window_counts import FleetClock
 
 HeaderFields = Iterable[tuple[str, str]]
@@ -64,6 +64,14 @@
             PlatformUnavailable: The table did not respond.
         """
 
+    async def opening(self) -> EraOpening | None:
+        """Returns when the present era of the store began; None for a store without eras.
+
+        Raises:
+            PlatformUnavailable: The table did not respond.
+        """
+        return None
+
     @abstractmethod
     async def forget(self, keys: Iterable[tuple[str, str]]) -> None:
         """Deletes rows, given as pairs of table and key, regardless of their revision."""
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_routes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_routes.py
@@ -114,3 +114,22 @@
         freshness_tracker = FreshnessTracker(2.0, None)
         freshness_tracker.confirm(0.0)
         self.assertIs(freshness_tracker.freshness(1e6), Freshness.UNCONFIRMED)
+
+    def test_a_store_with_an_older_configuration_confirms_nothing(self):
+        freshness_tracker = FreshnessTracker(2.0, 4.5)
+        freshness_tracker.confirm(10.0)
+        freshness_tracker.set_behind(True)
+        freshness_tracker.confirm(14.0)
+        self.assertEqual(freshness_tracker.age(15.0), 5.0)
+        freshness_tracker.set_behind(False)
+        freshness_tracker.confirm(14.5)
+        self.assertEqual(freshness_tracker.age(15.0), 0.5)
+
+    def test_a_store_that_may_be_behind_confirms_nothing_for_a_while(self):
+        freshness_tracker = FreshnessTracker(2.0, 4.5)
+        freshness_tracker.doubt_until(12.0)
+        freshness_tracker.confirm(11.9)
+        self.assertIs(freshness_tracker.freshness(11.9), Freshness.STALE)
+        self.assertEqual(freshness_tracker.doubt_left(11.0), 1.0)
+        freshness_tracker.confirm(12.0)
+        self.assertIs(freshness_tracker.freshness(12.0), Freshness.CONFIRMED)
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -103,6 +103,7 @@
             cfg.stale_limit,
             self._relay,
             eras,
+            fleet_clock,
         )
         self._client = DirectClient(LinkPacer(cfg.link_rate))
         guard = CrashGuard(self._state, self._client, self.metrics)
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -18,6 +18,8 @@
     DirectRowDecoder,
     DirectUpstream,
     EraTracker,
+    FleetClock,
+    Freshness,
     FreshnessTracker,
     RegistryChange,
     TableChanges,
@@ -37,6 +39,9 @@
 STALE_SHARE = 0.4
 """Share of the stale limit that a read may wait: what is known must not turn stale in between."""
 
+DOUBT_SECONDS = 2.0
+"""Time after a restore of the store within which the operator writes again what is missing."""
+
 LEAST_EXPIRY_SECONDS = 0.01
 """Bounds the timers where two clocks differ a little."""
 
@@ -61,6 +66,7 @@
         stale_limit: float,
         relay: TableRelay,
         eras: EraTracker,
+        fleet_clock: FleetClock,
     ) -> None:
         wait = min(CONFIGURATION_WAIT_SECONDS, STALE_SHARE * stale_limit)
         super().__init__(table, rows.configuration_table, rng, wait, relay, eras)
@@ -68,9 +74,31 @@
         self.configuration: DirectConfiguration | None = None
         self._rows = rows
         self._apply = apply
+        self._fleet_clock = fleet_clock
+        self._told_behind = 0
+
+    async def prepare(self) -> None:
+        """Learns whether the store was restored right before this process started."""
+        opening = await self._table.opening()
+        if self.configuration is None and opening is not None and not opening.first:
+            left = opening.opened_at + DOUBT_SECONDS - self._fleet_clock.store_time()
+            self.freshness_tracker.doubt_until(boot_time() + left)
+
+    def restored(self) -> None:
+        """Has the store confirm nothing for a while where this process was cut off from it."""
+        now = boot_time()
+        if self.freshness_tracker.freshness(now) is Freshness.STALE:
+            self.freshness_tracker.doubt_until(now + DOUBT_SECONDS)
+
+    def longest_wait(self) -> float:
+        """Returns the seconds that a read may wait for a change."""
+        doubt_left = self.freshness_tracker.doubt_left(boot_time())
+        return min(self._wait, doubt_left) if doubt_left else self._wait
 
     def take_all(self, changes: TableChanges) -> None:
         """Takes in all rows."""
+        if all(row.key != self._rows.configuration_key for row in changes.rows):
+            self._compare(0)
         self._take(changes)
 
     def take_changes(self, changes: TableChanges) -> None:
@@ -102,6 +130,7 @@
                 cause=exc,
             )
             return False
+        self._compare(cfg.version)
         if cfg.version <= self._version():
             return True
         log_event(
@@ -116,6 +145,21 @@
         self._apply(cfg)
         return True
 
+    def _compare(self, version: int) -> None:
+        """Takes in the version that the store has; an older one than here confirms nothing."""
+        is_behind = version < self._version()
+        self.freshness_tracker.set_behind(is_behind)
+        if is_behind and self._told_behind != self._version():
+            self._told_behind = self._version()
+            log_event(
+                logger,
+                "store_behind",
+                level="ERROR",
+                version=version,
+                in_force=self._version(),
+                era=self._eras.current,
+            )
+
     def _version(self) -> int:
         return self.configuration.version if self.configuration else 0
 
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -91,6 +91,13 @@
     def returned(self) -> None:
         """Takes in that the table answers again."""
 
+    async def prepare(self) -> None:
+        """Called before each read of the whole table.
+
+        Raises:
+            PlatformError: The table did not answer.
+        """
+
     def longest_wait(self) -> float:
         """Returns the seconds that a read may wait for a change."""
         return self._wait
@@ -150,6 +157,7 @@
             await asyncio.sleep(self._rng.uniform(0, entries / RESTORE_READS_PER_SECOND))
         whole = self._revision is None
         if whole:
+            await self.prepare()
             changes = await self._table.snapshot(self._name)
             self._answered()
             self.take_all(changes)
