Write again what a restored store forgot of entries, true time and crash evidence

What callers would see: for up to a minute, entries that share allowances and windows by wrong numbers; windows counted by two figures of true time; a quarantine that an entry started anew does not know; an operator's lift carried out again over later crashes. Cause: each of these rows is written once, or seldom, and taken as lasting. The row of true time is checked when it is read.

--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -183,6 +183,11 @@
             raise PlatformUnavailable("the store's clock is not known yet")
         return self._clock() + self._store_ahead
 
+    @property
+    def offset(self) -> float | None:
+        """The offset that `set_offset` set, in seconds; None before."""
+        return self._offset
+
     def set_offset(self, offset: float) -> None:
         """Sets the fleet's offset: the time of day minus the store's clock, in seconds."""
         self._offset = offset
--- a/packages/bilberryplank/bilberryplank/_crash_relay.py
+++ b/packages/bilberryplank/bilberryplank/_crash_relay.py
@@ -13,6 +13,7 @@
 from bilberryplank._dependency import Dependency
 from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
+from bilberryplank._store_restorer import RestoredPart
 from bilberryplank._table_relay import TableRelay
 from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import (
@@ -50,8 +51,11 @@
 
 STORE_RETRY_SECONDS = 1.0
 
+MAX_REMEMBERED_LIFTS = 64
+"""Lifts carried out here whose rows are removed again where the store brings them back."""
 
-class CrashRelay(Service):
+
+class CrashRelay(Service, RestoredPart):
     """Sends, receives and stores evidence.
 
     Args:
@@ -84,6 +88,7 @@
         self._news = asyncio.Event()
         self._urgent = False
         self._unsaved = asyncio.Event()
+        self._lifted: dict[str, None] = {}
         self._dependency = Dependency("crash evidence")
         guard.told = self._told
 
@@ -93,6 +98,14 @@
         self.add_future(self._tell())
         self.add_future(self._keep())
 
+    async def restore(self) -> dict[str, int]:
+        """Writes again the crashes behind quarantines, and removes lifts that were carried out."""
+        await self._table.forget([(LIFT_TABLE, segment) for segment in self._lifted])
+        crashes = self._quarantining() & self._guard.confirmed
+        if crashes:
+            await self._save(crashes)
+        return {"crash_rows": len(crashes)}
+
     def _told(self, urgent: bool) -> None:
         self._news.set()
         if urgent:
@@ -172,6 +185,9 @@
         lifts = await self._table.snapshot(LIFT_TABLE)
         for row in lifts.rows:
             self._guard.lift(row.key)
+            self._lifted[row.key] = None
+            if len(self._lifted) > MAX_REMEMBERED_LIFTS:
+                del self._lifted[next(iter(self._lifted))]
         done = [*outdated, *((LIFT_TABLE, row.key) for row in lifts.rows)]
         if done:
             await self._table.forget(done)
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -26,6 +26,7 @@
 from bilberryplank._operations_server import OperationsServer, ProcessStatus, Readiness
 from bilberryplank._platform_metrics import meter_direct_platform
 from bilberryplank._seeds import new_epoch, process_rng
+from bilberryplank._store_restorer import StoreRestorer
 from bilberryplank._table_relay import TableRelay
 from bilberryplank._true_time_keeper import TrueTimeKeeper
 from bilberryplank._usage_relay import UsageRelay
@@ -153,9 +154,12 @@
             further_addresses=(cfg.metrics_listen,),
         )
         keeper = TrueTimeKeeper(table, fleet_clock)
+        restorer = StoreRestorer(eras, table, self._state.members, self.metrics, self._rng)
+        restorer.add(keeper, self._members, crash_relay)
         for part in (
             self._operations,
             self._relay,
+            restorer,
             self._watch,
             self._registry_watch,
             keeper,
--- a/packages/bilberryplank/bilberryplank/_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/_direct_members.py
@@ -13,6 +13,7 @@
 from bilberryplank._dependency import Dependency
 from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
+from bilberryplank._store_restorer import RestoredPart
 from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import FleetClock, FleetMembers, WatchedTable
 from bilberryplank_core.errors import PlatformError
@@ -38,7 +39,7 @@
 """Pauses differ by this share, so that entries that started together do not call together."""
 
 
-class MembersKeeper(Service):
+class MembersKeeper(Service, RestoredPart):
     """Writes this entry's row and reads all of them.
 
     Args:
@@ -89,6 +90,18 @@
         except PlatformError as exc:
             self._dependency.failed(exc)
 
+    async def restore(self) -> dict[str, int]:
+        """Writes this entry's row again, or removes it again where it was withdrawn.
+
+        The rows of others are read once they had time to write theirs.
+        """
+        if self._withdrawn:
+            await self._table.forget([(MEMBERS_TABLE, self._name)])
+            return {"entry_rows": 0}
+        await self._write(self._fleet_clock.store_time())
+        asyncio.get_running_loop().call_later(SETTLE_SECONDS, self._stranger.set)
+        return {"entry_rows": 1}
+
     def hear_stranger(self) -> None:
         """Has the rows read soon: an entry that is not known here sent a notice."""
         if boot_time() - self._looked_at > STRANGER_SECONDS:
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -177,6 +177,10 @@
         """Sets the number of prompt segments that are withheld from engines."""
         self._quarantines.set(count)
 
+    def store_restored(self) -> None:
+        """Counts a return of the store from an older copy."""
+        self._store_restores.inc()
+
     def platform_called(
         self, service: PlatformService, outcome: PlatformOutcome, seconds: float | None
     ) -> None:
@@ -253,6 +257,9 @@
         self._platform_seconds = self._histogram(
             "platform_seconds", "Time of calls.", PLATFORM_BUCKETS_SECONDS, "service"
         )
+        self._store_restores = self._counter(
+            "store_restores", "Returns of the store from an older copy of itself."
+        )
         self._version = self._gauge("configuration_version", "Configuration in force.")
         self._ignored = self._gauge(
             "configuration_ignored", "What only a newer release knows in it."
--- a/packages/bilberryplank/bilberryplank/_true_time_keeper.py
+++ b/packages/bilberryplank/bilberryplank/_true_time_keeper.py
@@ -3,23 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
+from typing import Any
 
 from loguru import logger
 from mode import Service
 
 from bilberryplank._dependency import Dependency
 from bilberryplank._logs import log_event
+from bilberryplank._store_restorer import RestoredPart
 from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import FleetClock, WatchedTable
-from bilberryplank_core.errors import Conflict, PlatformError
+from bilberryplank_core.errors import Conflict, PlatformError, PlatformUnavailable
 
 TIME_TABLE = "true-time"
 TIME_KEY = "offset"
 RETRY_SECONDS = 0.5
 
 
-class TrueTimeKeeper(Service):
+class TrueTimeKeeper(Service, RestoredPart):
     """Learns the fleet's figure of true time; writes it where nobody has."""
 
     abstract = False
@@ -34,10 +37,18 @@
         """Begins to ask."""
         self.add_future(self._learn())
 
+    async def restore(self) -> dict[str, int]:
+        """Writes the fleet's figure again where the store lacks it, or takes the store's."""
+        if self._fleet_clock.offset is None:
+            return {"true_time_rows": 0}
+        offset, written = await self._offset()
+        self._fleet_clock.set_offset(offset)
+        return {"true_time_rows": int(written)}
+
     async def _learn(self) -> None:
         while not self.should_stop:
             try:
-                offset = await self._offset()
+                offset, _ = await self._offset()
             except PlatformError as exc:
                 self._dependency.failed(exc)
                 await asyncio.sleep(RETRY_SECONDS)
@@ -47,17 +58,24 @@
             log_event(logger, "true_time_agreed", offset=offset)
             return
 
-    async def _offset(self) -> float:
+    async def _offset(self) -> tuple[float, bool]:
+        """Returns the fleet's figure, and whether this process wrote it."""
         row = await self._table.read(TIME_TABLE, TIME_KEY)
-        if row is None:
+        if row is not None:
+            return _read_offset(row.value), False
+        offset = self._fleet_clock.offset
+        if offset is None:
             offset = time.time() - self._fleet_clock.store_time()
-            value = {"offset": offset}
-            try:
-                await self._table.commit(
-                    [Condition(TIME_TABLE, TIME_KEY, 0)], [Put(TIME_TABLE, TIME_KEY, value)]
-                )
-            except Conflict:
-                row = await self._table.read(TIME_TABLE, TIME_KEY)
-            else:
-                return offset
-        return float(row.value["offset"]) if row is not None else await self._offset()
+        condition = Condition(TIME_TABLE, TIME_KEY, 0)
+        try:
+            await self._table.commit([condition], [Put(TIME_TABLE, TIME_KEY, {"offset": offset})])
+        except Conflict:
+            return await self._offset()
+        return offset, True
+
+
+def _read_offset(value: Any) -> float:
+    match value:
+        case {"offset": float(offset)} if math.isfinite(offset):
+            return offset
+    raise PlatformUnavailable("the row of true time cannot be read")
