Let the entries of a fleet try a prompt part in turn once its quarantine has ended

What callers would see: when a quarantine ends while requests with the part still come, each entry sends one of them at the same moment, and as many engines crash as there are entries. Change: entries are ranked for each part by rendezvous hash; each may try 2 s after the one before it, in which a crash of the first has reached all; after eight turns without a request all may.

--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -13,7 +13,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from bilberryplank_core._rendezvous import is_ranked
+from bilberryplank_core._rendezvous import is_ranked, rank_of
 from bilberryplank_core._table_notices import MIN_ENTRIES_FOR_POLLERS, is_table_poller
 
 MEMBER_LIFETIME_SECONDS = 200.0
@@ -72,6 +72,10 @@
         """Returns True if this entry contends for a lease all the time."""
         return is_ranked(lease, self._name, self._names, LEASE_CONTENDERS)
 
+    def rank(self, job: str) -> int:
+        """Returns the number of entries that rank before this one for a job."""
+        return rank_of(job, self._name, self._names)
+
     @property
     def addresses(self) -> frozenset[str]:
         """Addresses (`ip:port`) at which the other entries receive notices."""
--- a/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_prompt_quarantine.py
@@ -10,7 +10,7 @@
 request is withheld only if one of its own segments must have caused a crash. If other segments
 explain all crashes of its quarantined ones as well, one request at a time is let through as a
 trial: a response clears its segments, a crash singles them out. The same goes for a quarantine that
-has ended; a further crash doubles it.
+has ended, which the entries of a fleet try in turn; a further crash doubles it.
 
 Motivating load: see `_crash_evidence`.
 """
@@ -18,7 +18,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -40,6 +40,13 @@
 TRIAL_RETRY_SECONDS = 1.0
 """When to come back while another request tries a segment."""
 
+TURN_SECONDS = 2.0
+"""After a quarantine, each entry waits this much longer than the one before it to try the segment:
+by then a crash is known to all."""
+
+MAX_TURNS = 8
+"""Turns before all other entries may try: none of those before had a request with the segment."""
+
 SETTLED_SECONDS = 0.5
 """An engine that still sends events this long after the first did not crash on the prompt."""
 
@@ -82,13 +89,17 @@
 class PromptQuarantine:
     """Quarantines of one entry, derived from the evidence that all entries share.
 
+    Args:
+        rank: Returns the place of this entry in the order in which entries try a segment again.
+
     Attributes:
         evidence: Crashes and suspects.
     """
 
-    __slots__ = ("_trials", "evidence")
+    __slots__ = ("_rank", "_trials", "evidence")
 
-    def __init__(self) -> None:
+    def __init__(self, rank: Callable[[str], int] = lambda _: 0) -> None:
+        self._rank = rank
         self.evidence = CrashEvidence()
         self._trials: dict[str, str] = {}
 
@@ -129,6 +140,9 @@
                 continue
             if self._is_in_force(quarantine, segments, now):
                 return Withheld(quarantine, quarantine.until - now)
+            turn_at = quarantine.until + TURN_SECONDS * min(self._rank(segment), MAX_TURNS)
+            if quarantine.until <= now < turn_at:
+                return Withheld(quarantine, turn_at - now)
             if self._trials.get(segment, request_id) != request_id:
                 return Withheld(quarantine, TRIAL_RETRY_SECONDS)
             trials.append(segment)
--- a/packages/bilberryplank-core/bilberryplank_core/_rendezvous.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_rendezvous.py
@@ -22,10 +22,12 @@
     return nlargest(count, names, key=lambda name: (rendezvous_weight(job, name), name))
 
 
+def rank_of(job: str, name: str, names: Iterable[str]) -> int:
+    """Returns how many of `names` rank before `name` for a job."""
+    own = (rendezvous_weight(job, name), name)
+    return sum((rendezvous_weight(job, other), other) > own for other in names if other != name)
+
+
 def is_ranked(job: str, name: str, names: Iterable[str], count: int) -> bool:
     """Returns True where `name` is among the first `count` of `names` and itself."""
-    own = (rendezvous_weight(job, name), name)
-    higher_ranked = sum(
-        (rendezvous_weight(job, other), other) > own for other in names if other != name
-    )
-    return higher_ranked < count
+    return rank_of(job, name, names) < count
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
@@ -136,6 +136,26 @@
         self.crash(end + 1.0, "dead")
         self.assertFalse(self.admitted(end + 1.0 + QUARANTINE_SECONDS * 1.9, "dead"))
 
+    def test_a_quarantine_that_has_ended_is_tried_by_one_entry_of_the_fleet_at_a_time(self):
+        crashed = 0
+        evidence = [(1.0, "e1"), (3.0, "e2")]
+        fleet = [PromptQuarantine(lambda _, rank=rank: rank) for rank in range(12)]
+        for quarantine in fleet:
+            for at, engine in evidence:
+                quarantine.evidence.add(CrashRecord(engine, at, {"dead"}))
+        # Each entry has such a request every 0.1 s; a crash is known to all 0.5 s later.
+        ended_at = 3.0 + QUARANTINE_SECONDS
+        for step in range(60):
+            now = ended_at + step * 0.1
+            for quarantine in fleet:
+                if quarantine.admit(f"r{step}", ["dead"], now) is None:
+                    crashed += 1
+                    quarantine.evidence.add(CrashRecord(f"x{crashed}", now, {"dead"}))
+            if step == 5:
+                for quarantine in fleet:
+                    quarantine.evidence.add(CrashRecord("x1", ended_at, {"dead"}))
+        self.assertEqual(crashed, 1)
+
     def test_suspects_are_not_retried_and_sound_ones_are(self):
         self.evidence.record_sound(["popular"], 0.0)
         self.crash(1.0, "popular", "dead")
--- a/packages/bilberryplank/bilberryplank/_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/_crash_guard.py
@@ -68,7 +68,7 @@
     """
 
     def __init__(self, state: DirectState, client: DirectClient, metrics: ProcessMetrics) -> None:
-        self.quarantine = PromptQuarantine()
+        self.quarantine = PromptQuarantine(state.members.rank)
         self.confirmed: set[str] = set()
         self.told: Callable[[bool], None] = lambda _: None
         self._state = state
