Have an entry ready only once it has read what others know of crashes

Cause: readiness waited for the configuration and the upstreams, not for the table of crashes. Change: it waits for the first read of that table too, one call that is made at the start anyway.

--- a/packages/bilberryplank/bilberryplank/_crash_relay.py
+++ b/packages/bilberryplank/bilberryplank/_crash_relay.py
@@ -65,6 +65,9 @@
         members: The entries of the fleet.
         guard: Holds the evidence.
         rng: Chooses entries and spreads the calls.
+
+    Attributes:
+        is_loaded: True once the table was read.
     """
 
     abstract = False
@@ -89,6 +92,7 @@
         self._urgent = False
         self._unsaved = asyncio.Event()
         self._lifted: dict[str, None] = {}
+        self.is_loaded = False
         self._dependency = Dependency("crash evidence")
         guard.told = self._told
 
@@ -148,16 +152,15 @@
     async def _keep(self) -> None:
         """Reads the table at the start and while a segment is quarantined; writes what is new."""
         pause = 0.0
-        known = False
         while not self.should_stop:
             await set_within(self._unsaved, pause)
             quarantining = self._quarantining()
             try:
                 if quarantining & self._guard.confirmed:
                     await self._save(quarantining & self._guard.confirmed)
-                if quarantining or not known:
+                if quarantining or not self.is_loaded:
                     await self._load()
-                    known = True
+                    self.is_loaded = True
             except PlatformError as exc:
                 self._dependency.failed(exc)
                 self._unsaved.clear()
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -108,7 +108,7 @@
         )
         self._client = DirectClient(LinkPacer(cfg.link_rate))
         guard = CrashGuard(self._state, self._client, self.metrics)
-        crash_relay = CrashRelay(
+        self._crash_relay = CrashRelay(
             self._relay, table, fleet_clock, self._state.members, guard, self._rng
         )
         counts = WindowCounts(cfg.usage_window)
@@ -155,7 +155,7 @@
         )
         keeper = TrueTimeKeeper(table, fleet_clock)
         restorer = StoreRestorer(eras, table, self._state.members, self.metrics, self._rng)
-        restorer.add(keeper, self._members, crash_relay)
+        restorer.add(keeper, self._members, self._crash_relay)
         for part in (
             self._operations,
             self._relay,
@@ -165,7 +165,7 @@
             keeper,
             self._members,
             WorkRelay(self._relay, self._state),
-            crash_relay,
+            self._crash_relay,
             self._usage,
         ):
             await self._start_part(part)
@@ -242,7 +242,11 @@
     async def _keep_readiness(self) -> None:
         while not self.should_stop:
             now = boot_time()
-            known = self._state.routes is not None and bool(self._registry_watch.registry.upstreams)
+            known = (
+                self._state.routes is not None
+                and bool(self._registry_watch.registry.upstreams)
+                and self._crash_relay.is_loaded
+            )
             usable = self._state.freshness_tracker.freshness(now) is not Freshness.STALE
             before = self._operations.readiness
             after = Readiness.READY if known and usable else Readiness.STARTING
