--- a/packages/bilberryplankctl/bilberryplankctl/tests/test_log_lines.py
+++ b/packages/bilberryplankctl/bilberryplankctl/tests/test_log_lines.py
@@ -43,6 +43,18 @@
         ]
         self.assertEqual(explain_lines(lines, "r1"), [lines[0], lines[3]])
 
+    def test_a_request_refused_after_a_restore_of_the_store_comes_with_the_restore(self):
+        lines = [
+            line(1.0, "store_era_began", era=2),
+            line(1.1, "store_behind", version=9, in_force=13),
+            line(1.2, "store_restored", process="front-2", era=2),
+            line(1.6, "store_restored", era=2, entry_rows=1),
+            line(5.0, "request_refused", request="r1", reason="configuration_stale"),
+            line(25.0, "request_refused", request="r2", reason="configuration_stale"),
+        ]
+        self.assertEqual(explain_lines(lines, "r1"), [*lines[:2], *lines[3:5]])
+        self.assertEqual(explain_lines(lines, "r2"), [lines[5]])
+
     def test_an_unknown_request_is_said_so(self):
         with self.assertRaises(NotFound):
             explain_lines(LINES, "r9")
