Let no row of an era that another writer spoilt or removed stop conditional writes

What operators would see: no lease and no usage report until the next restore. Cause: the row of the present era was read once and kept; a row without its fields was an error for ever. Change: after a conflict the row is read again, or written where it is gone; a row that cannot be read counts as written now, which is the safe side for windows and configuration, with a log line.

--- a/packages/bilberryplank/bilberryplank/_era_table.py
+++ b/packages/bilberryplank/bilberryplank/_era_table.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
+from loguru import logger
+
+from bilberryplank._logs import log_event
 from bilberryplank_core.contracts import Condition, Delete, Put, Row, Write
 from bilberryplank_core.direct import (
     ERA_TABLE,
@@ -15,7 +19,7 @@
     WatchedTable,
     era_key,
 )
-from bilberryplank_core.errors import Conflict, PlatformUnavailable
+from bilberryplank_core.errors import Conflict
 
 
 class EraTable(WatchedTable):
@@ -48,7 +52,7 @@
         if not era:
             return None
         found = [row for row in rows if row.key == era_key(era)]
-        self._opening = _read(era, found[0]) if found else await self._open(era, rows)
+        self._opening = self._read(era, found[0]) if found else await self._open(era, rows)
         return self._opening
 
     async def _open(self, era: int, earlier: list[Row]) -> EraOpening:
@@ -62,9 +66,18 @@
             row = await self._table.read(ERA_TABLE, key)
             if row is None:
                 raise
-            return _read(era, row)
+            return self._read(era, row)
         return EraOpening(era, revision, opened_at, first)
 
+    def _read(self, era: int, row: Row) -> EraOpening:
+        match row.value:
+            case {"at": float(opened_at), "first": bool(first)} if math.isfinite(opened_at):
+                return EraOpening(era, row.revision, opened_at, first)
+        # The latest time that the era can have begun is the safe one.
+        opened_at = self._fleet_clock.store_time()
+        log_event(logger, "era_row_unreadable", level="WARNING", era=era, revision=row.revision)
+        return EraOpening(era, row.revision, opened_at)
+
     async def read(self, table: str, key: str) -> Row | None:
         """Returns a row, or None where there is none."""
         return await self._table.read(table, key)
@@ -81,7 +94,12 @@
             return await self._table.commit(conditions, writes)
         if made_in and opening.era != made_in:
             raise EraChanged(f"a write of era {made_in} was not sent in era {opening.era}")
-        return await self._table.commit([*conditions, opening.condition], writes)
+        try:
+            return await self._table.commit([*conditions, opening.condition], writes)
+        except Conflict:
+            # It may be the era's row that another writer spoilt or removed.
+            self._opening = None
+            raise
 
     async def snapshot(self, table: str) -> TableChanges:
         """Returns all rows of a table as of one moment."""
@@ -94,10 +112,3 @@
     async def forget(self, keys: Iterable[tuple[str, str]]) -> None:
         """Removes rows, named by table and key, whatever their revision."""
         await self._table.forget(keys)
-
-
-def _read(era: int, row: Row) -> EraOpening:
-    match row.value:
-        case {"at": float(opened_at), "first": bool(first)}:
-            return EraOpening(era, row.revision, opened_at, first)
-    raise PlatformUnavailable(f"the row of era {era} cannot be read")
