Give out no fencing token twice when the store comes back from an older copy

Cause: a grant's token is that of the lease's row plus one, and the row goes back with the copy. Change: the token of a grant is higher than all of earlier eras (next_fence). Rows keep their form, so older releases go on from the higher number.

--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -21,6 +21,7 @@
 from bilberryplank_core._errors import Conflict, PlatformUnavailable
 from bilberryplank_core._lease_guard import LeaseGuard
 from bilberryplank_core._lease_rows import TABLE, LeaseRow, fence_key, lease_row
+from bilberryplank_core._store_era import EraTracker, next_fence
 
 RENEWALS_PER_LEASE = 3
 JITTER_SHARE = 0.2
@@ -45,6 +46,7 @@
     __slots__ = (
         "_clock",
         "_duration",
+        "_eras",
         "_expires_at",
         "_relinquished_grant",
         "_grant",
@@ -70,6 +72,7 @@
         margin: float,
         rng: Random,
         make_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+        eras: EraTracker | None = None,
     ) -> None:
         """Initialises a contender that does not hold the lease yet.
 
@@ -83,6 +86,7 @@
             margin: Seconds by which a holder stops early and a contender waits longer.
             rng: Random number generator for the jitter.
             make_id: Returns a unique id for each grant.
+            eras: Eras of the table service; None if it has none.
         """
         self._name = name
         self._owner = owner
@@ -99,6 +103,7 @@
         self._observed_at = 0.0
         self._relinquished_grant = ""
         self._unreleased_grant: _Grant | None = None
+        self._eras = eras or EraTracker()
 
     @property
     def name(self) -> str:
@@ -229,7 +234,8 @@
         return self._grant is not None and current.grant == self._grant.row.grant
 
     async def _write_grant(self, revision: int, last_fence: int) -> bool:
-        new = LeaseRow(self._owner, self._make_id(), last_fence + 1, self._duration)
+        fence = next_fence(self._eras.current, last_fence)
+        new = LeaseRow(self._owner, self._make_id(), fence, self._duration)
         sent_at = self._clock()
         self._pending_grants[new.grant] = sent_at
         fence_value = {"grant": new.grant, "fence": new.fence}
--- a/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from bilberryplank_core.contracts import ObjectStore, Put, Row, Table
+from bilberryplank_core.direct import EraTracker
 from bilberryplank_core.errors import Conflict, PlatformUnavailable
 
 
@@ -84,6 +85,71 @@
         return self._revision
 
 
+class RestoredTable(Table):
+    """A process's view of a table service that comes back from older copies of itself.
+
+    Attributes:
+        eras: Eras as this process knows them.
+    """
+
+    def __init__(self, store, eras=None):
+        self.store = store
+        self.eras = eras or EraTracker()
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def _answered(self, call):
+        sent_in = self.eras.current
+        try:
+            result = await call
+        except Conflict:
+            self.eras.record_answer(sent_in, self.store.era)
+            raise
+        self.eras.record_answer(sent_in, self.store.era)
+        return result
+
+    async def read(self, table, key):
+        return await self._answered(self.store.read(table, key))
+
+    async def scan(self, table, prefix="", limit=1000):
+        return await self._answered(self.store.scan(table, prefix, limit))
+
+    async def commit(self, conditions, writes):
+        era = self.eras.current if conditions else 0
+        return await self._answered(self.store.commit_in(era, conditions, writes))
+
+
+class RestorableTable(MemoryTable):
+    """A table service that can come back from a copy: its revisions are given out again.
+
+    Attributes:
+        era: Number of the present era.
+        opened: The latest era in which a conditional write was made; those of others fail.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.era = 1
+        self.opened = 0
+
+    async def commit_in(self, era, conditions, writes):
+        """Writes as a process does that knows an era; 0 for a write on no conditions."""
+        if era == self.era:
+            self.opened = era
+        if era and self.opened and era != self.opened:
+            raise Conflict("the row of the era has another revision")
+        return await self.commit(conditions, writes)
+
+    def keep_copy(self):
+        return dict(self.rows), self._revision
+
+    def restore(self, kept):
+        rows, self._revision = kept
+        self.rows = dict(rows)
+        self.era += 1
+
+
 class MemoryObjectStore(ObjectStore):
     def __init__(self):
         self.objects = {}
