Grant no lease by what a restored store says of an earlier era

Cause: a holder took the copy's row (none, released, its own) for the present state, while the grant in force was in the part of the history that the copy lacks. Change: on a change of era a holder drops its grant, pending grants and what it saw and heard. A row of an earlier era, or none, frees the lease only a duration and a margin after this process first knew of the era, and where the row was seen unchanged for as long (an older release may renew it). The last holder of the era before goes on at once where its last renewal was sent less than the duration and half of the margin before it knew of the new era: a contender would have had to wait longer. sole_since tells since when no other process held the lease.

--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -8,6 +8,11 @@
 
 No wait is needed for a grant that its holder no longer uses: the contender's own expired grant, or
 one whose holder announced that it relinquished it.
+
+A store may come back from an older copy, which begins a new era. Then a lease row of an earlier
+era, or none, does not tell who holds the lease: the grant in force may be gone. Contenders wait
+until every grant of an earlier era has expired: for the same time from when they first knew of the
+new era.
 """
 
 from __future__ import annotations
@@ -20,12 +25,21 @@
 from bilberryplank_core._contracts import Condition, Put, Row, Table
 from bilberryplank_core._errors import Conflict, PlatformUnavailable
 from bilberryplank_core._lease_guard import LeaseGuard
-from bilberryplank_core._lease_rows import TABLE, LeaseRow, fence_key, lease_row
-from bilberryplank_core._store_era import EraTracker, next_fence
+from bilberryplank_core._lease_rows import (
+    TABLE,
+    LeaseRow,
+    fence_key,
+    lease_row,
+)
+from bilberryplank_core._store_era import EraTracker, era_of_fence, next_fence
 
 RENEWALS_PER_LEASE = 3
 JITTER_SHARE = 0.2
 
+LAST_HOLDER_MARGIN_SHARE = 0.5
+"""Share of the margin within which the last holder of an era still knows that nobody followed it;
+the rest is for clocks that run at different rates."""
+
 
 @dataclass(slots=True, frozen=True)
 class _Grant:
@@ -46,8 +60,11 @@
     __slots__ = (
         "_clock",
         "_duration",
+        "_era",
+        "_era_known_at",
         "_eras",
         "_expires_at",
+        "_is_last_holder",
         "_relinquished_grant",
         "_grant",
         "_make_id",
@@ -59,6 +76,7 @@
         "_rng",
         "_observed_at",
         "_observed_revision",
+        "_sole_since",
         "_table",
     )
 
@@ -103,7 +121,12 @@
         self._observed_at = 0.0
         self._relinquished_grant = ""
         self._unreleased_grant: _Grant | None = None
+        self._sole_since = float("inf")
+        self._is_last_holder = False
         self._eras = eras or EraTracker()
+        self._era = 0
+        self._era_known_at = float("-inf")
+        self._eras.subscribe(self._begin_era)
 
     @property
     def name(self) -> str:
@@ -115,6 +138,11 @@
         """The fencing token of the latest grant held here; 0 without one."""
         return self._grant.row.fence if self._grant else 0
 
+    @property
+    def sole_since(self) -> float:
+        """Time on this process's clock since which no other has held the lease; inf if unknown."""
+        return self._sole_since
+
     def held(self, now: float) -> bool:
         """Returns whether this process holds the lease at `now` on its clock."""
         return self._grant is not None and now < self._expires_at
@@ -130,7 +158,7 @@
     def may_be_free(self) -> bool:
         """Returns whether the latest grant known here is expired or relinquished."""
         expired = self._grant is not None and not self.held(self._clock())
-        return expired or bool(self._relinquished_grant)
+        return expired or self._is_last_holder or bool(self._relinquished_grant)
 
     def guard(self) -> LeaseGuard:
         """Returns a guard that lets an order pass only under the present grant.
@@ -175,12 +203,14 @@
         if self.held(self._clock()):
             return True
         row = await self._table.read(TABLE, self._name)
+        if self._eras.current != self._era:
+            self._begin_era(self._eras.current)
         current = lease_row(row)
-        if current is not None and current.grant in self._pending_grants:
+        if row is not None and current is not None and current.grant in self._pending_grants:
             return await self._adopt_pending_grant(row, current)
         if not self._is_free(row, current):
             return False
-        return await self._write_grant(row.revision if row else 0, current.fence if current else 0)
+        return await self._write_grant(row.revision if row else 0, current)
 
     async def renew(self) -> bool:
         """Extends the lease; returns False if it is lost.
@@ -202,6 +232,7 @@
             The id of the relinquished grant; empty if there is none.
         """
         self._pending_grants.clear()
+        self._is_last_holder = False
         self._unreleased_grant, self._grant = self._grant or self._unreleased_grant, None
         return self._unreleased_grant.row.grant if self._unreleased_grant else ""
 
@@ -218,12 +249,44 @@
         except (Conflict, PlatformUnavailable):
             return
 
+    def _begin_era(self, era: int) -> None:
+        """Drops all that was granted, seen or announced in an earlier era."""
+        now = self._clock()
+        self._is_last_holder = self._is_last_holder or self._grant is not None
+        # A contender would have waited longer than this for the last renewal sent here.
+        renewed_at = self._expires_at - self._duration + self._margin
+        if now - renewed_at >= self._duration + self._margin * LAST_HOLDER_MARGIN_SHARE:
+            self._is_last_holder = False
+        if not self._is_last_holder:
+            self._sole_since = float("inf")
+        self._grant = self._unreleased_grant = None
+        self._pending_grants.clear()
+        self._relinquished_grant = ""
+        self._observed_revision = 0
+        self._era, self._era_known_at = era, now
+
     def _is_free(self, row: Row | None, current: LeaseRow | None) -> bool:
-        if row is None or current is None or current.released:
+        if row is None or current is None:
+            return self._is_last_holder or self._is_settled()
+        if self._era and era_of_fence(current.fence) != self._era:
+            # Released, relinquished or not: a later grant of that era may be lost.
+            return self._is_last_holder or (self._is_unchanged(row, current) and self._is_settled())
+        self._is_last_holder = False
+        if current.released:
             return True
         if current.grant == self._relinquished_grant or self._is_own_grant(current):
             return True
         self._relinquished_grant, self._grant = "", None
+        return self._is_unchanged(row, current)
+
+    def _is_settled(self) -> bool:
+        """Returns whether all grants of earlier eras have expired."""
+        return not self._era or (
+            self._clock() - self._era_known_at >= self._duration + self._margin
+        )
+
+    def _is_unchanged(self, row: Row, current: LeaseRow) -> bool:
+        """Returns whether the row was seen unchanged for so long that its grant has expired."""
         now = self._clock()
         if row.revision != self._observed_revision:
             self._observed_revision = row.revision
@@ -233,9 +296,10 @@
     def _is_own_grant(self, current: LeaseRow) -> bool:
         return self._grant is not None and current.grant == self._grant.row.grant
 
-    async def _write_grant(self, revision: int, last_fence: int) -> bool:
-        fence = next_fence(self._eras.current, last_fence)
+    async def _write_grant(self, revision: int, last: LeaseRow | None) -> bool:
+        fence = next_fence(self._era, last.fence if last else 0)
         new = LeaseRow(self._owner, self._make_id(), fence, self._duration)
+        is_own = self._is_last_holder or (last is not None and self._is_own_grant(last))
         sent_at = self._clock()
         self._pending_grants[new.grant] = sent_at
         fence_value = {"grant": new.grant, "fence": new.fence}
@@ -252,6 +316,8 @@
             return False
         if new.grant not in self._pending_grants:
             return False
+        if not is_own:
+            self._sole_since = self._clock()
         self._set_grant(_Grant(new, revision, revision), sent_at)
         return self.held(self._clock())
 
@@ -260,10 +326,11 @@
         sent_at = self._pending_grants.get(current.grant)
         if sent_at is None or fence_row is None or fence_row.value["grant"] != current.grant:
             return False
+        self._sole_since = self._clock()
         self._set_grant(_Grant(current, row.revision, fence_row.revision), sent_at)
         if self.held(self._clock()):
             return True
-        return await self._write_grant(row.revision, current.fence)
+        return await self._write_grant(row.revision, current)
 
     async def _extend(self) -> bool:
         sent_at = self._clock()
@@ -298,3 +365,4 @@
         self._grant = grant
         self._expires_at = sent_at + self._duration - self._margin
         self._pending_grants = {grant.row.grant: sent_at}
+        self._is_last_holder = False
