Refuse a spoiled lease row with a typed error, and pass over its unknown fields

What callers would see: one odd row of a lease ends the usage task of each entry, and with it the process, again and again. Cause: LeaseRow(**value) raises TypeError for any value of another form, which nobody catches; a field that a later release adds does the same. Change: lease_row checks the form and raises LeaseRowInvalid, a PlatformUnavailable, which every user of a lease handles; unknown fields are ignored. The fence row is read the same way.

--- a/packages/bilberryplank-core/bilberryplank_core/_lease_rows.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_lease_rows.py
@@ -6,9 +6,19 @@
 from typing import Any
 
 from bilberryplank_core._contracts import Row
+from bilberryplank_core._errors import PlatformUnavailable
 
 TABLE = "leases"
 
+MAX_FENCE = 2**53
+MAX_DURATION_SECONDS = 3600.0
+
+
+class LeaseRowInvalid(PlatformUnavailable):
+    """Raised for a spoiled lease row; the lease is granted to nobody until the row is gone."""
+
+    code = "lease_row_invalid"
+
 
 @dataclass(slots=True, frozen=True)
 class LeaseRow:
@@ -44,6 +54,31 @@
     return f"{name}/fence"
 
 
+def granted_in_fence_row(row: Row) -> str | None:
+    """Returns the id of the grant that a fence row tells; None if it tells none."""
+    match row.value:
+        case {"grant": str(grant)}:
+            return grant
+    return None
+
+
 def lease_row(row: Row | None) -> LeaseRow | None:
-    """Returns the value of a lease row, or None if there is no row."""
-    return None if row is None else LeaseRow(**row.value)
+    """Returns the value of a lease row, or None if there is no row.
+
+    Raises:
+        LeaseRowInvalid: The row holds something else.
+    """
+    if row is None:
+        return None
+    match row.value:
+        case {
+            "holder": str(holder),
+            "grant": str(grant),
+            "fence": int(fence),
+            "duration": int(duration) | float(duration),
+        } if (
+            0 <= fence <= MAX_FENCE and 0 < duration <= MAX_DURATION_SECONDS
+        ):
+            released = row.value.get("released") is True
+            return LeaseRow(holder, grant, fence, float(duration), released)
+    raise LeaseRowInvalid(f"the row of the lease {row.key} cannot be read")
--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -29,6 +29,7 @@
     TABLE,
     LeaseRow,
     fence_key,
+    granted_in_fence_row,
     lease_row,
 )
 from bilberryplank_core._store_era import EraTracker, era_of_fence, next_fence
@@ -324,7 +325,7 @@
     async def _adopt_pending_grant(self, row: Row, current: LeaseRow) -> bool:
         fence_row = await self._table.read(TABLE, fence_key(self._name))
         sent_at = self._pending_grants.get(current.grant)
-        if sent_at is None or fence_row is None or fence_row.value["grant"] != current.grant:
+        if sent_at is None or fence_row is None or granted_in_fence_row(fence_row) != current.grant:
             return False
         self._sole_since = self._clock()
         self._set_grant(_Grant(current, row.revision, fence_row.revision), sent_at)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_eras.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_eras.py
@@ -3,6 +3,8 @@
 import unittest
 from random import Random
 
+from bilberryplank_core._lease_rows import LeaseRowInvalid
+from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import LeaseHolder
 from bilberryplank_core.errors import Conflict, PlatformError
 from bilberryplank_core.tests._explore import Call, Process, SystemModel, explore
@@ -129,6 +131,16 @@
         self.assertFalse(self.second.held(self.now))
         self.assertFalse(await self.second.try_acquire())
 
+    async def test_a_spoiled_row_is_a_typed_error_and_an_unknown_field_is_none(self):
+        good = {"holder": "x", "grant": "g", "fence": 1, "duration": 6.0, "released": False}
+        await self.store.commit([], [Put("leases", "job", {**good, "later": 1})])
+        self.assertFalse(await self.first.try_acquire())
+        spoiled = [None, [], {}, {**good, "fence": "1"}, {**good, "duration": 10**400}]
+        for value in [*spoiled, {**good, "fence": 10**400}, {**good, "duration": float("nan")}]:
+            with self.subTest(value=str(value)[:80]), self.assertRaises(LeaseRowInvalid):
+                await self.store.commit([], [Put("leases", "job", value)])
+                await self.first.try_acquire()
+
 
 class EraStepTable(RestoredTable):
     """A process's view of the explored table; each call is a step."""
