Store the counts of usage windows again that a restored store lacks

What callers would see: windows billed too low after a restore: the requests of the seconds that the copy lacks are in no row. Cause: counts that the store acknowledged were taken as lasting and not written again. Change: on a change of era the counts of all windows that are kept, own and taken over, are unsaved again; UsageStore is a RestoredPart and stores them, at most 90 rows a call (a call of the platform's store takes 100 entries). They are not handed over to peers, as this process still has them. Evidence: without the listener, and without the bound, both new tests fail (0 rows again; 200 in a call).

--- a/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
@@ -128,6 +128,11 @@
                 del self._unsaved_rows[key]
             self._saved_rows[key] = counts
 
+    def mark_unsaved(self) -> None:
+        """Records that the store may lack all rows."""
+        self._unsaved_rows = {**self._saved_rows, **self._unsaved_rows}
+        self._saved_rows.clear()
+
     def forget_before(self, window: int) -> None:
         """Drops the rows of windows before `window`."""
         for rows in (self._unsaved_rows, self._saved_rows):
--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -64,6 +64,12 @@
         if self.counts_in(number) == counts:
             self._dirty.discard(number)
 
+    def mark_unsaved(self) -> set[int]:
+        """Records that the store may lack the counts of all windows; returns the windows it had."""
+        saved = set(self._counts) - self._dirty
+        self._dirty.update(saved)
+        return saved
+
     def seconds_until_flush(self, now: float, interval: float, offset: float) -> float:
         """Returns the seconds until the counts should be stored next.
 
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -122,6 +122,7 @@
             self._flush_interval,
             self._rng,
             usage_relay.hand_over,
+            eras,
         )
         self._members = MembersKeeper(
             cfg.name,
@@ -155,7 +156,7 @@
         )
         keeper = TrueTimeKeeper(table, fleet_clock)
         restorer = StoreRestorer(eras, table, self._state.members, self.metrics, self._rng)
-        restorer.add(keeper, self._members, crash_relay)
+        restorer.add(keeper, self._members, crash_relay, self._usage)
         for part in (
             self._operations,
             self._relay,
--- a/packages/bilberryplank/bilberryplank/_usage_store.py
+++ b/packages/bilberryplank/bilberryplank/_usage_store.py
@@ -12,9 +12,11 @@
 from bilberryplank._dependency import Dependency
 from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
+from bilberryplank._store_restorer import RestoredPart
 from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import (
     CountsNotice,
+    EraTracker,
     FleetClock,
     HandedOverCounts,
     NoticeInvalid,
@@ -31,11 +33,14 @@
 KEPT_WINDOWS = 12
 """Windows whose counts are kept for a report that is late."""
 
+ROWS_PER_COMMIT = 90
+"""Rows in one call; a table service may take no more than 100 entries."""
+
 HandOver = Callable[[Mapping[int, Mapping[str, int]]], None]
 """Tells other entries the final counts of this process, by window."""
 
 
-class UsageStore(Service):
+class UsageStore(Service, RestoredPart):
     """Stores the counts of this process once a window has ended."""
 
     abstract = False
@@ -49,6 +54,7 @@
         interval: Callable[[], float],
         rng: Random,
         hand_over: HandOver,
+        eras: EraTracker,
     ) -> None:
         super().__init__()
         self._writer = writer
@@ -62,11 +68,21 @@
         self._counts = counts
         self._interval = interval
         self._dependency = Dependency("usage store")
+        eras.subscribe(self._begin_era)
 
     async def on_started(self) -> None:
         """Begins to store."""
         self.add_future(self._flush_regularly())
 
+    async def restore(self) -> dict[str, int]:
+        """Stores the counts of all windows that are kept here again."""
+        return {"counts_rows": await self.flush()}
+
+    def _begin_era(self, _: int) -> None:
+        # Others get only what this process could not store: those rows are stored again from here.
+        self._handed_over |= self._counts.mark_unsaved()
+        self._taken.mark_unsaved()
+
     def take(self, notice: CountsNotice) -> bool:
         """Takes in another process's counts, to be stored here; returns False for known ones.
 
@@ -81,9 +97,12 @@
             self._woken.set()
         return taken
 
-    async def flush(self) -> None:
+    async def flush(self) -> int:
         """Stores what has changed, the current window and the counts of others included.
 
+        Returns:
+            Number of rows written.
+
         Raises:
             PlatformError: The store did not take it; the counts stay here.
         """
@@ -91,18 +110,20 @@
         taken = self._taken.unsaved()
         rows = {**taken, **{(number, self._writer): value for number, value in own.items()}}
         if not rows:
-            return
+            return 0
         puts = [
             Put(COUNTS_TABLE, f"{number:012d}/{writer}", dict(value))
             for (number, writer), value in rows.items()
         ]
-        await self._table.commit([], list(puts))
+        for start in range(0, len(puts), ROWS_PER_COMMIT):
+            await self._table.commit([], list(puts[start : start + ROWS_PER_COMMIT]))
         for number, value in own.items():
             self._counts.mark_saved(number, value)
         self._taken.mark_saved(taken)
         oldest = max(number for number, _ in rows) - KEPT_WINDOWS
         self._counts.forget_before(oldest)
         self._taken.forget_before(oldest)
+        return len(rows)
 
     async def finish(self, timeout: float) -> None:
         """Stores all counts at the end of this process, or hands them over.
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -8,6 +8,8 @@
 from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import (
     CountsNotice,
+    EraChanged,
+    EraTracker,
     FleetClock,
     FleetMembers,
     NoticeInvalid,
@@ -40,7 +42,7 @@
 class UsageCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.now = START
-        self.table = MemoryTable()
+        self.table, self.eras = MemoryTable(), EraTracker()
         self.table.forget = self.forget
         self.reports = Reports()
         self.given_up, self.handed_over = [], []
@@ -62,6 +64,7 @@
             lambda: 1.0,
             Random(1),
             lambda rows: self.handed_over.append(rows),
+            self.eras,
         )
 
     async def flush(self):
@@ -187,6 +190,40 @@
         self.assertIsNone(await self.table.read(SEALS_TABLE, f"{FIRST:012d}"))
 
 
+class RestoredCountsTest(UsageCase):
+    async def test_counts_that_a_restored_store_lacks_are_stored_again_and_not_handed_over(self):
+        counts = WindowCounts(WINDOW)
+        store = self.usage_store("a/1", counts)
+        self.eras.record_answer(0, 1)
+        counts.add("org", START)
+        store.take(CountsNotice(FIRST, "b/1", {"org": 3}))
+        await store.flush()
+        before = {key: row.value for key, row in self.table.rows.items()}
+        self.table.rows.clear()
+        with self.assertRaises(EraChanged):
+            self.eras.record_answer(1, 2)
+        self.now = START + WINDOW
+        store._hand_over_ended()
+        self.assertEqual(self.handed_over, [{}])
+        self.assertEqual(await store.restore(), {"counts_rows": 2})
+        self.assertEqual({key: row.value for key, row in self.table.rows.items()}, before)
+
+    async def test_many_rows_are_stored_in_calls_that_a_store_takes(self):
+        store = self.usage_store("a/1", WindowCounts(WINDOW))
+        sizes = []
+        commit = self.table.commit
+        for number in range(200):
+            store.take(CountsNotice(FIRST, f"b/{number}", {"org": 3}))
+
+        async def counted(conditions, writes):
+            sizes.append(len(writes))
+            return await commit(conditions, writes)
+
+        self.table.commit = counted
+        self.assertEqual(await store.flush(), 200)
+        self.assertLessEqual(max(sizes), 100)
+
+
 class OutageTest(UsageCase):
     """Load pattern: entries stop, or are cut off alone, while the store does not answer."""
 
