Report no window with other counts after the store came back from an older copy

Cause: the seal of a window was taken as lasting. The copy lacks it, and the holder, or the next one, sums the rows that are left and reports again. Change: a seal fixes a window's counts over all eras. WindowSeals remembers the seals that a process made, read or heard of (SealNotice, format 7, told to four entries before the report), and writes them back after a change of era. A window that nobody remembers, and that may have been sealed before the era opened, is given up (usage_given_up), unless this process has held the lease alone since the window's end. Sealing waits until all entries had time to write again, up to the report's deadline. Rows of seals that another writer spoiled are logged and passed over, with their keys; counts are bounded.

--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -139,6 +139,16 @@
         """The fencing token of the latest grant held here; 0 without one."""
         return self._grant.row.fence if self._grant else 0
 
+    @property
+    def has_eras(self) -> bool:
+        """True if the table service tells its era."""
+        return bool(self._era)
+
+    @property
+    def era_known_at(self) -> float:
+        """Time on this process's clock when it first knew of the present era; -inf without one."""
+        return self._era_known_at
+
     @property
     def sole_since(self) -> float:
         """Time on this process's clock since which no other has held the lease; inf if unknown."""
--- a/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
@@ -16,6 +16,7 @@
 
 COUNTS_FORMAT = 3
 LEASE_FORMAT = 4
+SEAL_FORMAT = 7
 
 MAX_COUNTS_BYTES = 8192
 """Room for some 400 organisations; an entry at its target load serves 50 in a window."""
@@ -69,6 +70,46 @@
         return cls(window, writer, counts)
 
 
+@dataclass(slots=True, frozen=True)
+class SealNotice:
+    """The counts with which a window is reported.
+
+    Attributes:
+        window: Number of the window.
+        counts: Number of requests by organisation.
+    """
+
+    window: int
+    counts: Mapping[str, int]
+
+    def encode(self) -> bytes:
+        """Returns the notice as a datagram.
+
+        Raises:
+            NoticeInvalid: The counts do not fit into a notice.
+        """
+        data = msgpack.packb([SEAL_FORMAT, self.window, dict(self.counts)])
+        if len(data) > MAX_COUNTS_BYTES:
+            raise NoticeInvalid(
+                f"counts of {len(self.counts)} organisations exceed the size limit of a notice"
+            )
+        return data
+
+    @classmethod
+    def decode(cls, data: bytes) -> SealNotice:
+        """Returns the notice that a datagram holds.
+
+        Raises:
+            NoticeInvalid: The datagram is not a valid notice of this kind.
+        """
+        window, counts = unpack_notice(data, SEAL_FORMAT, MAX_COUNTS_BYTES, fields=2)
+        if type(window) is not int or window < 0:
+            raise NoticeInvalid("window is invalid")
+        if not isinstance(counts, dict) or not all(map(_is_count, counts.items())):
+            raise NoticeInvalid("counts are invalid")
+        return cls(window, counts)
+
+
 @dataclass(slots=True, frozen=True)
 class LeaseNotice:
     """A grant of a lease that its holder has relinquished.
--- a/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_window_counts.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bilberryplank_core._errors import PlatformUnavailable
+from bilberryplank_core._errors import PlatformError, PlatformUnavailable
 
 SEAL_DELAY_SECONDS = 2.5
 """Delay from a window's end to its finalization, in which entries that reach the store have stored
@@ -22,6 +22,18 @@
 MIN_FLUSH_PAUSE_SECONDS = 0.05
 """Limits the rate of calls when a timer fires slightly early by the fleet's clock."""
 
+MAX_NUMBER_DIGITS = 15
+"""Digits of a window's number in a key, beyond any clock."""
+
+MAX_COUNT = 2**53
+"""Upper bound of a valid count; JSON numbers are exact up to it."""
+
+
+class SealInvalid(PlatformError):
+    """Raised for the row of a seal that another writer spoiled."""
+
+    code = "seal_invalid"
+
 
 class WindowCounts:
     """Request counts of one process and which of them are not stored yet.
@@ -97,7 +109,7 @@
     total: Counter[str] = Counter()
     for value in values:
         if isinstance(value, dict):
-            total.update({name: count for name, count in value.items() if isinstance(count, int)})
+            total.update({name: count for name, count in value.items() if _is_count(count)})
     return {name: total[name] for name in sorted(total)}
 
 
@@ -223,5 +235,23 @@
 
 
 def read_seal(value: Any) -> WindowSeal:
-    """Returns the seal stored in a row's JSON value."""
-    return WindowSeal(dict(value["counts"]), bool(value["reported"]))
+    """Returns the seal stored in a row's JSON value.
+
+    Raises:
+        SealInvalid: The row holds something else.
+    """
+    match value:
+        case {"counts": dict(counts), "reported": bool(reported)}:
+            if all(isinstance(name, str) and _is_count(counts[name]) for name in counts):
+                return WindowSeal(dict(counts), reported)
+    raise SealInvalid("the row of a seal cannot be read")
+
+
+def window_of_key(key: str) -> int | None:
+    """Returns the number of the window that a row's key begins with; None if there is none."""
+    text = key.partition("/")[0]
+    return int(text) if len(text) <= MAX_NUMBER_DIGITS and text.isdecimal() else None
+
+
+def _is_count(value: object) -> bool:
+    return type(value) is int and 0 <= value <= MAX_COUNT
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -73,6 +73,11 @@
     Withheld,
     shared_segments,
 )
+from bilberryplank_core._restored_windows import (
+    SealMemory,
+    WindowGivenUp,
+    seal_may_be_forgotten,
+)
 from bilberryplank_core._store_era import (
     ERA_TABLE,
     EraChanged,
@@ -89,22 +94,35 @@
 from bilberryplank_core._usage_notices import (
     COUNTS_FORMAT,
     LEASE_FORMAT,
+    SEAL_FORMAT,
     CountsNotice,
     HandedOverCounts,
     LeaseNotice,
+    SealNotice,
 )
 from bilberryplank_core._window_counts import (
+    REPORT_MARGIN_SECONDS,
     SEAL_DELAY_SECONDS,
     FleetClock,
+    SealInvalid,
     WindowCounts,
     WindowSeal,
     may_seal,
     read_seal,
     sum_counts,
+    window_of_key,
 )
 from bilberryplank_core._window_retry_budget import WindowRetryBudget
 
 __all__ = [
+    "REPORT_MARGIN_SECONDS",
+    "SEAL_FORMAT",
+    "SealInvalid",
+    "SealMemory",
+    "SealNotice",
+    "WindowGivenUp",
+    "seal_may_be_forgotten",
+    "window_of_key",
     "ERA_TABLE",
     "EraChanged",
     "EraOpening",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_notices.py
@@ -6,10 +6,12 @@
 from bilberryplank_core.direct import (
     COUNTS_FORMAT,
     LEASE_FORMAT,
+    SEAL_FORMAT,
     CountsNotice,
     HandedOverCounts,
     LeaseNotice,
     NoticeInvalid,
+    SealNotice,
 )
 
 
@@ -17,6 +19,7 @@
     def test_notice_round_trip(self):
         for notice in (
             CountsNotice(356434701, "front-1/ab12", {"org": 3, "other": 0}),
+            SealNotice(356434701, {"org": 3}),
             LeaseNotice("usage", "5f0c"),
         ):
             with self.subTest(notice):
@@ -35,6 +38,11 @@
             (CountsNotice, [COUNTS_FORMAT, 1, "a/1", {"org": -1}]),
             (CountsNotice, [COUNTS_FORMAT, 1, "a/1", {"org": True}]),
             (CountsNotice, [COUNTS_FORMAT, 1, "a/1", {"o" * 9000: 1}]),
+            (SealNotice, [COUNTS_FORMAT, 1, {}]),
+            (SealNotice, [SEAL_FORMAT, -1, {}]),
+            (SealNotice, [SEAL_FORMAT, "1", {}]),
+            (SealNotice, [SEAL_FORMAT, 1, {"org": 1.0}]),
+            (SealNotice, [SEAL_FORMAT, 1, {"o" * 9000: 1}]),
             (LeaseNotice, [LEASE_FORMAT, "usage", 5]),
             (LeaseNotice, [LEASE_FORMAT, "", "5f0c"]),
             (LeaseNotice, [LEASE_FORMAT, "usage", "x" * 300]),
@@ -46,6 +54,8 @@
     def test_oversized_counts_are_rejected_and_not_truncated(self):
         with self.assertRaises(NoticeInvalid):
             CountsNotice(1, "a/1", {f"organisation-{n}": n for n in range(1000)}).encode()
+        with self.assertRaises(NoticeInvalid):
+            SealNotice(1, {f"organisation-{n}": n for n in range(1000)}).encode()
 
 
 class HandedOverCountsTest(unittest.TestCase):
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -37,6 +37,7 @@
     DirectPlatform,
     Freshness,
     LinkPacer,
+    SealNotice,
     WindowCounts,
 )
 from bilberryplank_core.errors import RefusalReason, SettingsInvalid
@@ -182,9 +183,12 @@
                 usage_relay.give_up,
                 self._relay.is_silent,
                 self._usage.flush,
+                usage_relay.tell_seal,
+                eras,
             )
+            restorer.add(self._reporter)
             await self._start_part(self._reporter)
-        usage_relay.hear(self._usage.take, self._take_given_up)
+        usage_relay.hear(self._usage.take, self._take_given_up, self._take_seal)
         await self._start_part(self._server)
         self.add_future(self._keep_readiness())
         self.add_future(self._keep_settings())
@@ -234,6 +238,10 @@
         if self._reporter is not None:
             self._reporter.take_given_up(lease, grant)
 
+    def _take_seal(self, notice: SealNotice) -> None:
+        if self._reporter is not None:
+            self._reporter.take_seal(notice)
+
     def _flush_interval(self) -> float:
         cfg = self._settings
         return self._state.members.flush_interval(
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
 
 from loguru import logger
@@ -13,25 +13,29 @@
 from bilberryplank._dependency import Dependency
 from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
+from bilberryplank._store_restorer import RESTORES_PER_SECOND, RestoredPart
+from bilberryplank._usage_seals import SEALS_TABLE, StoredSeal, WindowSeals
 from bilberryplank._usage_store import COUNTS_TABLE, KEPT_WINDOWS
-from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import (
     SEAL_DELAY_SECONDS,
     STANDBY_WAIT_FACTOR,
+    EraTracker,
     FleetClock,
     FleetMembers,
     LeaseHolder,
+    NoticeInvalid,
+    SealNotice,
     UsageReportSink,
     WatchedTable,
+    WindowGivenUp,
     WindowSeal,
     may_seal,
-    read_seal,
     sum_counts,
+    window_of_key,
 )
 from bilberryplank_core.errors import LeaseLost, PlatformError, ReportRejected
 from bilberryplank_core.settings import DirectEntrySettings
 
-SEALS_TABLE = "usage-seals"
 LEASE = "usage"
 POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.5
@@ -51,8 +55,11 @@
 GiveUp = Callable[[str, str], None]
 """Tells other entries a lease and its grant on which this process acts no more."""
 
+TellSeal = Callable[[int, Mapping[str, int]], None]
+"""Tells some entries the counts with which a window is reported."""
 
-class UsageReporter(Service):
+
+class UsageReporter(Service, RestoredPart):
     """Sums each window once, under a lease, and reports exactly what was sealed."""
 
     abstract = False
@@ -68,12 +75,30 @@
         rng: Random,
         give_up: GiveUp,
         is_silent: Callable[[str], bool],
-        flush: Callable[[], Awaitable[None]],
+        flush: Callable[[], Awaitable[object]],
+        tell_seal: TellSeal,
+        eras: EraTracker,
         clock: Callable[[], float] = boot_time,
     ) -> None:
         super().__init__()
         self.lease = LeaseHolder(
-            LEASE, owner, table, clock, settings.lease_duration, settings.lease_margin, rng
+            LEASE,
+            owner,
+            table,
+            clock,
+            settings.lease_duration,
+            settings.lease_margin,
+            rng,
+            eras=eras,
+        )
+        self._seals = WindowSeals(
+            table,
+            self.lease,
+            fleet_clock,
+            clock,
+            settings.usage_window,
+            settings.usage_deadline,
+            lambda: (members.size or 1) / RESTORES_PER_SECOND,
         )
         self._settings = settings
         self._table = table
@@ -87,16 +112,23 @@
         self._give_up = give_up
         self._is_silent = is_silent
         self._flush = flush
+        self._tell_seal = tell_seal
+        self._told: int | None = None
         self._awaited: tuple[int, set[str]] = (0, set())
         self._given_up = asyncio.Event()
         self._lease_calls = Dependency("usage lease")
         self._report_calls = Dependency("usage reports")
+        eras.subscribe(self._begin_era)
 
     async def on_started(self) -> None:
         """Begins to contend."""
         self.add_future(self._contend())
         self.add_future(self._report_regularly())
 
+    async def restore(self) -> dict[str, int]:
+        """Writes the seals again that the store lacks and this process remembers."""
+        return {"seals": await self._seals.write_back()}
+
     async def retire(self) -> None:
         """Gives the lease up at the start of a planned stop, and contends no more.
 
@@ -117,6 +149,23 @@
             self.lease.record_relinquished(grant)
             self._given_up.set()
 
+    def take_seal(self, notice: SealNotice) -> None:
+        """Takes in the counts with which another entry reports a window.
+
+        Raises:
+            NoticeInvalid: The window is not one of the last.
+        """
+        now = self._fleet_clock.now()
+        windows_ago = -1 if now is None else now // self._settings.usage_window - notice.window
+        if not 0 < windows_ago <= KEPT_WINDOWS:
+            raise NoticeInvalid("its window is not one of these minutes")
+        self._seals.hear(notice.window, dict(notice.counts))
+
+    def _begin_era(self, _: int) -> None:
+        self._next = None
+        if self._members.contends(LEASE) or self.lease.may_be_free():
+            self._given_up.set()
+
     async def _contend(self) -> None:
         # Entries that start together would else all find the lease free.
         await asyncio.sleep(self._rng.uniform(0, START_SPREAD_SECONDS))
@@ -168,7 +217,7 @@
         last_ended = int(now // window) - 1
         oldest = int((now - self._settings.usage_deadline) // window)
         if self._next is None:
-            self._next = await self._first_unreported(oldest)
+            self._next = await self._first_unreported(oldest, last_ended)
         number = self._next
         while number <= last_ended and self.lease.held(self._clock()):
             if not await self._report(number, now - (number + 1) * window):
@@ -178,18 +227,34 @@
                 return
             self._next = number = number + 1
 
-    async def _first_unreported(self, oldest: int) -> int:
-        rows = await self._table.scan(SEALS_TABLE)
-        reported = [int(row.key) for row in rows if read_seal(row.value).reported]
-        return max([oldest, *(number + 1 for number in reported)])
+    async def _first_unreported(self, oldest: int, last_ended: int) -> int:
+        reported = await self._seals.reported()
+        return max([oldest, *(number + 1 for number in reported if number <= last_ended)])
 
     async def _report(self, number: int, age: float) -> bool:
         """Reports a window that ended `age` seconds ago; returns False where it must wait."""
         if age < SEAL_DELAY_SECONDS:
             return False
-        seal = await self._sealed(number, age)
-        if seal is None:
+        if not await self._seals.is_settled(age):
+            return False
+        try:
+            stored = await self._sealed(number, age)
+        except WindowGivenUp as exc:
+            log_event(logger, "usage_given_up", level="WARNING", window=number, cause=exc)
+            return True
+        if stored is None:
             return False
+        if not stored.seal.reported:
+            await self._send(number, age, stored.seal)
+        if not stored.marked:
+            await self._seals.mark_reported(number, stored)
+        await self._drop_old(number)
+        return True
+
+    async def _send(self, number: int, age: float, seal: WindowSeal) -> None:
+        if self._told != number:
+            self._tell_seal(number, seal.counts)
+            self._told = number
         guard = self.lease.guard()
         fence = self.lease.fence
         event, level = "usage_reported", "INFO"
@@ -209,17 +274,12 @@
             organisations=len(seal.counts),
             requests=sum(seal.counts.values()),
         )
-        done = WindowSeal(seal.counts, reported=True)
-        await self._table.commit([], [Put(SEALS_TABLE, f"{number:012d}", done.to_value())])
-        await self._drop_old(number)
-        return True
 
-    async def _sealed(self, number: int, age: float) -> WindowSeal | None:
+    async def _sealed(self, number: int, age: float) -> StoredSeal | None:
         """Returns the fixed figures of a window; None where counts are still awaited."""
-        key = f"{number:012d}"
-        row = await self._table.read(SEALS_TABLE, key)
-        if row is not None:
-            return read_seal(row.value)
+        stored = await self._seals.find(number)
+        if stored is not None:
+            return stored
         # This process may hold counts of others, taken over while the store did not answer.
         await self._flush()
         counts = await self._counts_of(number)
@@ -231,10 +291,7 @@
         if not may_seal(age, self._settings.usage_deadline, present, expected):
             self._log_awaited(number, age, expected - present)
             return None
-        seal = WindowSeal(sum_counts(counts.values()))
-        conditions = [Condition(SEALS_TABLE, key, 0), self.lease.fence_condition()]
-        await self._table.commit(conditions, [Put(SEALS_TABLE, key, seal.to_value())])
-        return seal
+        return await self._seals.make(number, sum_counts(counts.values()))
 
     def _log_awaited(self, number: int, age: float, missing: set[str]) -> None:
         if missing and self._awaited != (number, missing):
@@ -256,7 +313,7 @@
             keys += [
                 (table, row.key)
                 for row in rows
-                if int(row.key.partition("/")[0]) < number - KEPT_WINDOWS
+                if (window := window_of_key(row.key)) is not None and window < number - KEPT_WINDOWS
             ]
         await self._table.forget(keys)
 
--- a/packages/bilberryplank/bilberryplank/_usage_relay.py
+++ b/packages/bilberryplank/bilberryplank/_usage_relay.py
@@ -1,4 +1,4 @@
-"""Hands the usage duty over to other entries where the store does not answer."""
+"""Tells other entries what they need of the usage duty where the store fails."""
 
 from __future__ import annotations
 
@@ -12,9 +12,11 @@
 from bilberryplank_core.direct import (
     COUNTS_FORMAT,
     LEASE_FORMAT,
+    SEAL_FORMAT,
     CountsNotice,
     LeaseNotice,
     NoticeInvalid,
+    SealNotice,
 )
 
 HANDOVER_PEERS = 4
@@ -38,7 +40,10 @@
         self._rng = rng
 
     def hear(
-        self, take_counts: Callable[[CountsNotice], bool], take_lease: Callable[[str, str], None]
+        self,
+        take_counts: Callable[[CountsNotice], bool],
+        take_lease: Callable[[str, str], None],
+        take_seal: Callable[[SealNotice], None],
     ) -> None:
         """Passes notices on; `take_counts` returns False for a row that it does not keep."""
 
@@ -55,6 +60,7 @@
 
         self._relay.hear(COUNTS_FORMAT, counts)
         self._relay.hear(LEASE_FORMAT, lease)
+        self._relay.hear(SEAL_FORMAT, lambda _, data: take_seal(SealNotice.decode(data)))
 
     def hand_over(self, rows: Mapping[int, Mapping[str, int]]) -> None:
         """Tells some entries the final counts of this process, by window."""
@@ -68,6 +74,15 @@
             entries = self._relay.tell_some(data, HANDOVER_PEERS, self._rng)
             log_event(logger, "usage_handed_over", entries=entries, **told)
 
+    def tell_seal(self, window: int, counts: Mapping[str, int]) -> None:
+        """Tells some entries the counts with which a window is reported."""
+        try:
+            data = SealNotice(window, counts).encode()
+        except NoticeInvalid as exc:
+            log_event(logger, "usage_too_long", level="WARNING", cause=exc, window=window)
+            return
+        self._relay.tell_some(data, HANDOVER_PEERS, self._rng)
+
     def give_up(self, lease: str, grant: str) -> None:
         """Tells all entries that this one acts on a grant no more."""
         self._relay.tell(LeaseNotice(lease, grant).encode())
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -45,7 +45,7 @@
         self.table, self.eras = MemoryTable(), EraTracker()
         self.table.forget = self.forget
         self.reports = Reports()
-        self.given_up, self.handed_over = [], []
+        self.given_up, self.handed_over, self.told = [], [], []
         self.silent = set()
         self.store = None
         self.time = FleetClock(lambda: self.now)
@@ -92,6 +92,8 @@
             lambda *grant: self.given_up.append(grant),
             lambda writer: writer in self.silent,
             self.flush,
+            lambda *seal: self.told.append(seal),
+            self.eras,
             lambda: self.now,
         )
 
