Tie the mark of a report to the seal that was reported

What callers would see: a mark that the store performs seconds late, or after it was restored, replaces the counts of another seal, or brings back a row that was dropped. Cause: the mark was written on no condition. Change: it requires the revision of the seal that was reported, and with it the era.

--- a/packages/bilberryplank/bilberryplank/_usage_seals.py
+++ b/packages/bilberryplank/bilberryplank/_usage_seals.py
@@ -148,7 +148,8 @@
         done = WindowSeal(stored.seal.counts, reported=True)
         self._remember(number, done)
         key = seal_key(number)
-        await self._table.commit([], [Put(SEALS_TABLE, key, done.to_value())])
+        condition = Condition(SEALS_TABLE, key, stored.revision)
+        await self._table.commit([condition], [Put(SEALS_TABLE, key, done.to_value())])
 
     async def write_back(self) -> int:
         """Writes the seals that the store lacks; returns how many.
--- a/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
@@ -6,6 +6,7 @@
 
 from bilberryplank._direct_usage import SEALS_TABLE, UsageReporter
 from bilberryplank._era_table import EraTable
+from bilberryplank._usage_seals import StoredSeal
 from bilberryplank._usage_store import COUNTS_TABLE, UsageStore
 from bilberryplank_core.contracts import Put
 from bilberryplank_core.direct import (
@@ -14,6 +15,7 @@
     NoticeInvalid,
     SealNotice,
     WindowCounts,
+    WindowSeal,
 )
 from bilberryplank_core.errors import LeaseLost, PlatformError, PlatformUnavailable
 from bilberryplank_core.settings import DirectEntrySettings
@@ -296,6 +298,23 @@
                 self.check(world)
                 self.assertGreater(len(self.windows(world)), 5)
 
+    async def test_a_mark_that_is_performed_in_the_next_era_changes_no_row(self):
+        world = await World("a").run(9.0)
+        kept = world.store.keep_copy()
+        seals = world.entries[0].reporter._seals
+        key = SEALS_TABLE, f"{FIRST + 9:012d}"
+        revision = await world.store.commit([], [Put(*key, {"counts": {}, "reported": False})])
+        world.late_share = 1.0
+        with self.assertRaises(PlatformUnavailable):
+            await seals.mark_reported(FIRST + 9, StoredSeal(WindowSeal({}), revision, False))
+        world.store.restore(kept)
+        other = {"counts": {"org": 1}, "reported": False}
+        await world.store.commit([], [Put(*key, other)])
+        await world.store.commit([], [Put("store-eras", "000000000001", {})])
+        with suppress(PlatformError):
+            await world.store.commit(*world.late.pop())
+        self.assertEqual(world.store.rows[key].value, other)
+
     async def test_spoiled_rows_end_nothing_and_hold_nothing_up(self):
         world = await World("a").run(4.0)
         huge = {"counts": {"org": 10**400}, "reported": True}
