Store counts again after a write of them without an answer

What callers would see: a window billed too low: the store performs an older write of a process's counts after the newer one, whose answer had come. Cause: rows of counts are written on no condition (they have a part of their own), and counted as saved with the first answer. Change: after a write without an answer the rows stay unsaved for the 3 s in which the store may still perform it, and are stored again.

--- a/packages/bilberryplank/bilberryplank/_usage_store.py
+++ b/packages/bilberryplank/bilberryplank/_usage_store.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from mode import Service
 
+from bilberryplank._clocks import boot_time
 from bilberryplank._dependency import Dependency
 from bilberryplank._events import set_within
 from bilberryplank._logs import log_event
@@ -36,6 +37,9 @@
 ROWS_PER_COMMIT = 90
 """Rows in one call; a table service may take no more than 100 entries."""
 
+LATE_WRITE_SECONDS = 3.0
+"""Time within which a store performs a write whose answer was lost; rows are stored again then."""
+
 HandOver = Callable[[Mapping[int, Mapping[str, int]]], None]
 """Tells other entries the final counts of this process, by window."""
 
@@ -55,6 +59,7 @@
         rng: Random,
         hand_over: HandOver,
         eras: EraTracker,
+        clock: Callable[[], float] = boot_time,
     ) -> None:
         super().__init__()
         self._writer = writer
@@ -67,6 +72,8 @@
         self._table = table
         self._counts = counts
         self._interval = interval
+        self._clock = clock
+        self._late_until = float("-inf")
         self._dependency = Dependency("usage store")
         eras.subscribe(self._begin_era)
 
@@ -115,8 +122,15 @@
             Put(COUNTS_TABLE, f"{number:012d}/{writer}", dict(value))
             for (number, writer), value in rows.items()
         ]
-        for start in range(0, len(puts), ROWS_PER_COMMIT):
-            await self._table.commit([], list(puts[start : start + ROWS_PER_COMMIT]))
+        try:
+            for start in range(0, len(puts), ROWS_PER_COMMIT):
+                await self._table.commit([], list(puts[start : start + ROWS_PER_COMMIT]))
+        except PlatformError:
+            self._late_until = self._clock() + LATE_WRITE_SECONDS
+            raise
+        if self._clock() < self._late_until:
+            # An older write of the same rows may still replace them.
+            return len(rows)
         for number, value in own.items():
             self._counts.mark_saved(number, value)
         self._taken.mark_saved(taken)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -65,6 +65,7 @@
             Random(1),
             lambda rows: self.handed_over.append(rows),
             self.eras,
+            lambda: self.now,
         )
 
     async def flush(self):
@@ -229,6 +230,22 @@
 class OutageTest(UsageCase):
     """Load pattern: entries stop, or are cut off alone, while the store does not answer."""
 
+    async def test_an_older_write_of_counts_that_is_performed_late_does_not_stay(self):
+        counts = WindowCounts(WINDOW)
+        store = self.usage_store("a/1", counts)
+        counts.add("org", START)
+        self.table.down = True
+        with self.assertRaises(PlatformUnavailable):
+            await store.flush()
+        self.table.down = False
+        counts.add("org", START)
+        await store.flush()
+        await self.count("a/1", FIRST, org=1)
+        self.now += 3.0
+        await store.flush()
+        row = await self.table.read(COUNTS_TABLE, f"{FIRST:012d}/a/1")
+        self.assertEqual((row.value, counts.unsaved()), ({"org": 2}, []))
+
     async def test_a_silent_entry_is_not_awaited(self):
         one = self.reporter("one")
         for writer in ("a/1", "b/1"):
--- a/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
@@ -91,6 +91,7 @@
             Random(1),
             lambda rows: None,
             self.eras,
+            lambda: world.now,
         )
         self.reporter = UsageReporter(
             DirectEntrySettings(
