--- a/packages/bilberryplank/bilberryplank/_usage_store.py
+++ b/packages/bilberryplank/bilberryplank/_usage_store.py
@@ -37,7 +37,7 @@
 ROWS_PER_COMMIT = 90
 """Rows in one call; a table service may take no more than 100 entries."""
 
-LATE_WRITE_SECONDS = 3.0
+LATE_WRITE_SECONDS = 6.0
 """Time within which a store performs a write whose answer was lost; rows are stored again then."""
 
 HandOver = Callable[[Mapping[int, Mapping[str, int]]], None]
