--- a/packages/bilberryplank-core/bilberryplank_core/errors.py
+++ b/packages/bilberryplank-core/bilberryplank_core/errors.py
@@ -1,5 +1,6 @@
 """Exceptions with stable codes, and the reasons for refusals and retries."""
 
+from bilberryplank_core._checked_values import ValueInvalid
 from bilberryplank_core._errors import (
     REFUSAL_STATUS,
     BilberryplankError,
@@ -42,4 +43,5 @@
     "RetryReason",
     "SelectorInvalid",
     "SettingsInvalid",
+    "ValueInvalid",
 ]
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -13,7 +13,8 @@
 import aiohttp
 from yarl import URL
 
-from bilberryplank_core.errors import PlatformUnavailable
+from bilberryplank_core.checks import decode_json
+from bilberryplank_core.errors import PlatformUnavailable, ValueInvalid
 
 JSON_FIELDS = {"Content-Type": "application/json"}
 
@@ -29,9 +30,9 @@
     def json(self) -> Any:
         """Returns the body as JSON; raises `PlatformUnavailable` where it is none."""
         try:
-            return json.loads(self.body)
-        except ValueError as exc:
-            raise PlatformUnavailable(f"answer is not JSON: {exc}") from exc
+            return decode_json(self.body)
+        except ValueInvalid as exc:
+            raise PlatformUnavailable(f"answer cannot be read: {exc}") from exc
 
     def expect(self, *statuses: HTTPStatus) -> None:
         """Raises `PlatformUnavailable` where the status is none of those."""
--- a/packages/bilberryplank/bilberryplank/tests/test_platform.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_platform.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from bilberryplank._platform_http import Answer
 from bilberryplank.platform import Platform
 from bilberryplank_core.contracts import (
     Condition,
@@ -126,6 +127,11 @@
                     changes = any(c.changes for c in CALLS if c.service == call.service)
                     self.assertEqual(bool(found), effect and changes)
 
+    async def test_an_answer_nested_too_deep_is_unavailable(self):
+        for body in (b"[" * 5000 + b"]" * 5000, b"[" * 65 + b"]" * 65, b"NaN", b"1e400"):
+            with self.subTest(body[:5]), self.assertRaises(PlatformUnavailable):
+                Answer(200, body).json()
+
     async def test_a_fault_with_a_count_passes(self):
         for call in CALLS:
             with self.subTest(call=f"{call.service}.{call.name}"):
