Treat an address that cannot be connected to as an upstream that was not reached

Cause: a port out of range, an empty host or one that is too long makes yarl, idna or asyncio raise ValueError, UnicodeError, OverflowError or InvalidURL. The client mapped only connection errors, so these left the request as an exception, or counted as an attempt that may have run, although no byte went out. A name instead of an IP was looked up.

Change: the client checks the address before it connects, by the check that rows pass, and raises UpstreamNotReached (UpstreamBroke for a question, unknown for a probe, with a log line). A checked address is a literal IP and port, for which the kernel raises OSErrors only. Addresses of the reserved range are refused as well.

--- a/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
@@ -106,7 +106,7 @@
     if not is_endpoint(check_text(value, name)) or "%" in value:
         raise ValueInvalid(f"{name} is not an IP number and port")
     ip = ipaddress.ip_address(split_endpoint(value)[0])
-    if ip.is_unspecified or ip.is_multicast:
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
         raise ValueInvalid(f"{name} is not the address of one host")
     return value
 
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -16,16 +16,19 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from loguru import logger
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
 from bilberryplank._header_fields import AUTOMATIC_HEADERS
+from bilberryplank._logs import log_event
 from bilberryplank._single_call import (
     SendOnce,
     UpstreamBroke,
     UpstreamNotReached,
     single_connector,
 )
+from bilberryplank_core.checks import ValueInvalid, check_endpoint, split_endpoint
 from bilberryplank_core.direct import LinkPacer
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -167,10 +170,11 @@
             UpstreamBroke: No whole answer came in the time that a question may take.
         """
         try:
+            _check_address(address)
             async with self._questions.get(f"http://{address}{path}") as resp:
                 body = await UpstreamAnswer(resp).body(MAX_REPLY_BYTES)
                 return QuestionReply(resp.status, resp.headers, body)
-        except (aiohttp.ClientError, OSError) as exc:
+        except (aiohttp.ClientError, OSError, ValueInvalid) as exc:
             raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
 
     async def is_listening(self, address: str) -> bool | None:
@@ -179,14 +183,17 @@
         Args:
             address: `ip:port` of the upstream.
         """
-        host, _, port = address.rpartition(":")
         try:
+            _check_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(host, int(port))
+                _, writer = await asyncio.open_connection(*split_endpoint(address))
         except ConnectionRefusedError:
             return False
         except OSError:
             return None
+        except ValueInvalid as exc:
+            log_event(logger, "upstream_not_probed", level="WARNING", cause=exc)
+            return None
         writer.close()
         return True
 
@@ -211,6 +218,10 @@
             UpstreamNotReached: No byte of the request went out.
             UpstreamBroke: It may have run.
         """
+        try:
+            _check_address(address)
+        except ValueInvalid as exc:
+            raise UpstreamNotReached(str(exc)) from exc
         headers = CIMultiDict(fields)
         data: bytes | AsyncIterator[bytes] | None = body or None
         size = self._link.chunk_bytes(len(body))
@@ -237,3 +248,9 @@
             piece = body[begin : begin + size]
             await asyncio.sleep(self._link.reserve(len(piece), asyncio.get_running_loop().time()))
             yield piece
+
+
+@functools.lru_cache(maxsize=1024)
+def _check_address(address: str) -> None:
+    # The connection of any other address raises errors that are no OSError, or looks up a name.
+    check_endpoint(address, "the address")
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_client.py
@@ -78,6 +78,15 @@
             with self.subTest(text=self.answer), self.assertRaises(UpstreamBroke):
                 await self.ask()
 
+    async def test_an_address_that_cannot_be_connected_to_was_never_reached(self):
+        for self.address in ("127.0.0.1:70000", "127.0.0.1:\u00b2", ":80", "h" * 300 + ":80", "no"):
+            with self.subTest(self.address[:20]):
+                with self.assertRaises(UpstreamNotReached):
+                    await self.ask()
+                with self.assertRaises(UpstreamBroke):
+                    await self.client.ask(self.address, "/x")
+                self.assertIsNone(await self.client.is_listening(self.address))
+
     async def test_a_port_without_a_listener_was_never_reached(self):
         self.server.close()
         await self.server.wait_closed()
