--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -129,7 +129,8 @@
 
 def query(**parameters: str | int) -> str:
     """Returns an encoded query string with its question mark."""
-    return "?" + urlencode(parameters, quote_via=quote)
+    # A key of another writer may hold what has no encoding.
+    return "?" + urlencode(parameters, quote_via=quote, errors="surrogatepass")
 
 
 def dump_json(value: Any) -> bytes:
