Bound the numbers in a caller's header fields

Cause: int() and float() took whatever Python takes. A token count of 400 digits got past the decoder and raised OverflowError in the arithmetic of the engine choice; negative counts, estimates of 1e300 and prompt parts without an id, or with one longer than a notice about crashes may carry, were taken.

Change: counts lie between 0 and 2^31 - 1, a time limit is at most the largest integer that JSON holds exactly, a part's id has 1 to 200 printable characters. Anything else is refused with 400 and not run. A time limit below 0 still means that the time is up.

--- a/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
@@ -27,7 +27,7 @@
 MAX_PORT = 65535
 
 _NAME = re.compile(r"[!-~]+")
-_DIGITS = re.compile(r"[0-9]{1,16}")
+_DIGITS = re.compile(r"-?[0-9]{1,16}")
 _PORT = re.compile(r"[0-9]{1,5}")
 
 
@@ -76,11 +76,20 @@
     return value
 
 
-def read_whole(text: str, name: str, most: int = MAX_COUNT) -> int:
+def read_whole(text: str, name: str, least: int = 0, most: int = MAX_COUNT) -> int:
     """Returns the whole number in a header field; raises `ValueInvalid` if it holds none."""
     if not _DIGITS.fullmatch(text.strip()):
         raise ValueInvalid(f"{name} is not a whole number, or too long")
-    return check_whole(int(text), name, 0, most)
+    return check_whole(int(text), name, least, most)
+
+
+def read_number(text: str, name: str, least: float = 0.0, most: float = MAX_SAFE_INTEGER) -> float:
+    """Returns the number in a header field; raises `ValueInvalid` if it holds none."""
+    try:
+        number = float(text)
+    except ValueError as exc:
+        raise ValueInvalid(f"{name} is not a number") from exc
+    return check_number(number, name, least, most)
 
 
 def check_text(value: Any, name: str, most: int = MAX_NAME_CHARS) -> str:
--- a/packages/bilberryplank-core/bilberryplank_core/checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/checks.py
@@ -1,6 +1,7 @@
 """Checks of values that other writers supply, for decoders."""
 
 from bilberryplank_core._checked_values import (
+    MAX_COUNT,
     MAX_SAFE_INTEGER,
     MAX_SECONDS,
     ValueInvalid,
@@ -10,11 +11,13 @@
     check_text,
     check_whole,
     decode_json,
+    read_number,
     read_whole,
     split_endpoint,
 )
 
 __all__ = [
+    "MAX_COUNT",
     "MAX_SAFE_INTEGER",
     "MAX_SECONDS",
     "ValueInvalid",
@@ -24,6 +27,7 @@
     "check_text",
     "check_whole",
     "decode_json",
+    "read_number",
     "read_whole",
     "split_endpoint",
 ]
