Count only well-formed rows as entries of the fleet

Cause: a row counted as an entry if its time was any number and its address any text. A time of 400 digits raised OverflowError and a name without an encoding UnicodeEncodeError out of MembersKeeper, which crashed it; true, a time far in the future and an address as 10.0.0.1:70000 were taken, the latter as a peer of every datagram. On a socket of this kind a port out of range does not fail alone: asyncio closes the transport (measured), so that this entry tells and hears nothing any more.

Change: names, times and addresses are checked like those of upstreams. Malformed rows are removed like expired ones, as no entry writes them, and entry_rows_removed names both.

Seen before the change: test_rows_of_another_writer_are_no_entries and ..._are_removed_and_ end_nothing raised OverflowError. They pass now, with the tests of the relay and of leases.

--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -13,6 +13,12 @@
 from collections.abc import Mapping
 from typing import Any
 
+from bilberryplank_core._checked_values import (
+    ValueInvalid,
+    check_endpoint,
+    check_number,
+    check_text,
+)
 from bilberryplank_core._rendezvous import is_ranked
 from bilberryplank_core._table_notices import MIN_ENTRIES_FOR_POLLERS, is_table_poller
 
@@ -55,7 +61,7 @@
             rows: Values by the name of the entry that wrote them.
             now: Seconds on the store's clock.
         """
-        alive = {name for name, value in rows.items() if _is_fresh(value, now)}
+        alive = {name for name, value in rows.items() if _is_valid(name, value, now)}
         self._names = frozenset({*alive, self._name})
         others = {name: _address(rows[name]) for name in alive if name != self._name}
         self._address_by_name = {name: address for name, address in others.items() if address}
@@ -104,12 +110,20 @@
         return min(window, max(least, tolerance * self.size * window))
 
 
-def _is_fresh(value: Any, now: float) -> bool:
-    written = value.get("at") if isinstance(value, dict) else None
-    return isinstance(written, (int, float)) and now - written < MEMBER_LIFETIME_SECONDS
+def _is_valid(name: str, value: Any, now: float) -> bool:
+    """Returns True for a row that was written recently and that holds nothing malformed."""
+    if not isinstance(value, dict):
+        return False
+    try:
+        check_text(name, "the name")
+        written = check_number(value.get("at"), "the time")
+        if _address(value) != "":
+            check_endpoint(_address(value), "the address")
+    except ValueInvalid:
+        return False
+    return abs(now - written) < MEMBER_LIFETIME_SECONDS
 
 
-def _address(value: dict[str, Any]) -> str:
+def _address(value: dict[str, Any]) -> Any:
     """Returns the address in a row; empty if it has none."""
-    address = value.get("address")
-    return address if isinstance(address, str) else ""
+    return value.get("address", "")
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_fleet_members.py
@@ -1,5 +1,6 @@
 """Contenders, flush intervals and expired rows for fleets of all sizes."""
 
+import math
 import unittest
 
 from bilberryplank_core._fleet_members import (
@@ -44,6 +45,31 @@
         self.assertEqual(members.update(rows, 1000.0), ["c", "d", "e"])
         self.assertEqual(members.size, 2)
 
+    def test_rows_of_another_writer_are_no_entries(self):
+        """Load pattern: rows that would fail in arithmetic, hashing or as a datagram's address."""
+        members = FleetMembers("a")
+        row = {"at": 1000.0, "address": "10.0.0.1:7340"}
+        times = (10**400, 1e300, math.nan, math.inf, True, "1000", None, [], -1)
+        rows = {f"at{number}": {**row, "at": at} for number, at in enumerate(times)}
+        odd = (
+            "10.0.0.1:70000",
+            "10.0.0.1:0",
+            "10.0.0.1:\u00b2",
+            ":80",
+            "host:80",
+            "x",
+            3,
+            None,
+            [],
+        )
+        rows |= {f"b{number}": {**row, "address": each} for number, each in enumerate(odd)}
+        rows |= {"n\ud800": row, "n\r\n": row, "": row, "n" * 201: row}
+        good = {"ok": row, "deaf": {"at": 1000.0, "address": ""}}
+        self.assertEqual(members.update({**rows, **good}, 1000.0), sorted(rows))
+        self.assertEqual(members.addresses, {"10.0.0.1:7340"})
+        self.assertEqual(members.size, 3)
+        members.contends("usage")
+
     def test_an_entry_counts_itself_even_without_a_row(self):
         members = FleetMembers("a")
         self.assertEqual(members.update({}, 0.0), [])
--- a/packages/bilberryplank/bilberryplank/_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/_direct_members.py
@@ -121,6 +121,7 @@
         before = self._members.size
         lapsed = self._members.update({row.key: row.value for row in changes.rows}, now)
         if lapsed:
+            log_event(logger, "entry_rows_removed", names=",".join(lapsed))
             await self._table.forget([(MEMBERS_TABLE, name) for name in lapsed])
         if self._members.size != before:
             log_event(logger, "entries_counted", entries=self._members.size, before=before)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_members.py
@@ -5,7 +5,7 @@
 
 from bilberryplank._clocks import boot_time
 from bilberryplank._direct_members import MEMBERS_TABLE, MembersKeeper
-from bilberryplank_core.contracts import Delete
+from bilberryplank_core.contracts import Delete, Put
 from bilberryplank_core.direct import FleetClock, FleetMembers, TableChanges
 from bilberryplank_core.errors import PlatformUnavailable
 from bilberryplank_core.tests._memory_platform import MemoryTable
@@ -66,6 +66,15 @@
         await two.refresh()
         self.assertEqual(two._members.size, 1)
 
+    async def test_rows_of_another_writer_are_removed_and_end_nothing(self):
+        one = self.keeper("e1")
+        odd = {"k\ud800": {"at": self.now}, "e8": {"at": 10**400}, "e9": {"at": self.now}}
+        odd["e9"]["address"] = "127.0.0.1:70000"
+        await self.table.commit([], [Put(MEMBERS_TABLE, key, row) for key, row in odd.items()])
+        await one.refresh()
+        self.assertEqual(one._members.addresses, frozenset())
+        self.assertEqual([row.key for row in await self.table.scan(MEMBERS_TABLE)], ["e1"])
+
     async def test_one_that_died_is_removed_after_a_while(self):
         one, two = self.keeper("e1"), self.keeper("e2")
         for each in (one, two):
