Check times and names in the rows of crash evidence

Cause: read_crash_row subtracted whatever stood under "at"; 400 digits raised OverflowError out of CrashRelay, which crashed it. A name without an encoding (a lone surrogate, which JSON can carry) was taken, and raised UnicodeEncodeError when the next notice was packed.

Change: the time is a finite number within bounds, names are printable texts. Rows that fail are removed like those that no longer count.

Seen before the change: test_rows_of_another_writer_are_no_crashes raised OverflowError; packing a record with such a name raised UnicodeEncodeError. It passes now.

--- a/packages/bilberryplank-core/bilberryplank_core/_crash_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_crash_notices.py
@@ -11,6 +11,12 @@
 
 import msgpack
 
+from bilberryplank_core._checked_values import (
+    MAX_SAFE_INTEGER,
+    ValueInvalid,
+    check_number,
+    check_text,
+)
 from bilberryplank_core._crash_evidence import EVIDENCE_SECONDS, MAX_SUSPECTS, CrashRecord
 from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
 
@@ -61,7 +67,8 @@
     """Returns the record in a row; None if it holds none, or one that no longer counts."""
     try:
         engine, _, *others = value["crash"]
-        record = _record([engine, float(store_time - value["at"]), *others], now)
+        at = check_number(value["at"], "the time", least=-MAX_SAFE_INTEGER)
+        record = _record([engine, store_time - float(at), *others], now)
     except (KeyError, NoticeInvalid, TypeError, ValueError):
         return None
     return record if now - record.at <= EVIDENCE_SECONDS else None
@@ -92,6 +99,7 @@
 
 
 def _name(value: Any) -> str:
-    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_CHARS:
-        raise NoticeInvalid("a name is not a string, or too long")
-    return value
+    try:
+        return check_text(value, "a name", MAX_NAME_CHARS)
+    except ValueInvalid as exc:
+        raise NoticeInvalid(str(exc)) from exc
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_prompt_quarantine.py
@@ -1,5 +1,6 @@
 """Which requests are withheld, from evidence of several entries in any order."""
 
+import math
 import unittest
 from random import Random
 
@@ -254,3 +255,12 @@
                 pass
         for value in (None, 3, {}, {"at": "x", "crash": []}, {"at": 1.0, "crash": ["e", 1]}):
             self.assertIsNone(read_crash_row(value, 0.0, 0.0))
+
+    def test_rows_of_another_writer_are_no_crashes(self):
+        whole = crash_row(CrashRecord("e", 1.0, {"a"}, exposure=1.0), 2.0, 900.0)
+        self.assertEqual(read_crash_row(whole, 2.0, 900.0).begun, {"a"})
+        for at in (10**400, math.nan, math.inf, True, [], None):
+            self.assertIsNone(read_crash_row({**whole, "at": at}, 2.0, 900.0))
+        for engine, part in (("e\ud800", "a"), ("e", "a\udfff"), ("e", "a\n"), ("e", 3), ("", "a")):
+            fields = [engine, 1.0, 1.0, [part], [], [], []]
+            self.assertIsNone(read_crash_row({"at": 899.0, "crash": fields}, 2.0, 900.0))
