Bound the numbers in notices of peers

Cause: the decoders checked signs and types. MessagePack itself refuses deep nesting with a ValueError, which was handled.

No failure of callers was shown: FleetClock drops times that lie ahead.

--- a/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
@@ -22,7 +22,6 @@
 MAX_SAFE_INTEGER = 2**53 - 1
 """Limit of versions and times: the largest integer that a JSON number holds exactly (RFC 7493)."""
 
-MAX_SECONDS = 1e9
 MAX_JSON_DEPTH = 64
 MAX_PORT = 65535
 
--- a/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
@@ -10,13 +10,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 import msgpack
 
+from bilberryplank_core._checked_values import check_whole
 from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
 from bilberryplank_core._queueing_delays import Urgency
 
@@ -39,6 +39,9 @@
 MIN_NOTICE_INTERVAL_SECONDS = 0.1
 """Minimum time between two notices of an entry."""
 
+MIN_SECONDS, MAX_SECONDS = 1e-9, 3600.0
+"""Limits of an estimate, far beyond any engine, within which no arithmetic on it fails."""
+
 MAX_RECEIVED_NOTICES_PER_SECOND = 100.0
 """Maximum rate at which an entry receives notices, whatever the size of the fleet. Senders keep it
 by a longer interval with more peers. Receiving and sending them takes some 1.5 % of a core."""
@@ -209,14 +212,12 @@
 
 
 def _count(value: Any) -> int:
-    if type(value) is not int or value < 0:
-        raise ValueError("a count is not a non-negative integer")
-    return value
+    return check_whole(value, "a count")
 
 
 def _seconds(value: Any) -> float:
-    if type(value) is not float or not 0 < value < math.inf:
-        raise ValueError("a duration is not a positive float")
+    if type(value) is not float or not MIN_SECONDS <= value <= MAX_SECONDS:
+        raise ValueError("a duration is not a float, or out of range")
     return value
 
 
@@ -228,7 +229,13 @@
     return EngineWork(_count(count), tokens_by_urgency)
 
 
+def _hash(value: Any) -> str:
+    if not isinstance(value, bytes):
+        raise TypeError("a hash is not binary")
+    return value.hex()
+
+
 def _placement(value: Any) -> Placement:
     upstream, unshared_tokens, segments = value
-    shared_segments = tuple((key.hex(), _count(tokens)) for key, tokens in segments)
+    shared_segments = tuple((_hash(key), _count(tokens)) for key, tokens in segments)
     return Placement(_text(upstream), _count(unshared_tokens), shared_segments)
--- a/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
@@ -17,6 +17,7 @@
 
 import msgpack
 
+from bilberryplank_core._checked_values import MAX_SAFE_INTEGER
 from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
 from bilberryplank_core._rendezvous import is_ranked
 
@@ -89,6 +90,8 @@
             raise NoticeInvalid("fields have unexpected types")
         if len(table) > MAX_TABLE_CHARS or era < 0 or not 0 <= unchanged_since <= upto:
             raise NoticeInvalid("table name or revisions are out of range")
+        if max(era, upto) > MAX_SAFE_INTEGER or not 0 <= (store_time or 0.0) <= MAX_SAFE_INTEGER:
+            raise NoticeInvalid("a number is too large, or not finite")
         return cls(table, era, unchanged_since, upto, store_time)
 
 
--- a/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
@@ -12,6 +12,7 @@
 
 import msgpack
 
+from bilberryplank_core._checked_values import MAX_SAFE_INTEGER
 from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
 
 COUNTS_FORMAT = 3
@@ -62,7 +63,7 @@
             NoticeInvalid: The datagram is not a valid notice of this kind.
         """
         window, writer, counts = unpack_notice(data, COUNTS_FORMAT, MAX_COUNTS_BYTES, fields=3)
-        if type(window) is not int or window < 0 or not _is_name(writer) or "/" not in writer:
+        if not _is_whole(window) or not _is_name(writer) or "/" not in writer:
             raise NoticeInvalid("window or writer is invalid")
         if not isinstance(counts, dict) or not all(map(_is_count, counts.items())):
             raise NoticeInvalid("counts are invalid")
@@ -140,4 +141,8 @@
 
 
 def _is_count(item: tuple[object, object]) -> bool:
-    return _is_name(item[0]) and type(item[1]) is int and item[1] >= 0
+    return _is_name(item[0]) and _is_whole(item[1])
+
+
+def _is_whole(value: object) -> bool:
+    return type(value) is int and 0 <= value <= MAX_SAFE_INTEGER
--- a/packages/bilberryplank-core/bilberryplank_core/checks.py
+++ b/packages/bilberryplank-core/bilberryplank_core/checks.py
@@ -3,7 +3,6 @@
 from bilberryplank_core._checked_values import (
     MAX_COUNT,
     MAX_SAFE_INTEGER,
-    MAX_SECONDS,
     ValueInvalid,
     check_endpoint,
     check_name,
@@ -19,7 +18,6 @@
 __all__ = [
     "MAX_COUNT",
     "MAX_SAFE_INTEGER",
-    "MAX_SECONDS",
     "ValueInvalid",
     "check_endpoint",
     "check_name",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_table_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_table_notices.py
@@ -1,12 +1,14 @@
 """Peer notices of tables under loss, delay, duplication, reordering and restarts."""
 
+import math
 import unittest
 from random import Random
 
+import msgpack
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bilberryplank_core.direct import NoticeInvalid, TableNotice, UnchangedSpan
+from bilberryplank_core.direct import TABLE_FORMAT, NoticeInvalid, TableNotice, UnchangedSpan
 
 
 class StoreModel:
@@ -129,6 +131,15 @@
 
 
 class EncodingTest(unittest.TestCase):
+    def test_a_time_or_revision_beyond_all_bounds_is_rejected(self):
+        good = [TABLE_FORMAT, "t", 1, 1, 2, 1.0]
+        TableNotice.decode(msgpack.packb(good))
+        odd = [(5, each) for each in (math.inf, math.nan, -1.0, 1e300)]
+        for place, value in (*odd, (2, 2**53), (4, 2**64 - 1)):
+            data = msgpack.packb([*good[:place], value, *good[place + 1 :]])
+            with self.subTest(value=value), self.assertRaises(NoticeInvalid):
+                TableNotice.decode(data)
+
     def test_decoding_reverses_encoding(self):
         for notice in (TableNotice("op", 1, 3, 9, 12.5), TableNotice("op", 0, 0, 0, None)):
             self.assertEqual(TableNotice.decode(notice.encode()), notice)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_usage_notices.py
@@ -29,6 +29,8 @@
             (CountsNotice, [COUNTS_FORMAT, 1, "a/1"]),
             (CountsNotice, [COUNTS_FORMAT, -1, "a/1", {}]),
             (CountsNotice, [COUNTS_FORMAT, 1.0, "a/1", {}]),
+            (CountsNotice, [COUNTS_FORMAT, 2**53, "a/1", {}]),
+            (CountsNotice, [COUNTS_FORMAT, 1, "a/1", {"org": 2**64 - 1}]),
             (CountsNotice, [COUNTS_FORMAT, 1, "no epoch", {}]),
             (CountsNotice, [COUNTS_FORMAT, 1, "a/\n", {}]),
             (CountsNotice, [COUNTS_FORMAT, 1, "a/1", [1]]),
