Pass on a deeply nested event of a stream, and refuse such an update

At the entry that works through sidecars, an event of an engine and a line of a configuration update were decoded under `except ValueError`; RecursionError ended the answer, or the link that brought the update.

Change: an event that decode_json refuses is passed on as it came, and its stream cannot be continued elsewhere, as for one that is no JSON. An update is refused as invalid.

Seen before the change: test_an_event_nested_too_deep_is_passed_on_and_not_resumable and the new case of test_invalid_updates_are_refused raised RecursionError. They pass now.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_updates.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_updates.py
@@ -93,7 +93,7 @@
 def _parse_line(line: bytes) -> Any:
     try:
         return json.loads(line)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise ConfigurationInvalid([Fault("update", f"is not JSON: {exc}")]) from exc
 
 
--- a/packages/bilberryplank-core/bilberryplank_core/_streamed_answer.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_streamed_answer.py
@@ -9,6 +9,7 @@
 import json
 from typing import Any
 
+from bilberryplank_core._checked_values import ValueInvalid, decode_json
 from bilberryplank_core._events import event_data
 from bilberryplank_core._messages import Usage
 
@@ -87,8 +88,8 @@
             self.end_marker_sent = True
             return event
         try:
-            document = json.loads(data)
-        except ValueError:
+            document = decode_json(data)
+        except ValueInvalid:
             self.resumable = False
             return event
         if not isinstance(document, dict):
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_answer_assembler.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_answer_assembler.py
@@ -156,6 +156,17 @@
                 self.assertTrue(subject.progress.started)
                 self.assertFalse(subject.progress.resumable)
 
+    def test_an_event_nested_too_deep_is_passed_on_and_not_resumable(self):
+        for depth in (900, 5000):
+            with self.subTest(depth):
+                subject = AnswerAssembler(model_answer=True)
+                subject.begin(attempt())
+                data = b'data: {"choices": [' + b"[" * depth + b"]" * depth + b"]}\n\n"
+                first = chunk("a", delta={"content": "x"})
+                items = frames(first + data, size=20_000)[:-1]
+                self.assertEqual(body(feed(subject, items)), first + data)
+                self.assertFalse(subject.progress.resumable)
+
     def test_resuming_attempt_that_does_not_stream_is_broken(self):
         subject = AnswerAssembler(model_answer=True)
         subject.begin(attempt())
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_holder.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_configuration_holder.py
@@ -16,6 +16,7 @@
 UPDATES_INVALID = [
     b"",
     b"[]",
+    b"[" * 5000 + b"]" * 5000,
     b"{",
     b'{"version":"1","whole":true}',
     b'{"version":true,"whole":true}',
@@ -116,5 +117,5 @@
 
     def test_invalid_updates_are_refused(self):
         for update in UPDATES_INVALID:
-            with self.subTest(update=update), self.assertRaises(ConfigurationInvalid):
+            with self.subTest(update[:60]), self.assertRaises(ConfigurationInvalid):
                 self.holder.accept_update(update, 0.0)
