Let the stand-in store be down, come back from a copy, and be written again by its other writers

Until now restore() only put the rows back. Now open feeds are cut off, writes that reached the store while it was down are done after the restore if their conditions hold then, and what the operator and the upstreams wrote since the copy is written again before the first answer, later, or never. Answers to usage reports bear no era: they come from another service.

--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_store.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_store.py
@@ -34,12 +34,15 @@
         lose_answers: Writes are done, and their connections closed without an answer.
         lose_history: The next read of changes finds none of what it asks for.
         era: Written in place of the era; None for none.
+        down: The store closes each connection unanswered; usage reports are taken as before.
+            Writes that reach it may be done after the next restore, if their conditions hold then.
     """
 
     status: int | None = None
     lose_answers: bool = False
     lose_history: bool = False
     era: str | None = None
+    down: bool = False
 
 
 @dataclass(slots=True)
@@ -89,6 +92,10 @@
         self.calls: dict[str, int] = {}
         self.era = 1
         self._rows = _Rows()
+        self._own: dict[RowKey, str | None] = {}
+        self._late: list[dict[str, Any]] = []
+        self._feeds: set[asyncio.BaseTransport] = set()
+        self._writing_again: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Condition()
         super().__init__(("store",))
         self.app.on_response_prepare.append(self._tell_era)
@@ -101,10 +108,12 @@
     async def put(self, table: str, key: str, value: Any) -> int:
         """Writes a row as the operator or an upstream does."""
         text = value if isinstance(value, str) else base64.b64encode(_dump(value)).decode()
+        self._own[table, "", key] = text
         return await self._apply([((table, "", key), text)], [])
 
     async def delete(self, table: str, key: str) -> int:
-        """Removes a row."""
+        """Removes a row as the operator or an upstream does."""
+        self._own[table, "", key] = None
         return await self._apply([], [(table, "", key)])
 
     def value(self, table: str, key: str, part: str = "") -> Any:
@@ -120,13 +129,54 @@
         """Returns a copy from which the store may come back later."""
         return StoreCopy(copy.deepcopy(self._rows))
 
-    def restore(self, kept: StoreCopy) -> None:
-        """Comes back from a copy: what was written since is gone, and a new era begins."""
+    def restore(self, kept: StoreCopy, write_again_after: float | None = None) -> None:
+        """Comes back from a copy: what was written since is gone, and a new era begins.
+
+        Changes that are waited for are cut off; writes that came while the store was down are done.
+
+        Args:
+            kept: The copy.
+            write_again_after: Seconds until the operator and the upstreams have written again what
+                they wrote since; 0 for before the first answer, None for never.
+        """
         self._rows = copy.deepcopy(kept.rows)
         self.era += 1
+        self.misbehaviour.down = False
+        for transport in self._feeds:
+            transport.abort()
+        if write_again_after == 0:
+            self._write_again()
+        elif write_again_after is not None:
+            task = asyncio.create_task(self._write_again_later(write_again_after))
+            self._writing_again.add(task)
+            task.add_done_callback(self._writing_again.discard)
+        late, self._late = self._late, []
+        for body in late:
+            self._perform(body)
+
+    async def stop(self) -> None:
+        """Closes the listening socket and every connection; nothing is written again."""
+        for task in self._writing_again:
+            task.cancel()
+        await super().stop()
+
+    async def _write_again_later(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        self._write_again()
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _write_again(self) -> None:
+        for key, value in self._own.items():
+            found, _ = self._rows.rows.get(key, (None, 0))
+            if value is None and found is not None:
+                self._rows.apply([], [key])
+            elif value is not None and value != found:
+                self._rows.apply([(key, value)], [])
 
-    async def _tell_era(self, _: web.Request, resp: web.StreamResponse) -> None:
-        resp.headers["Store-Era"] = self.misbehaviour.era or str(self.era)
+    async def _tell_era(self, request: web.Request, resp: web.StreamResponse) -> None:
+        if request.path.startswith("/api/"):
+            resp.headers["Store-Era"] = self.misbehaviour.era or str(self.era)
 
     async def _apply(self, puts: list[tuple[RowKey, str]], deletes: list[RowKey]) -> int:
         version = self._rows.apply(puts, deletes)
@@ -157,11 +207,15 @@
         if after > self._rows.version:
             return web.json_response({}, status=HTTPStatus.GONE)
         wait = int(request.query.get("wait_ms", 0)) / MS_PER_SECOND
+        assert request.transport is not None
+        self._feeds.add(request.transport)
         try:
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(lambda: bool(self._since(table, after)))
         except TimeoutError:
             pass
+        finally:
+            self._feeds.discard(request.transport)
         rows = [
             {**_shown(each.key, each.value or "", each.version), "deleted": each.value is None}
             for each in self._since(table, after)
@@ -177,18 +231,27 @@
         if (refused := self._refusal(request)) is not None:
             return refused
         body = await request.json()
+        if self.misbehaviour.down:
+            self._late.append(body)
+            return self._cut_off(request)
         everything = body["expect"] + body["puts"] + body["deletes"]
         if len({each["part"] for each in everything}) > 1:
             return web.json_response({}, status=HTTPStatus.BAD_REQUEST)
+        if not self._perform(body):
+            return web.json_response({"rows": []}, status=HTTPStatus.PRECONDITION_FAILED)
+        async with self._changed:
+            self._changed.notify_all()
+        return self._cut_off(request) if self.misbehaviour.lose_answers else self._answer()
+
+    def _perform(self, body: dict[str, Any]) -> bool:
+        """Does a transaction; returns False where its conditions do not hold."""
         for each in body["expect"]:
             _, version = self._rows.rows.get(_key(each), ("", 0))
             if version != each["ver"]:
-                return web.json_response({"rows": []}, status=HTTPStatus.PRECONDITION_FAILED)
+                return False
         puts = [(_key(each), each["value"]) for each in body["puts"]]
-        await self._apply(puts, [_key(each) for each in body["deletes"]])
-        if self.misbehaviour.lose_answers and request.transport is not None:
-            request.transport.abort()
-        return self._answer()
+        self._rows.apply(puts, [_key(each) for each in body["deletes"]])
+        return True
 
     async def _report(self, request: web.Request) -> web.Response:
         if (refused := self._refusal(request)) is not None:
@@ -203,7 +266,16 @@
     def _refusal(self, request: web.Request) -> web.Response | None:
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
         status = self.misbehaviour.status
-        return None if status is None else web.json_response({}, status=status)
+        if status is not None:
+            return web.json_response({}, status=status)
+        down = self.misbehaviour.down and request.method == "GET"
+        return self._cut_off(request) if down else None
+
+    @staticmethod
+    def _cut_off(request: web.Request) -> web.Response:
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response()
 
     def _answer(self, **fields: Any) -> web.Response:
         steady = int(time.monotonic() * MS_PER_SECOND)
