--- a/packages/bilberryplank-testing/bilberryplank_testing/stand_in_store.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/stand_in_store.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import base64
-import copy
 import json
 import time
 from dataclasses import dataclass, field
@@ -58,6 +57,9 @@
     rows: dict[RowKey, tuple[str, int]] = field(default_factory=dict)
     changes: list[_Change] = field(default_factory=list)
 
+    def copy(self) -> _Rows:
+        return _Rows(self.version, dict(self.rows), list(self.changes))
+
     def apply(self, puts: list[tuple[RowKey, str]], deletes: list[RowKey]) -> int:
         self.version += 1
         for key, value in puts:
@@ -127,7 +129,7 @@
 
     def copy(self) -> StoreCopy:
         """Returns a copy from which the store may come back later."""
-        return StoreCopy(copy.deepcopy(self._rows))
+        return StoreCopy(self._rows.copy())
 
     def restore(self, kept: StoreCopy, write_again_after: float | None = None) -> None:
         """Comes back from a copy: what was written since is gone, and a new era begins.
@@ -139,7 +141,7 @@
             write_again_after: Seconds until the operator and the upstreams have written again what
                 they wrote since; 0 for before the first answer, None for never.
         """
-        self._rows = copy.deepcopy(kept.rows)
+        self._rows = kept.rows.copy()
         self.era += 1
         self.misbehaviour.down = False
         for transport in self._feeds:
