Receive bodies and answer requests that cross the close of connections in a stop

A stop closes all connections once they are idle. Two kinds of request got no answer then. While a body was still coming, closing its connection made the library drop the rest of it: the caller waited until the body's time limit. And in the turn of the loop between a request's reading and the start of its handler neither the queue nor the handler shows it, so the connection counted as idle and was closed.

A connection with a body under way now closes once the body is in, and a connection is idle only while the library really waits for the next request.

Both tests failed before: the body's request ran into the test's 10 s, and with one turn between the read and the close the caller read b'' in place of an answer.

--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -34,7 +34,7 @@
         on_refused: Called with the reason of each refusal that is made here.
     """
 
-    __slots__ = ("_header_timeout", "_header_timer", "_on_refused")
+    __slots__ = ("_closes_after_body", "_header_timeout", "_header_timer", "_on_refused")
 
     def __init__(
         self, manager: web.Server, settings: CallerSettings, on_refused: RefusalCounter
@@ -50,6 +50,7 @@
             auto_decompress=False,
             lingering_time=LINGER_SECONDS,
         )
+        self._closes_after_body = False
         self._header_timeout = settings.body_timeout
         self._header_timer: asyncio.TimerHandle | None = None
         self._on_refused = on_refused
@@ -57,6 +58,8 @@
     def data_received(self, data: bytes) -> None:
         """Takes bytes; a header that has begun must be whole in time."""
         super().data_received(data)
+        if self._closes_after_body and not self._receives_body():
+            super().close()
         if self._messages or not self._awaits_request():
             self._stop_timer()
         elif self._header_timer is None and data.strip():
@@ -67,11 +70,15 @@
         """Takes no further request; a connection without one is closed at once.
 
         The library leaves such a connection open and unread until the server is shut down, and a
-        request that a caller sends on it meanwhile would wait for nothing.
+        request that a caller sends on it meanwhile would wait for nothing. It also drops the rest
+        of a body that is still being received, and the request would wait for that.
         """
-        idle = self._awaits_request() and not self._messages
+        if self._receives_body():
+            self._closes_after_body = True
+            return
+        is_idle = self._is_idle()
         super().close()
-        if idle and self.transport is not None:
+        if is_idle and self.transport is not None:
             self.transport.close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -104,6 +111,19 @@
     def _awaits_request(self) -> bool:
         return self._current_request is None and not self._request_in_progress
 
+    def _is_idle(self) -> bool:
+        """Returns True where every request that was read has been answered."""
+        if self._messages:
+            return False
+        # A request is neither queued nor current in the turn of the loop before its handler starts.
+        return not self._request_count or (self._waiter is not None and not self._waiter.done())
+
+    def _receives_body(self) -> bool:
+        if self._messages:
+            return not self._messages[-1][1].is_eof()
+        request = self._current_request
+        return request is not None and not request.content.is_eof()
+
     def _header_late(self) -> None:
         self._header_timer = None
         if self._messages or not self._awaits_request() or self.transport is None:
--- a/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
@@ -374,3 +374,40 @@
                 sock.settimeout(1)
                 self.assertIn(b"200 OK", await asyncio.to_thread(sock.recv, 1000))
                 sock.close()
+
+    async def test_a_body_that_is_still_coming_as_connections_close_is_received(self):
+        async def answer(request):
+            received = await receive(request, SETTINGS)
+            return aiohttp.web.Response(body=received.body)
+
+        server = CallerServer("127.0.0.1:0", SETTINGS, answer)
+        async with server, asyncio.timeout(TIMEOUT):
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            request = call(GOOD)
+            writer.write(request[:-5])
+            await asyncio.sleep(0.05)
+            await server.stop_listening()
+            writer.write(request[-5:])
+            answered = await reader.read()
+            self.assertIn(b"200 OK", answered)
+            self.assertTrue(answered.endswith(GOOD))
+            writer.close()
+
+    async def test_a_request_read_in_the_turn_in_which_connections_close_is_answered(self):
+        async def answer(request):
+            return aiohttp.web.Response(text="ok")
+
+        for turns in range(6):
+            server = CallerServer("127.0.0.1:0", SETTINGS, answer)
+            async with server, asyncio.timeout(TIMEOUT):
+                reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+                writer.write(call())
+                await reader.readuntil(b"ok")
+                (protocol,) = server._factory.connections
+                with self.subTest(turns=turns):
+                    protocol.data_received(call())
+                    for _ in range(turns):
+                        await asyncio.sleep(0)
+                    server._close_idle()
+                    self.assertIn(b"200 OK", await reader.read())
+                writer.close()
