Answer every request of a stop before its grace ends, and begin none that cannot end

Callers saw this: in a planned stop, requests that outlast the grace were taken for 3 s, also those that may run only once, and were cut with no answer as the process was killed. A request whose body ended after the entry had closed was still passed on. One that never ended its body was closed on with no answer. A retry began with no time left. An answer that its caller read slowly was cut, as it counted as out before it was sent.

Cause: the stop knew when to wait, not what to take on, and nothing said what a request gets whose time is up. The times of a stop are now one schedule in core: a request is taken on if it should end before answers are due (by the pace of engines and the most tokens that it may make where it runs once), one that is not passed on by the end of the lame duck only if its time limit fits, and what still runs as answers are due ends as any request whose time is up: 503 if it did not run, 502 or a visible break otherwise. The process ends once the bytes are out.

--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -73,6 +73,7 @@
     Withheld,
     shared_segments,
 )
+from bilberryplank_core._stop_schedule import StopSchedule
 from bilberryplank_core._store_era import (
     ERA_TABLE,
     EraChanged,
@@ -169,6 +170,7 @@
     "SEAL_DELAY_SECONDS",
     "UpstreamSelector",
     "NextAction",
+    "StopSchedule",
     "TableNotice",
     "FleetClock",
     "Freshness",
--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -81,6 +81,13 @@
         if is_idle and self.transport is not None:
             self.transport.close()
 
+    @property
+    def is_answering(self) -> bool:
+        """True while a request was read and bytes of its answer are unsent."""
+        transport = self.transport
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        return unsent or not self._is_idle()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the connection."""
         self._stop_timer()
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -22,6 +22,11 @@
 TURNS_TO_CONNECT = 4
 """Turns of the loop until an accepted socket has its protocol: a task, and two callbacks."""
 
+LAST_HANDLERS_SECONDS = 1.0
+"""Time that requests get that still run as the server is stopped."""
+
+SENT_POLL_SECONDS = 0.01
+
 CallerHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -42,6 +47,13 @@
             return TurnedAway(self._turned_away, self._on_refused)
         return CallerProtocol(self, self._settings, self._on_refused)
 
+    @property
+    def is_answering(self) -> bool:
+        """True while an answer is not out yet."""
+        return any(
+            isinstance(each, CallerProtocol) and each.is_answering for each in self.connections
+        )
+
     def cut_turned_away(self) -> None:
         """Ends what is left of refused connections."""
         for protocol in list(self._turned_away):
@@ -118,14 +130,38 @@
         if self._factory is not None:
             self._factory.pre_shutdown()
 
-    async def on_stop(self) -> None:
-        """Closes what is left."""
+    async def wait_sent(self, timeout: float) -> bool:
+        """Waits until all answers are sent; returns False where the time is up first.
+
+        An answer that its handler has returned may still wait for a caller that reads slowly.
+
+        Args:
+            timeout: Seconds.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout
+        while self._factory is not None and self._factory.is_answering:
+            if loop.time() >= ends_at:
+                return False
+            await asyncio.sleep(SENT_POLL_SECONDS)
+        return True
+
+    async def close(self, timeout: float) -> None:
+        """Closes what is left.
+
+        Args:
+            timeout: Seconds that running requests have.
+        """
         if self._server is not None:
             self._server.close()
         self._close_idle()
         if self._factory is not None:
             self._factory.cut_turned_away()
-            await self._factory.shutdown(timeout=1.0)
+            await self._factory.shutdown(timeout=timeout)
+
+    async def on_stop(self) -> None:
+        """Closes what is left."""
+        await self.close(LAST_HANDLERS_SECONDS)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         check_text(request)
--- a/packages/bilberryplank/bilberryplank/_direct_delivery.py
+++ b/packages/bilberryplank/bilberryplank/_direct_delivery.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from aiohttp import web
 from loguru import logger
@@ -47,7 +47,7 @@
         request: The caller's request.
         request_id: The caller's id of it.
         arrived: When its head was here, in seconds on the boot clock.
-        closes: True to end the connection after the answer.
+        closes: Returns True where the connection must end after the answer.
 
     Attributes:
         pace: How its pieces came.
@@ -56,7 +56,7 @@
     __slots__ = ("_arrived", "_closes", "_request", "_request_id", "_resp", "pace")
 
     def __init__(
-        self, request: web.BaseRequest, request_id: str, arrived: float, closes: bool
+        self, request: web.BaseRequest, request_id: str, arrived: float, closes: Callable[[], bool]
     ) -> None:
         self.pace = AnswerPace(arrived)
         self._arrived = arrived
@@ -75,7 +75,7 @@
         headers = CIMultiDict((name, value) for name, value in fields)
         headers.popall("Content-Length", None)
         resp = web.Response(status=status, headers=headers, body=body)
-        if self._closes:
+        if self._closes():
             resp.force_close()
         self._resp = resp
         self._log_ended(upstream, status)
@@ -90,7 +90,7 @@
         if self._resp is not None:
             return
         resp = web.StreamResponse(status=status, headers=CIMultiDict(fields))
-        if self._closes:
+        if self._closes():
             resp.force_close()
         await self._sent(resp.prepare(self._request))
         self._resp = resp
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -37,6 +37,7 @@
     DirectPlatform,
     Freshness,
     LinkPacer,
+    StopSchedule,
     WindowCounts,
 )
 from bilberryplank_core.errors import RefusalReason, SettingsInvalid
@@ -45,9 +46,16 @@
 POLL_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 2.0
 
+"""The settings file may change without a signal."""
+
 LAST_FLUSH_SECONDS = 0.5
 """Time that the store has at a stop to take the counts, before other entries get them."""
-"""The settings file may change without a signal."""
+
+CLOSING_SECONDS = 0.4
+"""Time before answers are due at which the listening socket closes."""
+
+LAST_ANSWERS_SECONDS = 0.1
+"""Time in which the answers go out that a stop gives to what still runs."""
 
 SettingsReader = Callable[[], DirectEntrySettings]
 
@@ -73,6 +81,7 @@
         self._platform = platform
         self._reread = reread
         self._reload = asyncio.Event()
+        self._stop_schedule = StopSchedule()
         self._rng = process_rng(settings.name)
         self._client: DirectClient | None = None
         self._reporter: UsageReporter | None = None
@@ -142,6 +151,7 @@
             fleet_clock,
             self.metrics,
             cfg.callers,
+            self._stop_schedule,
         )
         self._server = CallerServer(
             cfg.listen, cfg.callers, self._requests.handle, self._refused_early
@@ -190,21 +200,29 @@
         log_event(logger, "started", zone=cfg.zone, epoch=self.epoch, listen=cfg.listen)
 
     async def on_stop(self) -> None:
-        """Ends the work without cutting anything off."""
-        cfg = self._settings
-        began = boot_time()
-        log_event(logger, "stopping", in_flight=self._requests.in_flight)
+        """Ends the work; every caller has its answer before the end."""
+        schedule = self._stop_schedule
+        self.note_stop()
+        noticed_after = round(schedule.age(boot_time()) or 0.0, 3)
+        log_event(
+            logger, "stopping", in_flight=self._requests.in_flight, noticed_after=noticed_after
+        )
         self._operations.readiness = Readiness.DRAINING
-        self._requests.draining = True
+        self._requests.begin_stop()
         if self._reporter is not None:
             self.add_future(self._reporter.retire())
         self.add_future(self._members.withdraw())
-        await asyncio.sleep(cfg.lame_duck)
         # Whoever still comes is told to go elsewhere: a closed port would cut those just accepted.
-        self._requests.closed = True
-        await self._requests.wait_idle(began + cfg.lame_duck + cfg.drain_timeout - boot_time())
+        await asyncio.sleep(schedule.closes_at - boot_time())
+        await self._requests.wait_idle(schedule.answers_due - CLOSING_SECONDS - boot_time())
         await self._server.stop_listening()
-        await self._usage.finish(LAST_FLUSH_SECONDS)
+        answers_out = schedule.answers_due + LAST_ANSWERS_SECONDS
+        await self._requests.wait_idle(answers_out - boot_time())
+        await asyncio.gather(
+            self._server.wait_sent(max(answers_out - boot_time(), LAST_ANSWERS_SECONDS)),
+            self._usage.finish(LAST_FLUSH_SECONDS),
+        )
+        await self._server.close(LAST_ANSWERS_SECONDS)
         log_event(logger, "stopped", in_flight=self._requests.in_flight)
 
     async def on_shutdown(self) -> None:
@@ -212,6 +230,11 @@
         if self._client is not None:
             await self._client.close()
 
+    def note_stop(self) -> None:
+        """Takes in that the process is to stop; its time to do so counts from here."""
+        cfg = self._settings
+        self._stop_schedule.begin(boot_time(), cfg.lame_duck, cfg.drain_timeout)
+
     def reload(self) -> None:
         """Asks for the settings to be read again."""
         self._reload.set()
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -12,7 +12,7 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._crash_guard import CrashGuard
 from bilberryplank._direct_client import DirectClient
-from bilberryplank._direct_run import DirectRun, RunParts
+from bilberryplank._direct_run import STOP_RETURN_SECONDS, DirectRun, RunParts
 from bilberryplank._direct_state import DirectState
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import NO_CLASS, ProcessMetrics, RequestOutcome
@@ -23,6 +23,7 @@
     Freshness,
     HeaderCodec,
     RequestHead,
+    StopSchedule,
     WindowCounts,
 )
 from bilberryplank_core.errors import REFUSAL_STATUS, RefusalReason, Refused
@@ -42,8 +43,6 @@
 
     Attributes:
         in_flight: Requests whose final answer is not out yet.
-        draining: True once the entry is about to stop; answers then end their connections.
-        closed: True once no new request is taken.
     """
 
     def __init__(
@@ -56,17 +55,20 @@
         fleet_clock: FleetClock,
         metrics: ProcessMetrics,
         callers: CallerSettings,
+        stop_schedule: StopSchedule,
     ) -> None:
         self.in_flight = 0
-        self.draining = False
-        self.closed = False
+        self._bounds: set[asyncio.Timeout] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self._state = state
         self._header_codec = header_codec
         self._metrics = metrics
         self._callers = callers
-        self._parts = RunParts(state, client, crashes, header_codec, counts, fleet_clock, metrics)
+        self._stop_schedule = stop_schedule
+        self._parts = RunParts(
+            state, client, crashes, header_codec, counts, fleet_clock, metrics, stop_schedule
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Returns the final answer to a request."""
@@ -79,23 +81,73 @@
             call = self._header_codec.read_request_head(request.headers)
             found = self._classify(request, call)
             class_name = found.route.name
-            received = await receive(request, self._callers)
-            run = DirectRun(self._parts, request, received, call, found, arrived, self.draining)
-            resp = await run.run()
+            resp = await self._carry_out(request, call, found, arrived)
             self._metrics.request_ended(class_name, RequestOutcome.ANSWERED)
             return resp
         except Refused as refused:
             return self._refuse(call, refused, class_name, arrived)
         except (CallerGone, asyncio.CancelledError):
             self._metrics.request_ended(class_name, RequestOutcome.CALLER_GONE)
-            age = round(boot_time() - arrived, 3)
-            log_event(logger, "request_abandoned", request=call.request_id, seconds=age)
+            now = boot_time()
+            stop_age = self._stop_schedule.age(now)
+            log_event(
+                logger,
+                "request_abandoned",
+                request=call.request_id,
+                seconds=round(now - arrived, 3),
+                stopping=None if stop_age is None else round(stop_age, 3),
+            )
             raise
         finally:
             self.in_flight -= 1
             if not self.in_flight:
                 self._idle.set()
 
+    def begin_stop(self) -> None:
+        """Has all requests end once the stop's answers are due."""
+        for bound in self._bounds:
+            bound.reschedule(self._loop_time_due())
+
+    async def _carry_out(
+        self, request: web.BaseRequest, call: RequestHead, found: ClassifiedRequest, arrived: float
+    ) -> web.StreamResponse:
+        """Returns the answer to a request of a known route.
+
+        Raises:
+            Refused: It was not served, or not in the time that a stop leaves.
+            CallerGone: The caller left, or its answer was cut off.
+        """
+        run: DirectRun | None = None
+        bound = asyncio.timeout_at(self._loop_time_due())
+        self._bounds.add(bound)
+        try:
+            async with bound:
+                received = await receive(request, self._callers)
+                run = DirectRun(
+                    self._parts, request, received, call, found, arrived, self._is_stopping
+                )
+                return await run.run()
+        except TimeoutError:
+            if run is not None:
+                raise run.end_early("this entry stops, and no whole answer came") from None
+            raise self._stopped("this entry stops, and the body is not whole") from None
+        finally:
+            self._bounds.discard(bound)
+
+    def _loop_time_due(self) -> float | None:
+        """Returns the loop's time when a stop's answers are due; None without a stop."""
+        if not self._is_stopping():
+            return None
+        left = self._stop_schedule.answers_due - boot_time()
+        return asyncio.get_running_loop().time() + left
+
+    def _is_stopping(self) -> bool:
+        return self._stop_schedule.age(boot_time()) is not None
+
+    @staticmethod
+    def _stopped(message: str) -> Refused:
+        return Refused(RefusalReason.DRAINING, message, retry_after=STOP_RETURN_SECONDS)
+
     async def wait_idle(self, timeout: float) -> bool:
         """Waits until no request is in flight; returns False where the time is up first."""
         try:
@@ -107,9 +159,9 @@
 
     def _classify(self, request: web.BaseRequest, call: RequestHead) -> ClassifiedRequest:
         routes = self._state.routes
-        if self.closed:
-            raise Refused(RefusalReason.DRAINING, "this entry stops", retry_after=SOON_SECONDS)
         now = boot_time()
+        if not self._stop_schedule.is_open(now):
+            raise self._stopped("this entry stops")
         freshness = self._state.freshness_tracker.freshness(now)
         if routes is None or freshness is Freshness.STALE:
             age = self._state.freshness_tracker.age(now)
@@ -151,6 +203,6 @@
         resp.content_type = "application/json"
         for name, value in self._header_codec.refusal_fields(refused, call.request_id):
             resp.headers[name] = value
-        if self.draining:
+        if self._is_stopping():
             resp.force_close()
         return resp
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -33,6 +34,7 @@
     Outcome,
     RequestAttempts,
     RequestHead,
+    StopSchedule,
     WindowCounts,
     Withheld,
     choose_service,
@@ -62,7 +64,14 @@
 EVENT_END = b"\n\n"
 EVENT_STREAM = "text/event-stream"
 
-NOT_RUN_REASONS = (RefusalReason.DEADLINE_UNREACHABLE, RefusalReason.PROMPT_QUARANTINED)
+STOP_RETURN_SECONDS = 0.1
+"""When to come back where this entry stops: others take the request at once."""
+
+NOT_RUN_REASONS = (
+    RefusalReason.DEADLINE_UNREACHABLE,
+    RefusalReason.PROMPT_QUARANTINED,
+    RefusalReason.DRAINING,
+)
 """Reasons with a status that tells a caller that its request was not executed."""
 
 RETRY_REASONS = {
@@ -84,6 +93,7 @@
     counts: WindowCounts
     fleet_clock: FleetClock
     metrics: ProcessMetrics
+    stop_schedule: StopSchedule
 
 
 class DirectRun:
@@ -96,7 +106,7 @@
         call: What its head says.
         found: Its route and organisation.
         arrived: When its head was here, in seconds on the boot clock.
-        closes: True to end the caller's connection after the answer.
+        closes: Returns True where the caller's connection must end after the answer.
     """
 
     def __init__(
@@ -107,7 +117,7 @@
         call: RequestHead,
         found: ClassifiedRequest,
         arrived: float,
-        closes: bool,
+        closes: Callable[[], bool],
     ) -> None:
         self._parts = parts
         self._received = received
@@ -244,6 +254,7 @@
             upstream = choice.upstream if choice else None
             if choice is not None:
                 self._admit(choice, now)
+                self._check_stop(choice.wait + self._output_seconds(board), now)
                 board.begin(choice, self._call, now)
                 note.update(
                     unread=choice.prefill_tokens,
@@ -254,6 +265,7 @@
         else:
             upstream = board.choose(fresh, now)
             if upstream is not None:
+                self._check_stop(self._found.route.objective, now)
                 board.begin(upstream.name)
         if upstream is None:
             raise self._no_upstream()
@@ -287,6 +299,38 @@
         retry_after = retry_delay(choice.delay, route.objective, state.rng)
         raise self._give_up(RefusalReason.DEADLINE_UNREACHABLE, message, retry_after)
 
+    def _check_stop(self, expected: float, now: float) -> None:
+        """Refuses a request that should not end while this entry stops, unless its answer began.
+
+        Args:
+            expected: Seconds that the next attempt should take.
+            now: The time.
+        """
+        if not self._may_begin(expected, now):
+            raise self.end_early("this entry stops before the request would end")
+
+    def _may_begin(self, expected: float, now: float) -> bool:
+        if self._answer.begun:
+            return True
+        is_first, limit = not self._log.delivered, self._deadline - now
+        return self._parts.stop_schedule.may_begin(now, expected, limit, is_first)
+
+    def _output_seconds(self, board: EngineSelector) -> float:
+        """Returns the seconds from the first token to the last; the longest where it runs once."""
+        call = self._call
+        tokens = call.max_output_tokens
+        if self._resumable and call.expected_output_tokens is not None:
+            tokens = min(tokens, call.expected_output_tokens)
+        return tokens * board.performance.output_token_seconds
+
+    def end_early(self, message: str) -> Exception:
+        """Returns the end of a request for which a stop leaves no time.
+
+        Raises:
+            CallerGone: Its answer had begun, and was cut off.
+        """
+        return self._give_up(RefusalReason.DRAINING, message, STOP_RETURN_SECONDS)
+
     async def _attempt(
         self, upstream: DirectUpstream, note: dict[str, object]
     ) -> tuple[Outcome, web.StreamResponse | None]:
@@ -471,7 +515,12 @@
         self._parts.metrics.set_load(0, self._parts.state.in_flight())
 
     def _can_retry(self, outcome: Outcome) -> bool:
-        if self._deadline - boot_time() < LEAST_TRY_SECONDS:
+        now = boot_time()
+        if self._deadline - now < LEAST_TRY_SECONDS:
+            return False
+        # Another attempt may well take as long as this one did.
+        expected = max(self._found.route.objective, now - self._attempt_began)
+        if not self._may_begin(expected, now):
             return False
         if self._log.next_action(outcome, True) is not NextAction.RETRY:
             return False
@@ -479,7 +528,7 @@
             return True
         if outcome is Outcome.UNKNOWN and self._parts.crashes.is_suspect(self._guarded):
             return False
-        return self._parts.state.budget(self._service).try_spend(boot_time())
+        return self._parts.state.budget(self._service).try_spend(now)
 
     def _failure(self, outcome: Outcome) -> Exception:
         if outcome is Outcome.NOT_RUN:
@@ -498,7 +547,9 @@
             if retry_after is None:
                 retry_after = RETURN_SECONDS * self._parts.state.rng.uniform(0.6, 1.4)
             return Refused(reason, message, retry_after=retry_after)
-        if reason in NOT_RUN_REASONS:
+        if reason is RefusalReason.DRAINING:
+            reason = RefusalReason.OUTCOME_UNKNOWN
+        elif reason in NOT_RUN_REASONS:
             reason = RefusalReason.UPSTREAM_FAILED
         return Refused(reason, message, not_run=self._log.not_run)
 
