Count the time of a stop from its signal, also where the event loop is late

The time in which a stopping entry takes requests, and the time until its answers are due, began when the event loop came round to the signal. On a busy small host that is later than SIGTERM by as much as the loop is late, while the platform's time until it kills the process runs. Callers could see requests of more than 3 s after SIGTERM passed on, and answers that came too late.

--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -315,6 +315,8 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+        # Runs at once, where the loop may be late. The loop still learns of the signal.
+        signal.signal(number, lambda *_: entry.note_stop())
     loop.add_signal_handler(signal.SIGHUP, entry.reload)
     try:
         await entry.start()
