--- a/packages/bilberryplank/bilberryplank/_direct_delivery.py
+++ b/packages/bilberryplank/bilberryplank/_direct_delivery.py
@@ -8,9 +8,10 @@
 from loguru import logger
 from multidict import CIMultiDict
 
-from bilberryplank._caller_answer import CallerGone
+from bilberryplank._caller_answer import AnswerCutOff, CallerGone
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
+from bilberryplank_core.errors import RefusalReason, Refused
 
 Fields = Iterable[tuple[str, str]]
 
@@ -107,23 +108,24 @@
         self._log_ended(upstream, self._resp.status)
         return self._resp
 
-    def cut_off(self, message: str) -> None:
+    def cut_off(self, reason: RefusalReason, message: str) -> None:
         """Ends the caller's connection, so that nobody takes the answer for a whole one.
 
         Raises:
-            CallerGone: Always.
+            AnswerCutOff: Always.
         """
         log_event(
             logger,
             "answer_cut_off",
             level="WARNING",
             request=self._request_id,
+            reason=reason.value,
             cause=message,
             seconds=round(boot_time() - self._arrived, 3),
         )
         if self._request.transport is not None:
             self._request.transport.close()
-        raise CallerGone(message)
+        raise AnswerCutOff(Refused(reason, message, not_run=False))
 
     def _log_ended(self, upstream: str, status: int) -> None:
         log_event(
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from loguru import logger
 
-from bilberryplank._caller_answer import CallerGone
+from bilberryplank._caller_answer import AnswerCutOff, CallerGone
 from bilberryplank._caller_request import receive
 from bilberryplank._clocks import boot_time
 from bilberryplank._crash_guard import CrashGuard
@@ -86,7 +86,11 @@
             return resp
         except Refused as refused:
             return self._refuse(call, refused, class_name, arrived)
-        except (CallerGone, asyncio.CancelledError):
+        except AnswerCutOff as exc:
+            self._metrics.refused(exc.refused.reason, class_name)
+            self._metrics.request_ended(class_name, RequestOutcome.MAY_HAVE_RUN)
+            raise
+        except (CallerGone, asyncio.CancelledError) as exc:
             self._metrics.request_ended(class_name, RequestOutcome.CALLER_GONE)
             now = boot_time()
             stop_age = self._stop_schedule.age(now)
@@ -94,6 +98,7 @@
                 logger,
                 "request_abandoned",
                 request=call.request_id,
+                cause=f"{type(exc).__name__}: {exc}",
                 seconds=round(now - arrived, 3),
                 stopping=None if stop_age is None else round(stop_age, 3),
             )
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -355,7 +355,8 @@
                 has_head = answer is not None and self._pieces == 0
                 await self._parts.crashes.lost(self._guarded, upstream, has_head, began)
             if self._answer.begun and not self._may_resume():
-                self._answer.cut_off("the upstream broke off its answer")
+                message = "the upstream broke off its answer"
+                self._answer.cut_off(RefusalReason.UPSTREAM_FAILED, message)
             return outcome, None
         except (asyncio.CancelledError, CallerGone):
             abandoned = True
@@ -540,7 +541,7 @@
     ) -> Exception:
         """Returns what ends the request: a refusal, or the cut of an answer that has begun."""
         if self._answer.begun:
-            self._answer.cut_off(message)
+            self._answer.cut_off(reason, message)
         if self._log.not_run and reason is not RefusalReason.DEADLINE_PASSED:
             if reason is RefusalReason.UPSTREAM_FAILED:
                 reason = RefusalReason.NO_UPSTREAM
