--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -78,6 +78,7 @@
     WindowGivenUp,
     seal_may_be_forgotten,
 )
+from bilberryplank_core._stop_schedule import StopSchedule
 from bilberryplank_core._store_era import (
     ERA_TABLE,
     EraChanged,
@@ -187,6 +188,7 @@
     "SEAL_DELAY_SECONDS",
     "UpstreamSelector",
     "NextAction",
+    "StopSchedule",
     "TableNotice",
     "FleetClock",
     "Freshness",
--- a/packages/bilberryplank/bilberryplank/_direct_delivery.py
+++ b/packages/bilberryplank/bilberryplank/_direct_delivery.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from aiohttp import web
 from loguru import logger
 from multidict import CIMultiDict
 
-from bilberryplank._caller_answer import CallerGone
+from bilberryplank._caller_answer import AnswerCutOff, CallerGone
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
+from bilberryplank_core.errors import RefusalReason, Refused
 
 Fields = Iterable[tuple[str, str]]
 
@@ -47,7 +48,7 @@
         request: The caller's request.
         request_id: The caller's id of it.
         arrived: When its head was here, in seconds on the boot clock.
-        closes: True to end the connection after the answer.
+        closes: Returns True where the connection must end after the answer.
 
     Attributes:
         pace: How its pieces came.
@@ -56,7 +57,7 @@
     __slots__ = ("_arrived", "_closes", "_request", "_request_id", "_resp", "pace")
 
     def __init__(
-        self, request: web.BaseRequest, request_id: str, arrived: float, closes: bool
+        self, request: web.BaseRequest, request_id: str, arrived: float, closes: Callable[[], bool]
     ) -> None:
         self.pace = AnswerPace(arrived)
         self._arrived = arrived
@@ -75,7 +76,7 @@
         headers = CIMultiDict((name, value) for name, value in fields)
         headers.popall("Content-Length", None)
         resp = web.Response(status=status, headers=headers, body=body)
-        if self._closes:
+        if self._closes():
             resp.force_close()
         self._resp = resp
         self._log_ended(upstream, status)
@@ -90,7 +91,7 @@
         if self._resp is not None:
             return
         resp = web.StreamResponse(status=status, headers=CIMultiDict(fields))
-        if self._closes:
+        if self._closes():
             resp.force_close()
         await self._sent(resp.prepare(self._request))
         self._resp = resp
@@ -107,23 +108,24 @@
         self._log_ended(upstream, self._resp.status)
         return self._resp
 
-    def cut_off(self, message: str) -> None:
+    def cut_off(self, reason: RefusalReason, message: str) -> None:
         """Ends the caller's connection, so that nobody takes the answer for a whole one.
 
         Raises:
-            CallerGone: Always.
+            AnswerCutOff: Always.
         """
         log_event(
             logger,
             "answer_cut_off",
             level="WARNING",
             request=self._request_id,
+            reason=reason.value,
             cause=message,
             seconds=round(boot_time() - self._arrived, 3),
         )
         if self._request.transport is not None:
             self._request.transport.close()
-        raise CallerGone(message)
+        raise AnswerCutOff(Refused(reason, message, not_run=False))
 
     def _log_ended(self, upstream: str, status: int) -> None:
         log_event(
