Await the notice of a crash before a test clears its part at another entry

Seen once: test_what_one_entry_cleared_is_cleared_at_all failed at load 14 on 8 processors; the second crash kept its suspect. Traced: an entry clears a part only of crashes that it knows; the test gave the notice 0.2 s. With notices held back for 2 s the same assertion fails on the test before, and passes now.

--- a/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
@@ -247,6 +247,10 @@
         guards = [(await self.start(name))[0] for name in self.rows]
         for number in range(2):
             await self.crash(guards[0], f"e{number}", "shared", "dead")
+        # An entry can clear a part only of the crashes that it has heard of.
+        async with asyncio.timeout(5.0):
+            while len(guards[1].quarantine.evidence.crashes_of("m/dead")) < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
         trial = guards[1].guard(head("shared", "other"), self.stopped.append)
         guards[1].settled(trial, boot_time())
         await asyncio.sleep(2.5)
