Record for later holders since when a usage lease was held alone over a restore

Cause: what the last holder before a restore knows ended with its process. Change: the last holder of an era writes since when it held the lease alone, under its fence and in one transaction with the seals that it remembers and the store lacks. Holders of the same era rely on it. Result: test_a_holder_that_stops_after_a_restore_leaves_to_the_next_what_it_knows failed before (202 not found) and passes, with test_restored_usage (12 tests).

--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -217,6 +217,7 @@
         last_ended = int(now // window) - 1
         oldest = int((now - self._settings.usage_deadline) // window)
         if self._next is None:
+            await self._seals.record_tenure()
             self._next = await self._first_unreported(oldest, last_ended)
         number = self._next
         while number <= last_ended and self.lease.held(self._clock()):
--- a/packages/bilberryplank/bilberryplank/_usage_seals.py
+++ b/packages/bilberryplank/bilberryplank/_usage_seals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -28,6 +29,8 @@
 from bilberryplank_core.errors import PlatformUnavailable
 
 SEALS_TABLE = "usage-seals"
+TENURE_TABLE = "usage-tenure"
+TENURE_KEY = "latest"
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,6 +67,7 @@
         "_fleet_clock",
         "_lease",
         "_memory",
+        "_recorded_in",
         "_table",
         "_window",
         "_write_back",
@@ -87,6 +91,7 @@
         self._deadline = deadline
         self._write_back = write_back
         self._memory = SealMemory()
+        self._recorded_in = 0
 
     def hear(self, number: int, counts: dict[str, int]) -> None:
         """Remembers a seal that another process tells of."""
@@ -104,6 +109,27 @@
         elapsed = self._clock() - self._lease.era_known_at
         return elapsed >= SEAL_DELAY_SECONDS + self._write_back()
 
+    async def record_tenure(self) -> None:
+        """Records, for later holders, since when no other process can have sealed a window.
+
+        Only a process that held the lease when the era began knows. Its own seals are written back
+        in the same transaction.
+
+        Raises:
+            PlatformError: The outcome is unknown.
+            LeaseLost: The lease is not held.
+        """
+        opening = await self._opening()
+        if opening is None or opening.era == self._recorded_in:
+            return
+        since = self._sole_since()
+        if since < opening.opened_at + self._offset():
+            value = {"era": opening.era, "since": since}
+            await self._commit_lacking(
+                [self._lease.fence_condition()], [Put(TENURE_TABLE, TENURE_KEY, value)]
+            )
+        self._recorded_in = opening.era
+
     async def reported(self) -> list[int]:
         """Returns the windows that the store knows to be reported."""
         seals = {number: _read(row) for number, row in (await self._rows()).items()}
@@ -157,19 +183,19 @@
         Raises:
             PlatformError: The outcome is unknown, or another process wrote one of them first.
         """
+        return await self._commit_lacking([], [])
+
+    async def _commit_lacking(self, conditions: list[Condition], puts: list[Put]) -> int:
         rows = await self._rows()
         stored = {number: seal for number, row in rows.items() if (seal := _read(row)) is not None}
         lacking = self._memory.lacking(stored)
-        if not lacking:
-            return 0
-        conditions = [
-            Condition(SEALS_TABLE, seal_key(number), rows[number].revision if number in rows else 0)
-            for number in lacking
-        ]
-        puts = [
-            Put(SEALS_TABLE, seal_key(number), seal.to_value()) for number, seal in lacking.items()
-        ]
-        await self._table.commit(conditions, list(puts))
+        for number, seal in lacking.items():
+            key = seal_key(number)
+            revision = rows[number].revision if number in rows else 0
+            conditions.append(Condition(SEALS_TABLE, key, revision))
+            puts.append(Put(SEALS_TABLE, key, seal.to_value()))
+        if puts:
+            await self._table.commit(conditions, list(puts))
         return len(lacking)
 
     async def _opening(self) -> EraOpening | None:
@@ -183,14 +209,24 @@
         opening = await self._opening()
         if opening is None:
             return
-        now, offset = self._fleet_clock.now(), self._fleet_clock.offset
-        if now is None or offset is None:
-            raise PlatformUnavailable("the fleet's time is not known yet")
-        sole_since = now - (self._clock() - self._lease.sole_since)
+        recorded = await self._table.read(TENURE_TABLE, TENURE_KEY)
+        sole_since = min(self._sole_since(), _tenure(recorded, opening.era))
         end = (number + 1) * self._window
-        if seal_may_be_forgotten(end, opening.opened_at + offset, sole_since):
+        if seal_may_be_forgotten(end, opening.opened_at + self._offset(), sole_since):
             raise WindowGivenUp("it may have been sealed before the store was restored")
 
+    def _sole_since(self) -> float:
+        """Returns since when no other process has held the lease, in seconds since 1970."""
+        now = self._fleet_clock.now()
+        if now is None:
+            raise PlatformUnavailable("the fleet's time is not known yet")
+        return now - (self._clock() - self._lease.sole_since)
+
+    def _offset(self) -> float:
+        if self._fleet_clock.offset is None:
+            raise PlatformUnavailable("the fleet's time is not known yet")
+        return self._fleet_clock.offset
+
     async def _write(self, number: int, seal: WindowSeal, revision: int) -> StoredSeal:
         key = seal_key(number)
         conditions = [Condition(SEALS_TABLE, key, revision), self._lease.fence_condition()]
@@ -221,6 +257,14 @@
     return f"{number:012d}"
 
 
+def _tenure(row: Row | None, era: int) -> float:
+    """Returns the recorded beginning of the tenure over the start of an era; inf without one."""
+    match row:
+        case Row(value={"era": int(recorded_era), "since": float(since)}) if recorded_era == era:
+            return since if math.isfinite(since) else math.inf
+    return math.inf
+
+
 def _read(row: Row) -> WindowSeal | None:
     try:
         return read_seal(row.value)
--- a/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
@@ -292,6 +292,19 @@
         self.check(world)
         self.assertIn(FIRST + 2, self.windows(world))
 
+    async def test_a_holder_that_stops_after_a_restore_leaves_to_the_next_what_it_knows(self):
+        world = await World("a", "b").run(13.0)
+        kept = world.store.keep_copy()
+        await world.run(1.5)
+        await self.outage(world, kept, 3.0)
+        await world.run(1.0)
+        holder = next(each for each in world.entries if each.reporter.lease.held(world.now))
+        await holder.reporter.retire()
+        world.entries.remove(holder)
+        await world.run(20.0)
+        self.check(world)
+        self.assertIn(FIRST + 2, self.windows(world))
+
     async def test_the_first_era_gives_up_no_window(self):
         world = await World("a").run(20.0)
         self.assertIn(FIRST - 1, world.reports.counts())
