Check the head of an answer at a sidecar as well

Cause: the same client parser and the same server as at the direct entry: a control character in a field of an upstream's answer, or a status like 999, was handed to the entry, whose server refuses to write it.

Change: check_head lies beside the single call, and both ways use it.

Seen before the change: test_a_head_that_cannot_be_passed_on_broke of test_upstream_call failed for its three heads (no UpstreamBroke). It passes now. What a caller of that way saw was not run; that it was the closed connection of the direct entry is an inference.

--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import functools
-import re
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -27,6 +26,7 @@
     SendOnce,
     UpstreamBroke,
     UpstreamNotReached,
+    check_head,
     single_connector,
 )
 from bilberryplank_core.checks import ValueInvalid, check_endpoint, split_endpoint
@@ -38,8 +38,6 @@
 QUESTION_SECONDS = 0.06
 """A request waits this long at the most for the loads of engines before it is placed without."""
 
-MAX_STATUS = 599
-
 QUESTION_CONNECTIONS = 2
 """Connections to one engine that are kept for questions; engines bound all connections."""
 
@@ -47,8 +45,6 @@
 MAX_REPLY_BYTES = 256 * 1024
 """Longest reply to a question: a load report names each request at the engine in some 100 bytes."""
 
-_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-
 
 @dataclass(slots=True, frozen=True)
 class QuestionReply:
@@ -246,11 +242,7 @@
             raise UpstreamNotReached(str(exc)) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise UpstreamBroke(f"{type(exc).__name__}: {exc}") from exc
-        try:
-            _check_head(resp)
-        except ValueInvalid as exc:
-            resp.close()
-            raise UpstreamBroke(str(exc)) from exc
+        check_head(resp)
         return UpstreamAnswer(resp)
 
     async def _pieces(self, body: bytes, size: int) -> AsyncIterator[bytes]:
@@ -260,15 +252,6 @@
             yield piece
 
 
-def _check_head(resp: aiohttp.ClientResponse) -> None:
-    """Raises `ValueInvalid` for a head that cannot be sent on: the parser takes more than HTTP."""
-    if not HTTPStatus.OK <= resp.status <= MAX_STATUS:
-        raise ValueInvalid(f"the status {resp.status} is not one of HTTP")
-    for name, value in resp.headers.items():
-        if _CONTROL.search(value):
-            raise ValueInvalid(f"the field {name} holds a control character")
-
-
 @functools.lru_cache(maxsize=1024)
 def _check_address(address: str) -> None:
     # The connection of any other address raises errors that are no OSError, or looks up a name.
--- a/packages/bilberryplank/bilberryplank/_single_call.py
+++ b/packages/bilberryplank/bilberryplank/_single_call.py
@@ -4,12 +4,18 @@
 
 import asyncio
 import functools
+import re
+from http import HTTPStatus
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
 from bilberryplank_core.errors import BilberryplankError
 
+MAX_STATUS = 599
+
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 
 class UpstreamNotReached(BilberryplankError):
     """No byte of the request went out, or the engine refused it before it began."""
@@ -23,6 +29,20 @@
     code = "upstream_broke"
 
 
+def check_head(resp: aiohttp.ClientResponse) -> None:
+    """Ends an answer whose head cannot be sent on; the client's parser takes more than HTTP.
+
+    Raises:
+        UpstreamBroke: Its status is not one of HTTP, or a field holds a control character.
+    """
+    odd = [name for name, value in resp.headers.items() if _CONTROL.search(value)]
+    if HTTPStatus.OK <= resp.status <= MAX_STATUS and not odd:
+        return
+    resp.close()
+    cause = f"status {resp.status}" if not odd else f"a control character in the field {odd[0]}"
+    raise UpstreamBroke(f"the head of the answer holds {cause}")
+
+
 class SendOnce:
     """Keeps the HTTP client from sending a call again by itself.
 
--- a/packages/bilberryplank/bilberryplank/_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/_upstream_call.py
@@ -15,6 +15,7 @@
     SendOnce,
     UpstreamBroke,
     UpstreamNotReached,
+    check_head,
     single_connector,
 )
 from bilberryplank._upstream_headers import answer_headers, request_headers
@@ -104,6 +105,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
             middlewares=() if dispatch.idempotent else (SendOnce(),),
         ) as resp:
+            check_head(resp)
             if self.kind is UpstreamKind.ENGINE and resp.status in OVERLOAD_STATUSES:
                 raise UpstreamNotReached(f"engine refused with {resp.status}")
             if self.kind is UpstreamKind.ENGINE and resp.status >= FIRST_SERVER_ERROR:
--- a/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
@@ -287,6 +287,13 @@
             await self.raw(head + b"whole")
             await self.check(200, dispatch(idempotent=idempotent))
 
+    async def test_a_head_that_cannot_be_passed_on_broke(self):
+        odd = [answer(fields=[b"X-Odd: " + value]) for value in (b"\x01", b"a\x7f")]
+        for sent in (*odd, answer("999 Odd")):
+            with self.subTest(sent[:40]):
+                await self.raw(sent)
+                await self.check(UpstreamBroke, dispatch())
+
     async def test_an_answer_that_ends_within_its_head_is_none(self):
         whole = b"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 3\r\n"
         for end in range(1, len(whole) + 1, 3):
