Take no request late in a stop that is not sure to end, with room for a late signal

An entry counts a stop from when it notices SIGTERM. On the other side a request of half a second was refused then, although it was sure to end, and callers may come back no more than a few times.

Requests that only should end in time are taken for 2.5 s: the balancer takes an entry out after two misses, a second apart. After that one is taken if its time limit ends before answers are due.

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
@@ -32,6 +32,11 @@
     urgency: tuple[int, int]
     version: int
 
+    def time_limit(self, call: RequestHead) -> float:
+        """Returns the seconds after which a request ends in any case."""
+        limit = self.route.timeout
+        return limit if call.time_limit is None else min(limit, call.time_limit)
+
 
 class RouteIndex:
     """Index of one configuration by authority and path prefix."""
--- a/packages/bilberryplank-core/bilberryplank_core/_stop_schedule.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_stop_schedule.py
@@ -28,7 +28,7 @@
 
     @property
     def closes_at(self) -> float:
-        """From when on new requests are refused; infinite before a stop."""
+        """From when on new requests must be sure to end in time; infinite before a stop."""
         return self._closes_at
 
     def begin(self, now: float, lame_duck: float, drain_timeout: float) -> None:
@@ -36,7 +36,7 @@
 
         Args:
             now: When the process was told to stop.
-            lame_duck: Seconds in which new requests are still taken.
+            lame_duck: Seconds in which new requests are taken that should end in time.
             drain_timeout: Seconds after that until answers are due.
         """
         if self._began < math.inf:
@@ -49,15 +49,20 @@
         """Returns the seconds since the stop began; None before."""
         return None if self._began == math.inf else now - self._began
 
-    def is_open(self, now: float) -> bool:
-        """Returns True while new requests are taken."""
-        return now < self._closes_at
+    def may_take(self, now: float, limit: float) -> bool:
+        """Returns True where a new request is taken.
+
+        Args:
+            now: The time.
+            limit: Seconds after which the request ends in any case.
+        """
+        return now < self._closes_at or now + limit <= self._answers_due
 
     def may_begin(self, now: float, expected: float, limit: float, is_first: bool) -> bool:
         """Returns True where an attempt may begin.
 
-        An estimate suffices while requests are taken. A request that could not be passed on until
-        then has lost that time; it must be sure to end.
+        An estimate suffices for a while. A request that was not passed on by then must be sure to
+        end.
 
         Args:
             now: The time.
@@ -65,6 +70,6 @@
             limit: Seconds after which the request ends in any case.
             is_first: True where the request was not passed on before.
         """
-        is_late = is_first and not self.is_open(now)
+        is_late = is_first and now >= self._closes_at
         seconds = limit if is_late else min(expected, limit)
         return now + seconds <= self._answers_due
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_stop_schedule.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_stop_schedule.py
@@ -9,7 +9,7 @@
         self.schedule = StopSchedule()
 
     def test_before_a_stop_nothing_is_refused(self):
-        self.assertTrue(self.schedule.is_open(1e9))
+        self.assertTrue(self.schedule.may_take(1e9, 1e6))
         self.assertTrue(self.schedule.may_begin(1e9, 1e6, 1e6, True))
         self.assertEqual(self.schedule.answers_due, math.inf)
         self.assertIsNone(self.schedule.age(1e9))
@@ -32,11 +32,17 @@
             with self.subTest(at=at, expected=expected, limit=limit, is_first=is_first):
                 self.assertIs(self.schedule.may_begin(100.0 + at, expected, limit, is_first), may)
 
+    def test_a_request_that_is_sure_to_end_in_time_is_taken_late(self):
+        self.schedule.begin(100.0, 3.0, 4.0)
+        for at, limit, takes in ((3.1, 3.8, True), (3.1, 4.0, False), (6.9, 0.2, False)):
+            with self.subTest(at=at, limit=limit):
+                self.assertIs(self.schedule.may_take(100.0 + at, limit), takes)
+
     def test_a_late_event_loop_takes_no_request_for_longer(self):
         """What counts is the time of the signal, not when a timer of the loop fires."""
         self.schedule.begin(100.0, 3.0, 4.0)
         self.schedule.begin(101.0, 3.0, 4.0)
-        self.assertTrue(self.schedule.is_open(102.99))
-        self.assertFalse(self.schedule.is_open(103.0))
+        self.assertTrue(self.schedule.may_take(102.99, 12.0))
+        self.assertFalse(self.schedule.may_take(103.0, 12.0))
         self.assertEqual((self.schedule.closes_at, self.schedule.answers_due), (103.0, 107.0))
         self.assertEqual(self.schedule.age(103.5), 3.5)
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -165,8 +165,6 @@
     def _classify(self, request: web.BaseRequest, call: RequestHead) -> ClassifiedRequest:
         routes = self._state.routes
         now = boot_time()
-        if not self._stop_schedule.is_open(now):
-            raise self._stopped("this entry stops")
         freshness = self._state.freshness_tracker.freshness(now)
         if routes is None or freshness is Freshness.STALE:
             age = self._state.freshness_tracker.age(now)
@@ -174,7 +172,7 @@
             raise Refused(RefusalReason.CONFIGURATION_STALE, message, retry_after=SOON_SECONDS)
         path = request.raw_path.partition("?")[0]
         try:
-            return routes.classify(request.headers.get("Host", ""), path, call)
+            found = routes.classify(request.headers.get("Host", ""), path, call)
         except Refused as refused:
             if refused.reason in FINAL_REASONS and freshness is not Freshness.CONFIRMED:
                 message = f"{refused}, but the configuration may be behind"
@@ -182,6 +180,9 @@
                     RefusalReason.CONFIGURATION_STALE, message, retry_after=SOON_SECONDS
                 ) from refused
             raise
+        if not self._stop_schedule.may_take(now, found.time_limit(call)):
+            raise self._stopped("this entry stops")
+        return found
 
     def _refuse(
         self, call: RequestHead, refused: Refused, class_name: str, arrived: float
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -143,10 +143,7 @@
         self._task = asyncio.current_task()
         self._withheld: Withheld | None = None
         self._guarded = parts.crashes.guard(call, self._stop)
-        limit = found.route.timeout
-        if call.time_limit is not None:
-            limit = min(limit, call.time_limit)
-        self._deadline = arrived + limit
+        self._deadline = arrived + found.time_limit(call)
 
     async def run(self) -> web.StreamResponse:
         """Returns the answer, sent whole.
