--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -111,7 +111,8 @@
     def begin_stop(self) -> None:
         """Has all requests end once the stop's answers are due."""
         for bound in self._bounds:
-            bound.reschedule(self._loop_time_due())
+            if not bound.expired():
+                bound.reschedule(self._loop_time_due())
 
     async def _carry_out(
         self, request: web.BaseRequest, call: RequestHead, found: ClassifiedRequest, arrived: float
