Tell in the log of usage windows whose deadline passed before a holder came to them

Cause: a new holder begins with the oldest window that is still due, and passed over the others in silence. Change: usage_overdue names the first of them and how many. Result: the new test passes; on the code before there is no such line.

--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -229,8 +229,13 @@
             self._next = number = number + 1
 
     async def _first_unreported(self, oldest: int, last_ended: int) -> int:
-        reported = await self._seals.reported()
-        return max([oldest, *(number + 1 for number in reported if number <= last_ended)])
+        reported = [each for each in await self._seals.reported() if each <= last_ended]
+        first = max(reported, default=oldest - 1) + 1
+        if first < oldest:
+            log_event(
+                logger, "usage_overdue", level="WARNING", window=first, windows=oldest - first
+            )
+        return max(oldest, first)
 
     async def _report(self, number: int, age: float) -> bool:
         """Reports a window that ended `age` seconds ago; returns False where it must wait."""
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -3,6 +3,8 @@
 import unittest
 from random import Random
 
+from loguru import logger
+
 from bilberryplank._direct_usage import SEALS_TABLE, UsageReporter
 from bilberryplank._usage_store import COUNTS_TABLE, KEPT_WINDOWS, UsageStore
 from bilberryplank_core.contracts import Put
@@ -128,6 +130,17 @@
         self.assertEqual(windows, sorted(set(windows)))
         self.assertIn(FIRST, windows)
 
+    async def test_windows_whose_deadline_passed_without_a_holder_are_told_in_the_log(self):
+        lines = []
+        sink = logger.add(lambda line: lines.append(line.record), level="WARNING")
+        self.addCleanup(logger.remove, sink)
+        await self.at(self.reporter("one"), 2 * WINDOW + 3.0)
+        await self.at(self.reporter("two"), 6 * WINDOW + 3.0)
+        (line,) = [line for line in lines if line["message"] == "usage_overdue"]
+        told = line["extra"]["window"], line["extra"]["windows"]
+        self.assertEqual(told, (FIRST + 2, 2))
+        self.assertEqual(max(window for window, _, _ in self.reports.sent), FIRST + 1)
+
     async def test_a_window_waits_for_a_process_that_was_cut_off_for_windows(self):
         one = self.reporter("one")
         for number in (FIRST - 2, FIRST - 1):
