Leave out of an entry's age in a test the time in which the test's own process did not run

Seen once at load 16 on 8 processors: an entry's word was 0.77 s old where 0.6 s are allowed. Traced: all twelve entries share the loop of the test; with that loop held up for 0.25 s at a time, six of six runs fail in the same place (0.60 to 0.87 s). Change: the bound is the same plus the time by which the loop's own timer was late in those 0.6 s. On an idle machine that is some milliseconds.

--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -89,8 +89,21 @@
             self.watches.append(Watch(table, "t", Random(name), self.WAIT, relay, eras))
         for part in (*self.relays, *self.watches):
             await part.start()
+        self.stalls = []
+        self.stall_meter = asyncio.create_task(self.measure_stalls())
+
+    async def measure_stalls(self):
+        while True:
+            began = self.clock()
+            await asyncio.sleep(0.02)
+            self.stalls.append(self.clock() - began - 0.02)
+
+    def age_limit(self):
+        """Two waits of a read, and what this process itself did not run meanwhile."""
+        return 2 * self.WAIT + sum(self.stalls[-int(2 * self.WAIT / 0.02) :])
 
     async def asyncTearDown(self):
+        self.stall_meter.cancel()
         for part in (*self.watches, *self.relays):
             await part.stop()
 
@@ -110,7 +123,7 @@
         after = sum(self.tables[n].calls for n in listeners)
         self.assertLess(after - before, 0.1 * len(listeners) * 2.0 / self.WAIT)
         for watch in self.watches:
-            self.assertLess(self.clock() - watch.confirmed, 2 * self.WAIT)
+            self.assertLess(self.clock() - watch.confirmed, self.age_limit())
 
     async def test_a_change_reaches_all_at_once(self):
         await asyncio.sleep(0.6)
@@ -136,14 +149,14 @@
             self.tables[number].down = number not in self.listeners()
         await asyncio.sleep(1.0)
         for number in self.listeners():
-            self.assertLess(self.clock() - self.watches[number].confirmed, 2 * self.WAIT)
+            self.assertLess(self.clock() - self.watches[number].confirmed, self.age_limit())
 
     async def test_one_cut_off_from_the_store_does_not_confirm_a_change_that_it_lacks(self):
         await asyncio.sleep(0.6)
         cut = self.listeners()[0]
         self.tables[cut].down = True
         await asyncio.sleep(0.5)
-        self.assertLess(self.clock() - self.watches[cut].confirmed, 2 * self.WAIT)
+        self.assertLess(self.clock() - self.watches[cut].confirmed, self.age_limit())
         self.change(9)
         changed_at = self.clock()
         await asyncio.sleep(0.6)
