--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -46,7 +46,6 @@
 
 POLL_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 2.0
-
 """The settings file may change without a signal."""
 
 LAST_FLUSH_SECONDS = 0.5
