Notice the first restore also of a store that counts its eras from 0

What callers would see: the first restore passes unnoticed, with all its faults. Cause: 0 stood both for that era and for a store that tells none (found by the review of the fix). Evidence: the new test of EraTracker, tried by the reviewer on: nothing is raised, nobody told. Change: None stands for a store without eras.

--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -125,7 +125,7 @@
         self._sole_since = float("inf")
         self._is_last_holder = False
         self._eras = eras or EraTracker()
-        self._era = 0
+        self._era: int | None = None
         self._era_known_at = float("-inf")
         self._eras.subscribe(self._begin_era)
 
@@ -142,7 +142,7 @@
     @property
     def has_eras(self) -> bool:
         """True if the table service tells its era."""
-        return bool(self._era)
+        return self._era is not None
 
     @property
     def era_known_at(self) -> float:
@@ -260,7 +260,7 @@
         except (Conflict, PlatformUnavailable):
             return
 
-    def _begin_era(self, era: int) -> None:
+    def _begin_era(self, era: int | None) -> None:
         """Drops all that was granted, seen or announced in an earlier era."""
         now = self._clock()
         self._is_last_holder = self._is_last_holder or self._grant is not None
@@ -279,7 +279,7 @@
     def _is_free(self, row: Row | None, current: LeaseRow | None) -> bool:
         if row is None or current is None:
             return self._is_last_holder or self._is_settled()
-        if self._era and era_of_fence(current.fence) != self._era:
+        if self._era is not None and era_of_fence(current.fence) != self._era:
             # Released, relinquished or not: a later grant of that era may be lost.
             return self._is_last_holder or (self._is_unchanged(row, current) and self._is_settled())
         self._is_last_holder = False
@@ -292,7 +292,7 @@
 
     def _is_settled(self) -> bool:
         """Returns whether all grants of earlier eras have expired."""
-        return not self._era or (
+        return self._era is None or (
             self._clock() - self._era_known_at >= self._duration + self._margin
         )
 
--- a/packages/bilberryplank-core/bilberryplank_core/_store_era.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_store_era.py
@@ -58,14 +58,14 @@
     """Tracks the era of the store from its answers.
 
     Attributes:
-        current: The latest era; 0 before the first answer, and for a store without eras.
+        current: The latest era; None before the first answer, and for a store without eras.
         changed: True once this process has seen an era replace another.
     """
 
     __slots__ = ("_listeners", "changed", "current")
 
     def __init__(self) -> None:
-        self.current = 0
+        self.current: int | None = None
         self.changed = False
         self._listeners: list[Callable[[int], None]] = []
 
@@ -73,7 +73,7 @@
         """Has `listener` called with the number of each era that replaces another."""
         self._listeners.append(listener)
 
-    def record_answer(self, sent_in: int, era: int | None) -> None:
+    def record_answer(self, sent_in: int | None, era: int | None) -> None:
         """Records the era of an answer.
 
         Args:
@@ -85,14 +85,14 @@
         """
         if era is None:
             return
-        if era < self.current:
+        if self.current is not None and era < self.current:
             raise EraChanged(f"an answer of era {era} arrived in era {self.current}")
         previous, self.current = self.current, era
-        if previous and era != previous:
+        if previous is not None and era != previous:
             self.changed = True
             for listener in self._listeners:
                 listener(era)
-        if sent_in and era != sent_in:
+        if sent_in is not None and era != sent_in:
             raise EraChanged(f"a call of era {sent_in} was answered in era {era}")
 
 
@@ -101,14 +101,14 @@
     return f"{era:012d}"
 
 
-def next_fence(era: int, previous: int) -> int:
+def next_fence(era: int | None, previous: int) -> int:
     """Returns the fencing token of the next grant in an era.
 
     Args:
-        era: Number of the era; 0 for a store without eras.
+        era: Number of the era; None for a store without eras.
         previous: Token in the lease's row, which may be of an earlier era; 0 without one.
     """
-    return max(previous, era * FENCES_PER_ERA) + 1
+    return max(previous, (era or 0) * FENCES_PER_ERA) + 1
 
 
 def era_of_fence(fence: int) -> int:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/_memory_platform.py
@@ -116,7 +116,7 @@
         return await self._answered(self.store.scan(table, prefix, limit))
 
     async def commit(self, conditions, writes):
-        era = self.eras.current if conditions else 0
+        era = (self.eras.current or 0) if conditions else 0
         return await self._answered(self.store.commit_in(era, conditions, writes))
 
 
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_store_era.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_store_era.py
@@ -12,25 +12,31 @@
         self.eras.subscribe(self.heard.append)
 
     def test_the_first_era_is_no_change(self):
-        self.eras.record_answer(0, 7)
+        self.eras.record_answer(None, 7)
         self.eras.record_answer(7, 7)
         self.assertEqual((self.eras.current, self.heard), (7, []))
 
     def test_a_store_without_eras_changes_nothing(self):
-        self.eras.record_answer(0, None)
-        self.assertEqual((self.eras.current, self.heard), (0, []))
+        self.eras.record_answer(None, None)
+        self.assertEqual((self.eras.current, self.heard), (None, []))
 
     def test_a_new_era_is_told_once_and_the_answer_that_shows_it_is_discarded(self):
-        self.eras.record_answer(0, 1)
+        self.eras.record_answer(None, 1)
         for _ in range(2):
             with self.assertRaises(EraChanged):
                 self.eras.record_answer(1, 2)
         self.assertEqual((self.eras.current, self.heard), (2, [2]))
 
-    def test_an_answer_of_an_earlier_era_that_arrives_late_is_discarded(self):
-        self.eras.record_answer(0, 2)
+    def test_the_first_restore_of_a_store_that_counts_from_0_is_told(self):
+        self.eras.record_answer(None, 0)
         with self.assertRaises(EraChanged):
             self.eras.record_answer(0, 1)
+        self.assertEqual((self.eras.current, self.heard), (1, [1]))
+
+    def test_an_answer_of_an_earlier_era_that_arrives_late_is_discarded(self):
+        self.eras.record_answer(None, 2)
+        with self.assertRaises(EraChanged):
+            self.eras.record_answer(None, 1)
         self.assertEqual((self.eras.current, self.heard), (2, []))
 
 
--- a/packages/bilberryplank/bilberryplank/_era_table.py
+++ b/packages/bilberryplank/bilberryplank/_era_table.py
@@ -49,7 +49,7 @@
         rows = await self._table.scan(ERA_TABLE)
         # Without an answer before, the era is known only now.
         era = self._eras.current
-        if not era:
+        if era is None:
             return None
         found = [row for row in rows if row.key == era_key(era)]
         self._opening = self._read(era, found[0]) if found else await self._open(era, rows)
@@ -92,7 +92,7 @@
         opening = await self.opening() if conditions else None
         if opening is None:
             return await self._table.commit(conditions, writes)
-        if made_in and opening.era != made_in:
+        if made_in is not None and opening.era != made_in:
             raise EraChanged(f"a write of era {made_in} was not sent in era {opening.era}")
         try:
             return await self._table.commit([*conditions, opening.condition], writes)
--- a/packages/bilberryplank/bilberryplank/_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/_table_relay.py
@@ -153,7 +153,7 @@
         self._span(table).record_failure()
 
     def _span(self, table: str) -> UnchangedSpan:
-        return self._spans.setdefault(table, UnchangedSpan(self._eras.current))
+        return self._spans.setdefault(table, UnchangedSpan(self._eras.current or 0))
 
     def _forget_revisions(self, _: int) -> None:
         """Forgets what was said of an earlier era, and has the tables read at once."""
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -139,9 +139,10 @@
         self._log_relayed(notice is not None)
         if notice is None or self._revision is None:
             return False
-        if notice.era < self._eras.current:
+        era = self._eras.current or 0
+        if notice.era < era:
             return True
-        if not notice.covers(self._eras.current, self._revision):
+        if not notice.covers(era, self._revision):
             return False
         as_of = self._relay.as_of(notice)
         if as_of is not None:
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -210,7 +210,7 @@
     async def test_counts_that_a_restored_store_lacks_are_stored_again_and_not_handed_over(self):
         counts = WindowCounts(WINDOW)
         store = self.usage_store("a/1", counts)
-        self.eras.record_answer(0, 1)
+        self.eras.record_answer(None, 1)
         counts.add("org", START)
         store.take(CountsNotice(FIRST, "b/1", {"org": 3}))
         await store.flush()
--- a/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
@@ -141,7 +141,7 @@
             self.reporter._next = None
 
     async def restore(self):
-        if self.eras.current in (0, self.restored_in):
+        if self.eras.current in (None, self.restored_in):
             return
         era = self.eras.current
         await self.table.opening()
--- a/packages/bilberryplank/bilberryplank/tests/test_store_restorer.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_store_restorer.py
@@ -31,7 +31,7 @@
 class StoreRestorerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.eras, self.table, self.clock = EraTracker(), WatchedMemory(), FleetClock(lambda: 500.0)
-        self.eras.record_answer(0, 1)
+        self.eras.record_answer(None, 1)
         self.clock.record_answer(500.0, 500.0, 500.0)
         self.members = FleetMembers("e1")
         self.metrics = ProcessMetrics()
