Take no era for a fleet's first because the store holds none before it

Cause: the row of an era said "first" where the table held no earlier one, and all believed it. Change: the mark is gone; each era is waited out, and each window that may have been sealed before it is given up. The tests' entries now ask for the opening at their start, as real ones do.

--- a/packages/bilberryplank-core/bilberryplank_core/_store_era.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_store_era.py
@@ -40,13 +40,11 @@
         era: Number of the era.
         revision: Revision of the row.
         opened_at: Time of the write in seconds on the store's clock. The restore was before it.
-        first: True if no earlier era is known, so that nothing was forgotten.
     """
 
     era: int
     revision: int
     opened_at: float
-    first: bool = False
 
     @property
     def condition(self) -> Condition:
@@ -59,14 +57,12 @@
 
     Attributes:
         current: The latest era; None before the first answer, and for a store without eras.
-        changed: True once this process has seen an era replace another.
     """
 
-    __slots__ = ("_listeners", "changed", "current")
+    __slots__ = ("_listeners", "current")
 
     def __init__(self) -> None:
         self.current: int | None = None
-        self.changed = False
         self._listeners: list[Callable[[int], None]] = []
 
     def subscribe(self, listener: Callable[[int], None]) -> None:
@@ -89,7 +85,6 @@
             raise EraChanged(f"an answer of era {era} arrived in era {self.current}")
         previous, self.current = self.current, era
         if previous is not None and era != previous:
-            self.changed = True
             for listener in self._listeners:
                 listener(era)
         if sent_in is not None and era != sent_in:
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -82,7 +82,7 @@
     async def prepare(self) -> None:
         """Learns whether the store was restored right before this process started."""
         opening = await self._table.opening()
-        if self.configuration is None and opening is not None and not opening.first:
+        if self.configuration is None and opening is not None:
             left = opening.opened_at + DOUBT_SECONDS - self._fleet_clock.store_time()
             self.freshness_tracker.doubt_until(boot_time() + left)
 
--- a/packages/bilberryplank/bilberryplank/_era_table.py
+++ b/packages/bilberryplank/bilberryplank/_era_table.py
@@ -57,8 +57,7 @@
 
     async def _open(self, era: int, earlier: list[Row]) -> EraOpening:
         key, opened_at = era_key(era), self._fleet_clock.store_time()
-        first = not earlier and not self._eras.changed
-        writes: list[Write] = [Put(ERA_TABLE, key, {"at": opened_at, "first": first})]
+        writes: list[Write] = [Put(ERA_TABLE, key, {"at": opened_at})]
         writes += [Delete(ERA_TABLE, row.key) for row in earlier]
         try:
             revision = await self._table.commit([Condition(ERA_TABLE, key, 0)], writes)
@@ -67,12 +66,12 @@
             if row is None:
                 raise
             return self._read(era, row)
-        return EraOpening(era, revision, opened_at, first)
+        return EraOpening(era, revision, opened_at)
 
     def _read(self, era: int, row: Row) -> EraOpening:
         match row.value:
-            case {"at": float(opened_at), "first": bool(first)} if math.isfinite(opened_at):
-                return EraOpening(era, row.revision, opened_at, first)
+            case {"at": float(opened_at)} if math.isfinite(opened_at):
+                return EraOpening(era, row.revision, opened_at)
         # The latest time that the era can have begun is the safe one.
         opened_at = self._fleet_clock.store_time()
         log_event(logger, "era_row_unreadable", level="WARNING", era=era, revision=row.revision)
--- a/packages/bilberryplank/bilberryplank/_usage_seals.py
+++ b/packages/bilberryplank/bilberryplank/_usage_seals.py
@@ -199,11 +199,8 @@
         return len(lacking)
 
     async def _opening(self) -> EraOpening | None:
-        """Returns the opening of the present era; None if no seal can be forgotten."""
-        if not self._lease.has_eras:
-            return None
-        opening = await self._table.opening()
-        return None if opening is None or opening.first else opening
+        """Returns the opening of the present era; None for a store without eras."""
+        return await self._table.opening() if self._lease.has_eras else None
 
     async def _check_never_sealed(self, number: int) -> None:
         opening = await self._opening()
--- a/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_restored_usage.py
@@ -126,7 +126,9 @@
                 peer.reporter.take_seal(SealNotice(window, counts))
 
     async def step(self):
-        for call in (self.store.flush, self.contend, self.restore, self.advance):
+        # The configuration's watch asks when the era began as an entry starts.
+        calls = self.table.opening, self.store.flush, self.contend, self.restore, self.advance
+        for call in calls:
             try:
                 await call()
             except (PlatformError, LeaseLost):
@@ -310,6 +312,21 @@
         self.assertIn(FIRST - 1, world.reports.counts())
         self.assertEqual(self.windows(world), [FIRST, FIRST + 1, FIRST + 2])
 
+    async def test_a_copy_older_than_the_first_write_leaves_no_window_with_two_sets_of_counts(self):
+        """Nothing in such a copy tells that there was an era before."""
+        for steps in range(40):
+            with self.subTest(steps=steps):
+                world = World("a", "b")
+                kept = world.store.keep_copy()
+                await world.run(9.0 + steps * STEP)
+                world.entries.clear()
+                world.store.down = True
+                await world.run(2.0)
+                world.restore(kept)
+                world.start("c")
+                await world.run(25.0)
+                self.check(world)
+
     async def test_two_restores_leave_each_window_with_one_set_of_counts(self):
         for gap in (1.0, 4.0, 9.0):
             with self.subTest(gap=gap):
