Confirm no configuration in the first two seconds of an era, whatever a process holds

What callers would see: a withdrawn key goes on working at an entry that missed its withdrawal in a short cut from the store and reaches the restored copy first, longer than the bound allows. Cause: only a process whose configuration was stale doubted the copy (found by the review, which showed an entry CONFIRMED on version 1 a second after the restore). Change: every process does. The age counts from the last confirmation of the old era; after an outage of 2 s nothing turns stale by it.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_freshness.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_freshness.py
@@ -6,8 +6,8 @@
 can no longer be met.
 
 A store that comes back from an older copy may lack the newest configuration until the operator has
-written it again. It confirms nothing while it has an older one than this process, nor, for a while,
-for a process that can't tell.
+written it again. So it confirms nothing for a while, nor as long as it has an older one than this
+process.
 
 Motivating load: a key is withdrawn while some hosts can't reach the store.
 """
@@ -67,7 +67,7 @@
         """Records that the store may have an older configuration up to a time.
 
         It came back from an older copy. The operator writes again what is missing, but a process
-        that holds no recent configuration can't tell whether anything is.
+        can't tell whether anything is.
         """
         self._doubted_until = max(self._doubted_until, until)
 
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -19,7 +19,6 @@
     DirectUpstream,
     EraTracker,
     FleetClock,
-    Freshness,
     FreshnessTracker,
     RegistryChange,
     TableChanges,
@@ -87,10 +86,8 @@
             self.freshness_tracker.doubt_until(boot_time() + left)
 
     def restored(self) -> None:
-        """Has the store confirm nothing for a while where this process was cut off from it."""
-        now = boot_time()
-        if self.freshness_tracker.freshness(now) is Freshness.STALE:
-            self.freshness_tracker.doubt_until(now + DOUBT_SECONDS)
+        """Has the store confirm nothing until the operator had time to write again."""
+        self.freshness_tracker.doubt_until(boot_time() + DOUBT_SECONDS)
 
     def longest_wait(self) -> float:
         """Returns the seconds that a read may wait for a change."""
