Let no spoilt row of true time, and no process that starts, keep the fleet from its figures

What operators would see: after a restore with a spoilt row of true time no entry writes back its counts, seals and rows; or all entries take the figure of a process that started first, whose time of day may have jumped, and windows are numbered anew (both found by the review of the fix). Cause: parts were restored in order, each retried for ever; an unreadable row was an outage; a process that started wrote a figure at once where the copy lacked it. Change: all parts are tried in each round and only those that failed again; a spoilt figure is replaced; a process without one leaves the row for 2 s of an era to those that hold it.

--- a/packages/bilberryplank/bilberryplank/_store_restorer.py
+++ b/packages/bilberryplank/bilberryplank/_store_restorer.py
@@ -115,22 +115,21 @@
         return False
 
     async def _restore(self, era: int) -> None:
+        """Restores all parts; those that fail are tried again after the others."""
         figures: dict[str, int] = {}
-        for part in self._parts:
-            found = await self._restore_part(part, era)
-            if found is None:
-                return
-            figures.update(found)
-        self._dependency.answered()
-        self._log(era, figures)
-
-    async def _restore_part(self, part: RestoredPart, era: int) -> Mapping[str, int] | None:
-        while self._eras.current == era and not self.should_stop:
-            try:
-                return await part.restore()
-            except PlatformError as exc:
-                await self._pause(exc)
-        return None
+        missing = list(self._parts)
+        while missing and self._eras.current == era and not self.should_stop:
+            failed: list[RestoredPart] = []
+            for part in missing:
+                try:
+                    figures.update(await part.restore())
+                except PlatformError as exc:
+                    failed.append(part)
+                    await self._pause(exc)
+            missing = failed
+        if not missing:
+            self._dependency.answered()
+            self._log(era, figures)
 
     async def _pause(self, exc: PlatformError) -> None:
         self._dependency.failed(exc)
--- a/packages/bilberryplank/bilberryplank/_true_time_keeper.py
+++ b/packages/bilberryplank/bilberryplank/_true_time_keeper.py
@@ -15,12 +15,16 @@
 from bilberryplank._store_restorer import RestoredPart
 from bilberryplank_core.contracts import Condition, Put
 from bilberryplank_core.direct import FleetClock, WatchedTable
-from bilberryplank_core.errors import Conflict, PlatformError, PlatformUnavailable
+from bilberryplank_core.errors import Conflict, PlatformError
 
 TIME_TABLE = "true-time"
 TIME_KEY = "offset"
 RETRY_SECONDS = 0.5
 
+HOLDERS_SECONDS = 2.0
+"""Time from the begin of an era in which a process that starts leaves it to those that hold the
+fleet's figure to write it again: its own time of day may have jumped."""
+
 
 class TrueTimeKeeper(Service, RestoredPart):
     """Learns the fleet's figure of true time; writes it where nobody has."""
@@ -61,21 +65,34 @@
     async def _offset(self) -> tuple[float, bool]:
         """Returns the fleet's figure, and whether this process wrote it."""
         row = await self._table.read(TIME_TABLE, TIME_KEY)
-        if row is not None:
-            return _read_offset(row.value), False
+        found = None if row is None else _read_offset(row.value)
+        if found is not None:
+            return found, False
+        if self._fleet_clock.offset is None and (left := await self._holders_left()) > 0:
+            await asyncio.sleep(left)
+            return await self._offset()
         offset = self._fleet_clock.offset
         if offset is None:
             offset = time.time() - self._fleet_clock.store_time()
-        condition = Condition(TIME_TABLE, TIME_KEY, 0)
+        condition = Condition(TIME_TABLE, TIME_KEY, row.revision if row else 0)
         try:
             await self._table.commit([condition], [Put(TIME_TABLE, TIME_KEY, {"offset": offset})])
         except Conflict:
             return await self._offset()
         return offset, True
 
+    async def _holders_left(self) -> float:
+        """Returns the seconds in which entries that hold the figure may still write it again."""
+        opening = await self._table.opening()
+        if opening is None:
+            return 0.0
+        return opening.opened_at + HOLDERS_SECONDS - self._fleet_clock.store_time()
+
 
-def _read_offset(value: Any) -> float:
+def _read_offset(value: Any) -> float | None:
+    """Returns the figure in a row; None where another writer spoilt it."""
     match value:
         case {"offset": float(offset)} if math.isfinite(offset):
             return offset
-    raise PlatformUnavailable("the row of true time cannot be read")
+    log_event(logger, "true_time_unreadable", level="WARNING")
+    return None
--- a/packages/bilberryplank/bilberryplank/tests/test_store_restorer.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_store_restorer.py
@@ -73,6 +73,14 @@
         )
         self.assertIn(b"bilberryplank_store_restores_total 1.0", self.metrics.render())
 
+    async def test_a_part_that_cannot_be_restored_keeps_no_other_from_it(self):
+        spoilt, sound = Part(failures=9), Part()
+        self.restorer.add(spoilt, sound)
+        self.begin_era(2)
+        await asyncio.sleep(2.0)
+        self.assertEqual(sound.calls, 1)
+        self.assertGreater(spoilt.calls, 1)
+
     async def test_a_second_restore_while_one_is_worked_through_begins_again(self):
         part = Part(failures=1)
         self.restorer.add(part, Part())
@@ -102,6 +110,23 @@
         )
         self.assertEqual(self.clock.offset, 80.0)
 
+    async def test_a_process_that_starts_leaves_true_time_to_those_that_hold_it(self):
+        table = EraTable(self.table, self.eras, self.clock)
+        await table.opening()
+        learning = asyncio.create_task(TrueTimeKeeper(table, self.clock)._offset())
+        await asyncio.sleep(0.1)
+        self.assertNotIn((TIME_TABLE, TIME_KEY), self.table.rows)
+        await self.table.commit([], [Put(TIME_TABLE, TIME_KEY, {"offset": 80.0})])
+        self.assertEqual(await learning, (80.0, False))
+
+    async def test_a_spoilt_figure_of_true_time_is_replaced(self):
+        await self.table.commit([], [Put(TIME_TABLE, TIME_KEY, {"offset": "soon"})])
+        self.clock.set_offset(77.0)
+        self.assertEqual(
+            await TrueTimeKeeper(self.table, self.clock).restore(), {"true_time_rows": 1}
+        )
+        self.assertEqual(self.table.rows[TIME_TABLE, TIME_KEY].value, {"offset": 77.0})
+
     async def test_an_entry_that_was_withdrawn_does_not_come_back_with_the_copy(self):
         entries = MembersKeeper(
             "e1", "127.0.0.1:1", self.table, self.clock, self.members, lambda: None, Random(1)
