Remove after a restore only the lifts that were carried out, not those written since

What operators would see: a quarantine that they lift right after a restore stays. Cause: each restore removed the rows of all parts that were ever lifted here, unread (found by the review). Change: a row is removed only if it has the revision under which it was carried out.

--- a/packages/bilberryplank/bilberryplank/_crash_relay.py
+++ b/packages/bilberryplank/bilberryplank/_crash_relay.py
@@ -91,7 +91,7 @@
         self._news = asyncio.Event()
         self._urgent = False
         self._unsaved = asyncio.Event()
-        self._lifted: dict[str, None] = {}
+        self._lifted: dict[str, int] = {}
         self.is_loaded = False
         self._dependency = Dependency("crash evidence")
         guard.told = self._told
@@ -104,7 +104,10 @@
 
     async def restore(self) -> dict[str, int]:
         """Writes again the crashes behind quarantines, and removes lifts that were carried out."""
-        await self._table.forget([(LIFT_TABLE, segment) for segment in self._lifted])
+        rows = (await self._table.snapshot(LIFT_TABLE)).rows if self._lifted else ()
+        # A row that was written since has another revision than the copy's.
+        done = [row.key for row in rows if self._lifted.get(row.key) == row.revision]
+        await self._table.forget([(LIFT_TABLE, segment) for segment in done])
         crashes = self._quarantining() & self._guard.confirmed
         if crashes:
             await self._save(crashes)
@@ -188,7 +191,7 @@
         lifts = await self._table.snapshot(LIFT_TABLE)
         for row in lifts.rows:
             self._guard.lift(row.key)
-            self._lifted[row.key] = None
+            self._lifted[row.key] = row.revision
             if len(self._lifted) > MAX_REMEMBERED_LIFTS:
                 del self._lifted[next(iter(self._lifted))]
         done = [*outdated, *((LIFT_TABLE, row.key) for row in lifts.rows)]
--- a/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
@@ -64,11 +64,13 @@
     """The rows of all tables; may be down."""
 
     def __init__(self):
-        self.rows, self.down, self.revision = {}, False, 0
+        self.rows, self.down, self.revision = {}, False, 1
 
     async def snapshot(self, table):
         self.check()
-        found = tuple(Row(t, key, value, 1) for (t, key), value in self.rows.items() if t == table)
+        found = tuple(
+            Row(t, key, value, self.revision) for (t, key), value in self.rows.items() if t == table
+        )
         return TableChanges(found, (), 1, boot_time(), boot_time())
 
     async def commit(self, conditions, writes):
@@ -279,3 +281,13 @@
         for guard in guards:
             self.assertIsNone(self.withheld(guard, "dead"))
         self.assertNotIn((LIFT_TABLE, "m/dead"), self.table.rows)
+
+    async def test_a_lift_that_a_restored_store_brings_back_is_removed_and_a_new_one_is_kept(self):
+        _, (crashes, _) = await self.start("x0")
+        self.table.rows[LIFT_TABLE, "m/dead"] = {}
+        await crashes._load()
+        for revision, kept in ((1, False), (7, True)):
+            self.table.rows[LIFT_TABLE, "m/dead"] = {}
+            self.table.revision = revision
+            await crashes.restore()
+            self.assertIs((LIFT_TABLE, "m/dead") in self.table.rows, kept)
