Tie the mark of a report to the grant under which its seal was read

Change: the mark also requires the grant of the lease, which an entry drops when an era begins. Without it the next holder sends the same counts again, which the platform ignores. Result: the tests of usage and of restored usage pass.

--- a/packages/bilberryplank/bilberryplank/_usage_seals.py
+++ b/packages/bilberryplank/bilberryplank/_usage_seals.py
@@ -170,12 +170,14 @@
 
         Raises:
             PlatformError: The outcome is unknown, or another process recorded it.
+            LeaseLost: The lease is not held.
         """
         done = WindowSeal(stored.seal.counts, reported=True)
         self._remember(number, done)
         key = seal_key(number)
-        condition = Condition(SEALS_TABLE, key, stored.revision)
-        await self._table.commit([condition], [Put(SEALS_TABLE, key, done.to_value())])
+        # The grant also ties the revision, which was read a call ago, to its era.
+        conditions = [Condition(SEALS_TABLE, key, stored.revision), self._lease.fence_condition()]
+        await self._table.commit(conditions, [Put(SEALS_TABLE, key, done.to_value())])
 
     async def write_back(self) -> int:
         """Writes the seals that the store lacks; returns how many.
