Refuse a request late in a stop also where an upstream refused it before

What callers would see: a request that may not be repeated, refused by a full upstream late in a stop, is sent to the next on an estimate and may be cut, where a true 503 was possible (from the review, by reading). Cause: a refusal of an upstream counted as passed on. Change: what no upstream has run must be sure to end before the stop's answers are due.

--- a/packages/bilberryplank-core/bilberryplank_core/_stop_schedule.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_stop_schedule.py
@@ -58,18 +58,18 @@
         """
         return now < self._closes_at or now + limit <= self._answers_due
 
-    def may_begin(self, now: float, expected: float, limit: float, is_first: bool) -> bool:
+    def may_begin(self, now: float, expected: float, limit: float, may_refuse: bool) -> bool:
         """Returns True where an attempt may begin.
 
-        An estimate suffices for a while. A request that was not passed on by then must be sure to
+        An estimate suffices for a while. A request that has not run by then must be sure to
         end.
 
         Args:
             now: The time.
             expected: Seconds that the attempt should take.
             limit: Seconds after which the request ends in any case.
-            is_first: True where the request was not passed on before.
+            may_refuse: True where no upstream has run the request, so that another entry can.
         """
-        is_late = is_first and now >= self._closes_at
+        is_late = may_refuse and now >= self._closes_at
         seconds = limit if is_late else min(expected, limit)
         return now + seconds <= self._answers_due
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -309,8 +309,8 @@
     def _may_begin(self, expected: float, now: float) -> bool:
         if self._answer.begun:
             return True
-        is_first, limit = not self._log.delivered, self._deadline - now
-        return self._parts.stop_schedule.may_begin(now, expected, limit, is_first)
+        limit = self._deadline - now
+        return self._parts.stop_schedule.may_begin(now, expected, limit, self._log.not_run)
 
     def _output_seconds(self, board: EngineSelector) -> float:
         """Returns the seconds from the first token to the last; the longest where it runs once."""
