--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -37,6 +37,8 @@
     DirectPlatform,
     Freshness,
     LinkPacer,
+    SealNotice,
+    StopSchedule,
     WindowCounts,
 )
 from bilberryplank_core.errors import RefusalReason, SettingsInvalid
@@ -45,9 +47,16 @@
 POLL_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 2.0
 
+"""The settings file may change without a signal."""
+
 LAST_FLUSH_SECONDS = 0.5
 """Time that the store has at a stop to take the counts, before other entries get them."""
-"""The settings file may change without a signal."""
+
+CLOSING_SECONDS = 0.4
+"""Time before answers are due at which the listening socket closes."""
+
+LAST_ANSWERS_SECONDS = 0.1
+"""Time in which the answers go out that a stop gives to what still runs."""
 
 SettingsReader = Callable[[], DirectEntrySettings]
 
@@ -73,6 +82,7 @@
         self._platform = platform
         self._reread = reread
         self._reload = asyncio.Event()
+        self._stop_schedule = StopSchedule()
         self._rng = process_rng(settings.name)
         self._client: DirectClient | None = None
         self._reporter: UsageReporter | None = None
@@ -108,7 +118,7 @@
         )
         self._client = DirectClient(LinkPacer(cfg.link_rate))
         guard = CrashGuard(self._state, self._client, self.metrics)
-        crash_relay = CrashRelay(
+        self._crash_relay = CrashRelay(
             self._relay, table, fleet_clock, self._state.members, guard, self._rng
         )
         counts = WindowCounts(cfg.usage_window)
@@ -122,6 +132,7 @@
             self._flush_interval,
             self._rng,
             usage_relay.hand_over,
+            eras,
         )
         self._members = MembersKeeper(
             cfg.name,
@@ -142,6 +153,7 @@
             fleet_clock,
             self.metrics,
             cfg.callers,
+            self._stop_schedule,
         )
         self._server = CallerServer(
             cfg.listen, cfg.callers, self._requests.handle, self._refused_early
@@ -155,7 +167,7 @@
         )
         keeper = TrueTimeKeeper(table, fleet_clock)
         restorer = StoreRestorer(eras, table, self._state.members, self.metrics, self._rng)
-        restorer.add(keeper, self._members, crash_relay)
+        restorer.add(keeper, self._members, self._crash_relay, self._usage)
         for part in (
             self._operations,
             self._relay,
@@ -165,7 +177,7 @@
             keeper,
             self._members,
             WorkRelay(self._relay, self._state),
-            crash_relay,
+            self._crash_relay,
             self._usage,
         ):
             await self._start_part(part)
@@ -181,30 +193,41 @@
                 usage_relay.give_up,
                 self._relay.is_silent,
                 self._usage.flush,
+                usage_relay.tell_seal,
+                eras,
             )
+            restorer.add(self._reporter)
             await self._start_part(self._reporter)
-        usage_relay.hear(self._usage.take, self._take_given_up)
+        usage_relay.hear(self._usage.take, self._take_given_up, self._take_seal)
         await self._start_part(self._server)
         self.add_future(self._keep_readiness())
         self.add_future(self._keep_settings())
         log_event(logger, "started", zone=cfg.zone, epoch=self.epoch, listen=cfg.listen)
 
     async def on_stop(self) -> None:
-        """Ends the work without cutting anything off."""
-        cfg = self._settings
-        began = boot_time()
-        log_event(logger, "stopping", in_flight=self._requests.in_flight)
+        """Ends the work; every caller has its answer before the end."""
+        schedule = self._stop_schedule
+        self.note_stop()
+        noticed_after = round(schedule.age(boot_time()) or 0.0, 3)
+        log_event(
+            logger, "stopping", in_flight=self._requests.in_flight, noticed_after=noticed_after
+        )
         self._operations.readiness = Readiness.DRAINING
-        self._requests.draining = True
+        self._requests.begin_stop()
         if self._reporter is not None:
             self.add_future(self._reporter.retire())
         self.add_future(self._members.withdraw())
-        await asyncio.sleep(cfg.lame_duck)
         # Whoever still comes is told to go elsewhere: a closed port would cut those just accepted.
-        self._requests.closed = True
-        await self._requests.wait_idle(began + cfg.lame_duck + cfg.drain_timeout - boot_time())
+        await asyncio.sleep(schedule.closes_at - boot_time())
+        await self._requests.wait_idle(schedule.answers_due - CLOSING_SECONDS - boot_time())
         await self._server.stop_listening()
-        await self._usage.finish(LAST_FLUSH_SECONDS)
+        answers_out = schedule.answers_due + LAST_ANSWERS_SECONDS
+        await self._requests.wait_idle(answers_out - boot_time())
+        await asyncio.gather(
+            self._server.wait_sent(max(answers_out - boot_time(), LAST_ANSWERS_SECONDS)),
+            self._usage.finish(LAST_FLUSH_SECONDS),
+        )
+        await self._server.close(LAST_ANSWERS_SECONDS)
         log_event(logger, "stopped", in_flight=self._requests.in_flight)
 
     async def on_shutdown(self) -> None:
@@ -212,6 +235,11 @@
         if self._client is not None:
             await self._client.close()
 
+    def note_stop(self) -> None:
+        """Takes in that the process is to stop; its time to do so counts from here."""
+        cfg = self._settings
+        self._stop_schedule.begin(boot_time(), cfg.lame_duck, cfg.drain_timeout)
+
     def reload(self) -> None:
         """Asks for the settings to be read again."""
         self._reload.set()
@@ -233,6 +261,10 @@
         if self._reporter is not None:
             self._reporter.take_given_up(lease, grant)
 
+    def _take_seal(self, notice: SealNotice) -> None:
+        if self._reporter is not None:
+            self._reporter.take_seal(notice)
+
     def _flush_interval(self) -> float:
         cfg = self._settings
         return self._state.members.flush_interval(
@@ -242,7 +274,11 @@
     async def _keep_readiness(self) -> None:
         while not self.should_stop:
             now = boot_time()
-            known = self._state.routes is not None and bool(self._registry_watch.registry.upstreams)
+            known = (
+                self._state.routes is not None
+                and bool(self._registry_watch.registry.upstreams)
+                and self._crash_relay.is_loaded
+            )
             usable = self._state.freshness_tracker.freshness(now) is not Freshness.STALE
             before = self._operations.readiness
             after = Readiness.READY if known and usable else Readiness.STARTING
@@ -292,6 +328,8 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+        # Runs at once, where the loop may be late. The loop still learns of the signal.
+        signal.signal(number, lambda *_: entry.note_stop())
     loop.add_signal_handler(signal.SIGHUP, entry.reload)
     try:
         await entry.start()
