--- a/packages/bilberryplank/bilberryplank/_era_table.py
+++ b/packages/bilberryplank/bilberryplank/_era_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Iterable
 
@@ -36,6 +37,7 @@
         self._eras = eras
         self._fleet_clock = fleet_clock
         self._opening: EraOpening | None = None
+        self._asks = asyncio.Lock()
 
     async def opening(self) -> EraOpening | None:
         """Returns the row of the present era, written where nobody has; None without eras.
@@ -43,8 +45,11 @@
         Raises:
             PlatformUnavailable: The table did not answer, or in another era.
         """
-        era = self._eras.current
-        if self._opening is not None and self._opening.era == era:
+        async with self._asks:
+            return await self._find_opening()
+
+    async def _find_opening(self) -> EraOpening | None:
+        if self._opening is not None and self._opening.era == self._eras.current:
             return self._opening
         rows = await self._table.scan(ERA_TABLE)
         # Without an answer before, the era is known only now.
