--- a/packages/bilberryplank-core/bilberryplank_core/_restored_windows.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_restored_windows.py
@@ -71,5 +71,5 @@
         opened_at: When the present era began at the latest, in seconds since 1970.
         sole_since: Since when no other process has held the lease, in seconds since 1970.
     """
-    sealed_at = end + SEAL_DELAY_SECONDS
-    return sealed_at < opened_at and sole_since > sealed_at - CLOCK_DIFFERENCE_SECONDS
+    earliest_seal = end + SEAL_DELAY_SECONDS - CLOCK_DIFFERENCE_SECONDS
+    return earliest_seal < min(opened_at, sole_since)
