Name the stricter part of a stop for what it is, and explain three terms to a reader

closes_at closed nothing and stood beside a constant about the closing socket; it is strict_from now. NEVER_REMOVED, StoredSeal.marked and LeaseHolder.may_be_free say what they are for.

--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -167,7 +167,7 @@
         self._relinquished_grant = grant
 
     def may_be_free(self) -> bool:
-        """Returns whether the latest grant known here is expired or relinquished."""
+        """Returns whether a look at the lease may find it free before `takeover_delay`."""
         expired = self._grant is not None and not self.held(self._clock())
         return expired or self._is_last_holder or bool(self._relinquished_grant)
 
--- a/packages/bilberryplank-core/bilberryplank_core/_stop_schedule.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_stop_schedule.py
@@ -16,10 +16,10 @@
 class StopSchedule:
     """The times of one stop, on any one clock in seconds."""
 
-    __slots__ = ("_answers_due", "_began", "_closes_at")
+    __slots__ = ("_answers_due", "_began", "_strict_from")
 
     def __init__(self) -> None:
-        self._began = self._closes_at = self._answers_due = math.inf
+        self._began = self._strict_from = self._answers_due = math.inf
 
     @property
     def answers_due(self) -> float:
@@ -27,9 +27,9 @@
         return self._answers_due
 
     @property
-    def closes_at(self) -> float:
+    def strict_from(self) -> float:
         """From when on new requests must be sure to end in time; infinite before a stop."""
-        return self._closes_at
+        return self._strict_from
 
     def begin(self, now: float, lame_duck: float, drain_timeout: float) -> None:
         """Begins the stop; a second one changes nothing.
@@ -42,8 +42,8 @@
         if self._began < math.inf:
             return
         self._began = now
-        self._closes_at = now + lame_duck
-        self._answers_due = self._closes_at + drain_timeout
+        self._strict_from = now + lame_duck
+        self._answers_due = self._strict_from + drain_timeout
 
     def age(self, now: float) -> float | None:
         """Returns the seconds since the stop began; None before."""
@@ -56,7 +56,7 @@
             now: The time.
             limit: Seconds after which the request ends in any case.
         """
-        return now < self._closes_at or now + limit <= self._answers_due
+        return now < self._strict_from or now + limit <= self._answers_due
 
     def may_begin(self, now: float, expected: float, limit: float, may_refuse: bool) -> bool:
         """Returns True where an attempt may begin.
@@ -70,6 +70,6 @@
             limit: Seconds after which the request ends in any case.
             may_refuse: True where no upstream has run the request, so that another entry can.
         """
-        is_late = may_refuse and now >= self._closes_at
+        is_late = may_refuse and now >= self._strict_from
         seconds = limit if is_late else min(expected, limit)
         return now + seconds <= self._answers_due
--- a/packages/bilberryplank-core/bilberryplank_core/_upstream_registry.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_upstream_registry.py
@@ -32,7 +32,7 @@
 
 
 NEVER_REMOVED = -1
-"""No start time of an instance."""
+"""Stands for the start time of an instance that was not removed; equals none."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_stop_schedule.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_stop_schedule.py
@@ -44,5 +44,5 @@
         self.schedule.begin(101.0, 3.0, 4.0)
         self.assertTrue(self.schedule.may_take(102.99, 12.0))
         self.assertFalse(self.schedule.may_take(103.0, 12.0))
-        self.assertEqual((self.schedule.closes_at, self.schedule.answers_due), (103.0, 107.0))
+        self.assertEqual((self.schedule.strict_from, self.schedule.answers_due), (103.0, 107.0))
         self.assertEqual(self.schedule.age(103.5), 3.5)
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -217,7 +217,7 @@
             self.add_future(self._reporter.retire())
         self.add_future(self._members.withdraw())
         # Whoever still comes is told to go elsewhere: a closed port would cut those just accepted.
-        await asyncio.sleep(schedule.closes_at - boot_time())
+        await asyncio.sleep(schedule.strict_from - boot_time())
         await self._requests.wait_idle(schedule.answers_due - CLOSING_SECONDS - boot_time())
         await self._server.stop_listening()
         answers_out = schedule.answers_due + LAST_ANSWERS_SECONDS
--- a/packages/bilberryplank/bilberryplank/_usage_seals.py
+++ b/packages/bilberryplank/bilberryplank/_usage_seals.py
@@ -38,9 +38,9 @@
     """A seal in the store.
 
     Attributes:
-        seal: The counts, and whether the platform has them.
+        seal: The counts, and whether the platform has them, as far as this process knows.
         revision: Revision of the row.
-        marked: True if the row says that the counts were reported.
+        marked: True if the row says so too; a restored store may lack the mark.
     """
 
     seal: WindowSeal
