Pack and check the counts of both usage notices in one place

The notices of counts and of seals had the same size limit and the same check of counts twice, and the seal's window was checked by a line of its own without the upper bound that the other notice has. Both now use one function each, and one check of the window. What a valid notice is stays; a seal's window beyond what JSON holds exactly is refused earlier, by the decoder.

--- a/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_usage_notices.py
@@ -49,12 +49,7 @@
         Raises:
             NoticeInvalid: The counts do not fit into a notice.
         """
-        data = msgpack.packb([COUNTS_FORMAT, self.window, self.writer, dict(self.counts)])
-        if len(data) > MAX_COUNTS_BYTES:
-            raise NoticeInvalid(
-                f"counts of {len(self.counts)} organisations exceed the size limit of a notice"
-            )
-        return data
+        return _pack_counts(COUNTS_FORMAT, self.window, self.writer, counts=self.counts)
 
     @classmethod
     def decode(cls, data: bytes) -> CountsNotice:
@@ -66,8 +61,7 @@
         window, writer, counts = unpack_notice(data, COUNTS_FORMAT, MAX_COUNTS_BYTES, fields=3)
         if not _is_whole(window) or not _is_name(writer) or "/" not in writer:
             raise NoticeInvalid("window or writer is invalid")
-        if not isinstance(counts, dict) or not all(map(_is_count, counts.items())):
-            raise NoticeInvalid("counts are invalid")
+        _check_counts(counts)
         return cls(window, writer, counts)
 
 
@@ -89,12 +83,7 @@
         Raises:
             NoticeInvalid: The counts do not fit into a notice.
         """
-        data = msgpack.packb([SEAL_FORMAT, self.window, dict(self.counts)])
-        if len(data) > MAX_COUNTS_BYTES:
-            raise NoticeInvalid(
-                f"counts of {len(self.counts)} organisations exceed the size limit of a notice"
-            )
-        return data
+        return _pack_counts(SEAL_FORMAT, self.window, counts=self.counts)
 
     @classmethod
     def decode(cls, data: bytes) -> SealNotice:
@@ -104,10 +93,9 @@
             NoticeInvalid: The datagram is not a valid notice of this kind.
         """
         window, counts = unpack_notice(data, SEAL_FORMAT, MAX_COUNTS_BYTES, fields=2)
-        if type(window) is not int or window < 0:
+        if not _is_whole(window):
             raise NoticeInvalid("window is invalid")
-        if not isinstance(counts, dict) or not all(map(_is_count, counts.items())):
-            raise NoticeInvalid("counts are invalid")
+        _check_counts(counts)
         return cls(window, counts)
 
 
@@ -182,6 +170,20 @@
                 del rows[key]
 
 
+def _pack_counts(*fields: int | str, counts: Mapping[str, int]) -> bytes:
+    data = msgpack.packb([*fields, dict(counts)])
+    if len(data) > MAX_COUNTS_BYTES:
+        raise NoticeInvalid(
+            f"counts of {len(counts)} organisations exceed the size limit of a notice"
+        )
+    return data
+
+
+def _check_counts(counts: object) -> None:
+    if not isinstance(counts, dict) or not all(map(_is_count, counts.items())):
+        raise NoticeInvalid("counts are invalid")
+
+
 def _is_name(value: object) -> bool:
     return isinstance(value, str) and 0 < len(value) <= MAX_NAME_CHARS and value.isprintable()
 
