--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -379,12 +379,13 @@
 class World:
     """Store, runners and entries of one small deployment."""
 
-    def __init__(self, folder, network, entries, bounds=BOUNDS):
+    def __init__(self, folder, network, entries, bounds=BOUNDS, slots=8):
         self.record = Record(folder)
         self._directory = Path(tempfile.mkdtemp(prefix="review-"))
         self._network = network
         self._count = entries
         self._bounds = bounds
+        self._slots = slots
         self.store = StandInStore()
         self.entries = []
         self.runners = {}
@@ -428,7 +429,7 @@
             "address": address,
             "zone": "a",
             "version": 1,
-            "slots": 8,
+            "slots": self._slots,
             "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": 1,
