--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -314,6 +314,7 @@
     """A runner of an engine service; in trouble it sends blank lines until the caller closes."""
 
     PIECE = b"\n" * 16384
+    BEFORE_HEAD = False
     BYTES_PER_SECOND = 10e6
     EVENTS = 10
 
@@ -352,7 +353,9 @@
         fields = {name.lower(): value for name, _, value in (line.partition(": ") for line in head)}
         await reader.readexactly(int(fields.get("content-length", 0)))
         request_id = fields["x-bilberryplank-attempt-id"]
-        self._record.note(f"runner {self._name}: runs {request_id}")
+        self._record.note(f"runner {self._name}: takes {request_id}")
+        if self.in_trouble and self.BEFORE_HEAD:
+            await self._send_without_end(writer)
         lines = (
             "HTTP/1.1 200 OK",
             f"X-Bilberryplank-Attempt-Id: {request_id}",
@@ -367,13 +370,23 @@
             await asyncio.sleep(0.02)
             if self.in_trouble:
                 break
+        await self._send_without_end(writer)
+        writer.close()
+        await writer.wait_closed()
+
+    async def _send_without_end(self, writer):
         while self.in_trouble:
             writer.write(self.PIECE)
             await writer.drain()
             self.sent += len(self.PIECE)
             await asyncio.sleep(len(self.PIECE) / self.BYTES_PER_SECOND)
-        writer.close()
-        await writer.wait_closed()
+
+
+class InterimAnswers(BlankLines):
+    """In trouble it sends interim answers until the caller closes, and never its own."""
+
+    PIECE = b"HTTP/1.1 102 Processing\r\n\r\n" * 600
+    BEFORE_HEAD = True
 
 
 class World:
