Pass the events of one read on as one piece, so that blank lines hang no entry

Cause: each blank line became an event, and each event two awaits that never give way to the loop, so that one read of the socket was one turn of the loop with 32,768 steps. Nothing ended a stream that made no events.

--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -44,7 +44,7 @@
     should_admit,
 )
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
-from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter, EventTail
+from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter, EventTail, last_event_id
 
 if TYPE_CHECKING:
     from bilberryplank_core.messages import Headers
@@ -441,13 +441,14 @@
             self._note_piece()
             self._answer.pace.event(boot_time())
             tail.feed(data)
-            for piece in [data] if splitter is None else splitter.feed(data):
+            piece = data if splitter is None else splitter.feed_joined(data)
+            if piece:
                 await self._answer.begin(answer.status, fields)
                 await self._answer.piece(piece)
                 if splitter is not None:
-                    self._note_event(piece)
-            if splitter is not None and splitter.overflowed:
-                raise UpstreamBroke(f"an event has more than {MAX_EVENT_BYTES} bytes")
+                    self._last_event = last_event_id(piece) or self._last_event
+            if tail.overflowed:
+                raise UpstreamBroke(f"more than {MAX_EVENT_BYTES} bytes came without an event")
         if not tail.at_boundary:
             raise UpstreamBroke("the stream ended within an event")
         if not self._pieces and answer.ends_with_connection:
@@ -474,11 +475,6 @@
             self._settled = True
             self._parts.crashes.settled(self._guarded, self._first_piece_at)
 
-    def _note_event(self, event: bytes) -> None:
-        for line in event.splitlines():
-            if line.startswith(b"id:"):
-                self._last_event = line[3:].strip().decode(errors="replace")
-
     @property
     def _resumable(self) -> bool:
         return self._found.route.retry_rule.idempotent
