Bound by drain_ms and converge_ms how long entries rely on lost table pollers

Cause: the silence that an entry tolerates was 1.2 x 1.4 x drain_ms, derived from how long a poller's read waits. Pollers were chosen by rows that count for 200 s, so nobody took over.

Change: an entry that hears nothing reads after 0.8 of the time in which a change must be known, pollers wait 0.55 of it at most, first reads are spread, and pollers are chosen among entries that are not silent. New setting change_limit from converge_ms.

--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any
 
 from bilberryplank_core._checked_values import (
@@ -40,14 +40,13 @@
         name: Name of this entry, which is always a member.
     """
 
-    __slots__ = ("_address_by_name", "_addresses", "_name", "_names", "_is_table_poller")
+    __slots__ = ("_address_by_name", "_addresses", "_name", "_names")
 
     def __init__(self, name: str) -> None:
         self._name = name
         self._names: frozenset[str] = frozenset()
         self._addresses: frozenset[str] = frozenset()
         self._address_by_name: dict[str, str] = {}
-        self._is_table_poller = False
 
     @property
     def size(self) -> int | None:
@@ -66,8 +65,6 @@
         others = {name: _address(rows[name]) for name in alive if name != self._name}
         self._address_by_name = {name: address for name, address in others.items() if address}
         self._addresses = frozenset(self._address_by_name.values())
-        # Cached, as it is read for each notice: the ranking is not repeated each time.
-        self._is_table_poller = self.is_large and is_table_poller(self._name, self._names)
         return sorted(set(rows) - self._names)
 
     def address_of(self, name: str) -> str | None:
@@ -92,10 +89,14 @@
         """True if the fleet is large enough for table pollers that read for all entries."""
         return len(self._names) >= MIN_ENTRIES_FOR_POLLERS
 
-    @property
-    def is_table_poller(self) -> bool:
-        """True if this entry is a table poller."""
-        return self._is_table_poller
+    def is_table_poller(self, silent: Collection[str]) -> bool:
+        """Returns True if this entry is a table poller.
+
+        Args:
+            silent: Addresses of entries that cannot be one, as nothing is heard from them.
+        """
+        names = (name for name in self._names if self._address_by_name.get(name) not in silent)
+        return self.is_large and is_table_poller(self._name, names)
 
     def flush_interval(self, least: float, window: float, tolerance: float) -> float:
         """Returns the seconds between two flushes of usage counts.
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -107,6 +107,7 @@
         lease_margin: Safety margin: a holder stops this long before the lease expires, and a
             contender waits this long after it.
         lease_candidates: Number of processes that contend for a lease.
+        change_limit: A new configuration is in force after this time.
         leaving_limit: A leaving upstream receives no new requests after this time.
         stale_limit: A host refuses requests once its configuration has not been confirmed for
             this long.
@@ -267,6 +268,7 @@
     drain_timeout: float = 4.0
     sure_limit: float = 2.5
     stale_limit: float = 4.5
+    change_limit: float = 2.0
     leaving_limit: float = 2.0
     usage_window: float = 5.0
     usage_flush_interval: float = 1.25
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -111,6 +111,7 @@
             self._configured,
             self._rng,
             cfg.stale_limit,
+            cfg.change_limit,
             self._relay,
             eras,
             fleet_clock,
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -65,12 +65,13 @@
         apply: Callable[[DirectConfiguration], None],
         rng: Random,
         stale_limit: float,
+        change_limit: float,
         relay: TableRelay,
         eras: EraTracker,
         fleet_clock: FleetClock,
     ) -> None:
         wait = min(CONFIGURATION_WAIT_SECONDS, STALE_SHARE * stale_limit)
-        super().__init__(table, rows.configuration_table, rng, wait, relay, eras)
+        super().__init__(table, rows.configuration_table, rng, wait, change_limit, relay, eras)
         self.freshness_tracker = freshness_tracker
         self.configuration: DirectConfiguration | None = None
         self._rows = rows
@@ -184,7 +185,7 @@
         eras: EraTracker,
     ) -> None:
         wait = ROSTER_WAIT_SHARE * leaving_limit
-        super().__init__(table, rows.upstream_table, rng, wait, relay, eras)
+        super().__init__(table, rows.upstream_table, rng, wait, leaving_limit, relay, eras)
         self.registry = registry
         self._rows = rows
         self._changed = changed
--- a/packages/bilberryplank/bilberryplank/_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/_table_relay.py
@@ -28,6 +28,9 @@
 MAX_TABLES = 16
 """Tables of which notices are kept; entries read two."""
 
+RANKING_SECONDS = 1.0
+"""How often the table pollers are chosen again among the entries that are not silent."""
+
 MAX_ODD_SENDERS = 64
 """Senders of datagrams that were refused and logged, each once; the rest are refused in silence."""
 
@@ -66,6 +69,8 @@
         self._odd_senders: set[str] = set()
         self._liveness = PeerLiveness(boot_time())
         self._stranger: Callable[[], None] = lambda: None
+        self._is_table_poller = False
+        self._rank_at = float("-inf")
         self._takers: dict[int, Taker] = {TABLE_FORMAT: self._take_notice}
 
     async def on_start(self) -> None:
@@ -94,8 +99,23 @@
     @property
     def listens(self) -> bool:
         """True where others read the tables for this entry."""
-        members = self._members
-        return self._transport is not None and members.is_large and not members.is_table_poller
+        large = self._transport is not None and self._members.is_large
+        return large and not self.is_table_poller
+
+    @property
+    def is_table_poller(self) -> bool:
+        """True where this entry reads the tables for others, in place of any that fell silent."""
+        now = boot_time()
+        if now >= self._rank_at:
+            self._rank_at = now + RANKING_SECONDS
+            self._liveness.retain(self._members.addresses)
+            silent = {
+                address
+                for address in self._members.addresses
+                if self._liveness.is_silent(address, now)
+            }
+            self._is_table_poller = self._members.is_table_poller(silent)
+        return self._is_table_poller
 
     def answered(self, table: str, changes: TableChanges, whole: bool) -> None:
         """Takes in an answer of a table, and tells the others where this entry reads for them."""
@@ -105,7 +125,7 @@
         if self._transport is None or changes.store_time is None:
             return
         notice = span.make_notice(table, changes.store_time)
-        if notice is None or not self._members.is_table_poller:
+        if notice is None or not self.is_table_poller:
             return
         self.tell(notice.encode())
 
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -26,8 +26,17 @@
 """Reads wait at least this share of the longest wait: a change wakes all readers at once, and they
 must not go on to speak at the same moments."""
 
-SILENCE_SHARE = 1.2
-"""An entry for which others read does so itself once it heard nothing for this share of a wait."""
+SILENCE_SHARE = 0.8
+"""An entry for which others read does so itself once it heard nothing for this share of the time
+in which it must know a change; the rest is left for its own read."""
+
+EARLIEST_SHARE = 0.85
+"""Entries that fell silent leave all others without notices at once, and these spread their first
+reads over the last part of that time."""
+
+POLLER_WAIT_SHARE = 0.55
+"""Longest wait of a read whose answer others rely on, as a share of the same time: one poller that
+is left is heard often enough."""
 
 RESTORE_READS_PER_SECOND = 500.0
 """Reads a second of all entries together after a restore of the store, which all notice at once."""
@@ -48,6 +57,7 @@
         name: Name of the table.
         rng: Spreads the pauses.
         wait: Seconds that a read waits for a change.
+        change_limit: Seconds after which a change must be known here, whichever entries are lost.
         relay: What entries tell each other.
         eras: Eras of the store.
     """
@@ -60,10 +70,12 @@
         name: str,
         rng: Random,
         wait: float,
+        change_limit: float,
         relay: TableRelay,
         eras: EraTracker,
     ) -> None:
         super().__init__()
+        self._change_limit = change_limit
         self._eras = eras
         self._spreads_read = False
         eras.subscribe(self._begin_era)
@@ -134,7 +146,8 @@
         """Takes other entries' word that nothing changed; returns False where a read is due."""
         if self._revision is None or not self._relay.listens:
             return False
-        due_in = self._known_at + SILENCE_SHARE * self._wait - boot_time()
+        silence = SILENCE_SHARE * self._change_limit * self._rng.uniform(EARLIEST_SHARE, 1)
+        due_in = self._known_at + silence - boot_time()
         notice = await self._relay.next(self._name, due_in)
         self._log_relayed(notice is not None)
         if notice is None or self._revision is None:
@@ -163,8 +176,7 @@
             self._answered()
             self.take_all(changes)
         else:
-            wait = 0.0 if self._relay.listens else self.longest_wait()
-            wait *= self._rng.uniform(LEAST_WAIT, 1)
+            wait = self._next_wait()
             changes = await self._table.changes(self._name, self._revision, wait)
             self._answered()
             self.take_changes(changes)
@@ -172,6 +184,15 @@
         self._known_at = max(self._known_at, changes.as_of)
         self._relay.answered(self._name, changes, whole)
 
+    def _next_wait(self) -> float:
+        """Returns the seconds that the next read waits for a change."""
+        if self._relay.listens:
+            return 0.0
+        wait = self.longest_wait()
+        if self._relay.is_table_poller:
+            wait = min(wait, POLLER_WAIT_SHARE * self._change_limit)
+        return wait * self._rng.uniform(LEAST_WAIT, 1)
+
     def _log_relayed(self, relayed: bool) -> None:
         if relayed is not self._relayed:
             self._relayed = relayed
--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 from random import Random
+from unittest import mock
 
 from bilberryplank._clocks import boot_time
 from bilberryplank._table_relay import TableRelay
@@ -15,6 +16,7 @@
     FleetMembers,
     PeerLiveness,
     TableChanges,
+    heartbeat_notice,
 )
 from bilberryplank_core.errors import PlatformUnavailable
 
@@ -49,6 +51,11 @@
         return TableChanges(rows, (), self.revision, now, now)
 
 
+async def stop_all(parts):
+    for part in parts:
+        await part.stop()
+
+
 class Watch(TableWatch):
     abstract = False
     seen, newest, confirmed = 0, 0, float("-inf")
@@ -65,8 +72,9 @@
         self.confirmed = max(self.confirmed, as_of)
 
 
-class RelayTest(unittest.IsolatedAsyncioTestCase):
+class RelayCase(unittest.IsolatedAsyncioTestCase):
     WAIT = 0.3
+    CHANGE_LIMIT = 0.45
 
     async def asyncSetUp(self):
         self.clock = asyncio.get_running_loop().time
@@ -86,7 +94,9 @@
             table = Table(self.clock, eras)
             self.relays.append(relay)
             self.tables.append(table)
-            self.watches.append(Watch(table, "t", Random(name), self.WAIT, relay, eras))
+            self.watches.append(
+                Watch(table, "t", Random(name), self.WAIT, self.CHANGE_LIMIT, relay, eras)
+            )
         for part in (*self.relays, *self.watches):
             await part.start()
         self.stalls = []
@@ -114,6 +124,8 @@
         for table in self.tables:
             table.revision = table.changed_at = revision
 
+
+class RelayTest(RelayCase):
     async def test_four_read_and_the_others_know_as_much_for_next_to_no_calls(self):
         await asyncio.sleep(0.6)
         listeners = self.listeners()
@@ -197,3 +209,44 @@
             relay.take(data, sender)
             self.assertEqual(relay._heard, {})
         self.assertEqual(relay._odd_senders, {"127.0.0.9:1", friend})
+
+
+class LostPollersTest(RelayCase):
+    """Load pattern: the host of each table poller loses power at the same moment."""
+
+    WAIT = 0.84
+    CHANGE_LIMIT = 0.6
+
+    async def lose_pollers(self):
+        """Ends the entries that read for others; returns the numbers of those that are left."""
+        await asyncio.sleep(1.0)
+        left = self.listeners()
+        self.assertEqual(len(left), ENTRIES - 4)
+        for number in set(range(ENTRIES)) - set(left):
+            await stop_all((self.watches[number], self.relays[number]))
+        return left
+
+    # Draining upstreams got requests until a silence longer than the limit had passed.
+    async def test_after_all_pollers_are_lost_a_change_is_known_within_its_limit(self):
+        left = await self.lose_pollers()
+        oldest = 0.0
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+            ages = [self.clock() - self.watches[number].confirmed for number in left]
+            oldest = max(oldest, *ages)
+        self.assertLess(
+            oldest, self.CHANGE_LIMIT + sum(stall for stall in self.stalls if stall > 0)
+        )
+
+    # Each entry that was left went on reading for itself, for minutes.
+    async def test_other_readers_take_the_place_of_pollers_that_fell_silent(self):
+        with (
+            mock.patch("bilberryplank_core._peer_liveness.PEER_SILENCE_SECONDS", 1.0),
+            mock.patch("bilberryplank._table_relay.RANKING_SECONDS", 0.1),
+        ):
+            left = await self.lose_pollers()
+            for _ in range(30):
+                for number in left:
+                    self.relays[number].tell(heartbeat_notice())
+                await asyncio.sleep(0.1)
+            self.assertEqual(sum(self.relays[number].listens for number in left), len(left) - 4)
