Close connections on which interim answers go on without a final one

Cause: the HTTP library reads on past any number of interim answers and queues all that a read holds; nothing here counted them, and one read took 256 KiB, some 9,700 of them, in one turn of the loop.

Change: BoundedHandler closes a connection after 32 interim answers of one answer, and reads 4 KiB at a time until the final head is there, 64 KiB later.

--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -15,11 +15,11 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from loguru import logger
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from bilberryplank._answer_bounds import BoundedHandler, bounded_connector
 from bilberryplank._header_fields import AUTOMATIC_HEADERS
 from bilberryplank._logs import log_event
 from bilberryplank._single_call import (
@@ -55,7 +55,7 @@
     body: bytes
 
 
-class _KeptHandler(ResponseHandler):
+class _KeptHandler(BoundedHandler):
     """Closes a kept connection on which an answer came that nobody asked for.
 
     Left there, it would be read as the answer to the next question.
@@ -147,10 +147,8 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=AUTOMATIC_HEADERS,
         )
-        kept = aiohttp.TCPConnector(limit_per_host=QUESTION_CONNECTIONS)
-        kept._factory = functools.partial(_KeptHandler, loop=asyncio.get_running_loop())
         self._questions = aiohttp.ClientSession(
-            connector=kept,
+            connector=bounded_connector(_KeptHandler, limit_per_host=QUESTION_CONNECTIONS),
             timeout=aiohttp.ClientTimeout(total=QUESTION_SECONDS),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/packages/bilberryplank/bilberryplank/_single_call.py
+++ b/packages/bilberryplank/bilberryplank/_single_call.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
-import functools
 import re
 from http import HTTPStatus
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
+from bilberryplank._answer_bounds import BoundedHandler, bounded_connector
 from bilberryplank_core.errors import BilberryplankError
 
 MAX_STATUS = 599
@@ -67,7 +65,7 @@
             raise
 
 
-class _StrictHandler(ResponseHandler):
+class _StrictHandler(BoundedHandler):
     """Treats an answer without a stated length that ends in a reset as incomplete."""
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -82,6 +80,4 @@
     A kept connection may be closed by the upstream just then, or hold a second copy of an earlier
     answer, which would pass for the answer to the next call.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    connector._factory = functools.partial(_StrictHandler, loop=asyncio.get_running_loop())
-    return connector
+    return bounded_connector(_StrictHandler, limit=0, force_close=True)
