Read over new connections once an open one to the store has fallen silent

Cause: wait, time-out and retry of a read added up to more than contact_ms; retries took further silent connections from the pool; and the failed read counted as an outage of the store, which keeps removed upstreams for 2 s more.

Change: a read whose answer is 0.4 s late is repeated at once over a new connection, and the first answer counts; after a late read or a time-out all older connections are retired; one proved silence wakes the other waiting reads; no read waits longer than contact_ms less 0.7 s. Setting contact_limit, log event connection_silent, CutProxy.silence_open for tests.

--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -108,6 +108,7 @@
             contender waits this long after it.
         lease_candidates: Number of processes that contend for a lease.
         change_limit: A new configuration is in force after this time.
+        contact_limit: A cut off entry must know the state of the tables this long after the cut.
         leaving_limit: A leaving upstream receives no new requests after this time.
         stale_limit: A host refuses requests once its configuration has not been confirmed for
             this long.
@@ -269,6 +270,7 @@
     sure_limit: float = 2.5
     stale_limit: float = 4.5
     change_limit: float = 2.0
+    contact_limit: float = 3.0
     leaving_limit: float = 2.0
     usage_window: float = 5.0
     usage_flush_interval: float = 1.25
--- a/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
+++ b/packages/bilberryplank-testing/bilberryplank_testing/_cut_proxy.py
@@ -42,6 +42,7 @@
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._refusing: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -75,6 +76,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def silence_open(self) -> None:
+        """Lets the open connections carry nothing any more, while new ones work."""
+        self._silenced |= self._writers
+
     def reset(self) -> None:
         """Breaks the open connections."""
         for writer in list(self._writers):
@@ -98,14 +103,18 @@
             ]
             await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
             back.transport.abort()
-            self._writers.discard(back)
+            self._forget(back)
         except OSError:
             return
         finally:
             for way in ways:
                 way.cancel()
             writer.transport.abort()
-            self._writers.discard(writer)
+            self._forget(writer)
+
+    def _forget(self, writer: asyncio.StreamWriter) -> None:
+        self._writers.discard(writer)
+        self._silenced.discard(writer)
 
     async def _pass(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answers: bool
@@ -114,6 +123,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 while self._holds(answers):
                     await self._changed.wait()
+                if writer in self._silenced:
+                    continue
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 writer.write(data)
--- a/packages/bilberryplank/bilberryplank/_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/_answer_bounds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -26,11 +27,30 @@
 class BoundedHandler(ResponseHandler):
     """Closes a connection on which interim answers go on without the final one."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        retired_at: Callable[[], float] = lambda: float("-inf"),
+    ) -> None:
         super().__init__(loop)
+        self._opened_at = loop.time()
+        self._retired_at = retired_at
         self._interim_answers = 0
         self._overflow: AnswerOverflow | None = None
 
+    @property
+    def _is_retired(self) -> bool:
+        return self._opened_at < self._retired_at()
+
+    def is_connected(self) -> bool:
+        """Returns True where the connection may take a call."""
+        return super().is_connected() and not self._is_retired
+
+    @property
+    def should_close(self) -> bool:
+        """True where the connection must not be kept after its call."""
+        return super().should_close or self._is_retired
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Has the transport read little at a time."""
         super().connection_made(transport)
@@ -74,15 +94,39 @@
             self.transport.max_size = size
 
 
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens such connections, and replaces all of them where they may have fallen silent."""
+
+    def __init__(self, handler: type[BoundedHandler], **options: Any) -> None:
+        super().__init__(**options)
+        self._retired_at = float("-inf")
+        self._fell_silent = asyncio.Event()
+        self._factory = functools.partial(
+            handler, loop=self._loop, retired_at=lambda: self._retired_at
+        )
+
+    @property
+    def fell_silent(self) -> asyncio.Event:
+        """Set once calls in flight on connections of this moment should not be waited for."""
+        return self._fell_silent
+
+    def retire(self) -> None:
+        """Has calls from now on use new connections; calls in flight go on."""
+        self._retired_at = self._loop.time()
+
+    def report_silence(self) -> None:
+        """Tells calls in flight that their connections are silent."""
+        self._fell_silent.set()
+        self._fell_silent = asyncio.Event()
+
+
 def bounded_connector(
     handler: type[BoundedHandler] = BoundedHandler, **options: Any
-) -> aiohttp.TCPConnector:
+) -> BoundedConnector:
     """Returns a connector whose connections have these bounds.
 
     Args:
         handler: Protocol of the connections.
         options: Options of the connector.
     """
-    connector = aiohttp.TCPConnector(**options)
-    connector._factory = functools.partial(handler, loop=asyncio.get_running_loop())
-    return connector
+    return BoundedConnector(handler, **options)
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -61,8 +61,8 @@
     Left there, it would be read as the answer to the next question.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
+    def __init__(self, loop: asyncio.AbstractEventLoop, **options: Any) -> None:
+        super().__init__(loop, **options)
         self._awaits_answer = False
 
     def set_response_params(self, **params: Any) -> None:
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -101,6 +101,7 @@
             self._state.apply_roster,
             self._rng,
             cfg.leaving_limit,
+            cfg.contact_limit,
             self._relay,
             eras,
         )
@@ -112,6 +113,7 @@
             self._rng,
             cfg.stale_limit,
             cfg.change_limit,
+            cfg.contact_limit,
             self._relay,
             eras,
             fleet_clock,
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -66,12 +66,15 @@
         rng: Random,
         stale_limit: float,
         change_limit: float,
+        contact_limit: float,
         relay: TableRelay,
         eras: EraTracker,
         fleet_clock: FleetClock,
     ) -> None:
         wait = min(CONFIGURATION_WAIT_SECONDS, STALE_SHARE * stale_limit)
-        super().__init__(table, rows.configuration_table, rng, wait, change_limit, relay, eras)
+        super().__init__(
+            table, rows.configuration_table, rng, wait, change_limit, contact_limit, relay, eras
+        )
         self.freshness_tracker = freshness_tracker
         self.configuration: DirectConfiguration | None = None
         self._rows = rows
@@ -181,11 +184,14 @@
         changed: Callable[[RegistryChange], None],
         rng: Random,
         leaving_limit: float,
+        contact_limit: float,
         relay: TableRelay,
         eras: EraTracker,
     ) -> None:
         wait = ROSTER_WAIT_SHARE * leaving_limit
-        super().__init__(table, rows.upstream_table, rng, wait, leaving_limit, relay, eras)
+        super().__init__(
+            table, rows.upstream_table, rng, wait, leaving_limit, contact_limit, relay, eras
+        )
         self.registry = registry
         self._rows = rows
         self._changed = changed
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
@@ -11,11 +12,22 @@
 from urllib.parse import quote, urlencode
 
 import aiohttp
+from loguru import logger
 from yarl import URL
 
+from bilberryplank._answer_bounds import BoundedConnector
+from bilberryplank._clocks import boot_time
+from bilberryplank._logs import log_event
 from bilberryplank_core.checks import decode_json
 from bilberryplank_core.errors import PlatformUnavailable, ValueInvalid
 
+PATIENCE_SECONDS = 0.4
+"""A read whose answer is this late is repeated over a new connection: a kept one may have fallen
+silent without a reset."""
+
+MAX_PATIENCE_SECONDS = 0.8
+"""Up to this the patience grows where the service is slow, so that few reads are made twice."""
+
 JSON_FIELDS = {"Content-Type": "application/json"}
 
 
@@ -43,18 +55,23 @@
 class ServiceClient:
     """Calls one service of the platform over a shared session.
 
+    After a time-out calls use new connections, where the session's connector can replace them.
+
     Args:
         session: Session whose connections it shares.
         base_url: `http://ip:port` of the service.
         timeout: Seconds that a whole call may take.
     """
 
-    __slots__ = ("_base_url", "_session", "_timeout")
+    __slots__ = ("_base_url", "_connector", "_patience", "_session", "_timeout")
 
     def __init__(self, session: aiohttp.ClientSession, base_url: str, timeout: float) -> None:
         self._session = session
         self._base_url = base_url.rstrip("/")
         self._timeout = timeout
+        self._patience = PATIENCE_SECONDS
+        connector = session.connector
+        self._connector = connector if isinstance(connector, BoundedConnector) else None
 
     async def call(
         self,
@@ -71,7 +88,7 @@
         """
         url = URL(self._base_url + path, encoded=True)
         timeout = aiohttp.ClientTimeout(total=self._timeout + waits)
-        with unavailable_on_failure():
+        try:
             async with self._session.request(
                 method,
                 url,
@@ -81,6 +98,54 @@
                 allow_redirects=False,
             ) as resp:
                 return Answer(resp.status, await resp.read(), resp.headers)
+        except TimeoutError as exc:
+            if self._connector is not None:
+                self._connector.retire()
+            raise PlatformUnavailable(f"{type(exc).__name__}: {exc}") from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise PlatformUnavailable(f"{type(exc).__name__}: {exc}") from exc
+
+    async def read(self, target: str, waits: float = 0.0, again: str | None = None) -> Answer:
+        """Returns the answer to a read; a late one is repeated over a new connection.
+
+        Args:
+            target: Path and query.
+            waits: Seconds for which the service was asked to hold the answer.
+            again: Path and query of the repeat, which the service must not hold; None for the same.
+
+        Raises:
+            PlatformUnavailable: Timeout or connection failure.
+        """
+        first = asyncio.create_task(self.call("GET", target, waits=waits))
+        connector = self._connector
+        if connector is None:
+            return await first
+        calls, asked_at = [first], boot_time()
+        try:
+            fell_silent = connector.fell_silent
+            if await _ends_within(first, waits + self._patience, fell_silent):
+                self._note_lateness(asked_at, waits)
+                return first.result()
+            # A read that another one told of the silence must not tell others of it again.
+            is_late = not fell_silent.is_set()
+            if is_late:
+                connector.retire()
+            calls.append(asyncio.create_task(self.call("GET", again or target)))
+            answered = await _first_success(calls)
+            if answered is first:
+                self._note_lateness(asked_at, waits)
+            elif is_late:
+                log_event(logger, "connection_silent", level="WARNING", service=self._base_url)
+                connector.report_silence()
+            return answered.result()
+        finally:
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    def _note_lateness(self, asked_at: float, waits: float) -> None:
+        late = boot_time() - asked_at - waits
+        self._patience = min(max(PATIENCE_SECONDS, 2 * late), MAX_PATIENCE_SECONDS)
 
     async def call_json(
         self,
@@ -100,8 +165,44 @@
         target = path + (query(**parameters) if parameters else "")
         data = None if body is None else dump_json(body)
         answer = await self.call(method, target, data, JSON_FIELDS if data else None, waits)
-        decoded = answer.json() if answer.status == HTTPStatus.OK else None
-        return answer.status, decoded, answer.fields
+        return _decoded(answer)
+
+    async def read_json(
+        self,
+        path: str,
+        parameters: dict[str, Any],
+        waits: float = 0.0,
+        again: dict[str, Any] | None = None,
+    ) -> tuple[int, Any, Mapping[str, str]]:
+        """Returns what `call_json` does, for a read; see `read`."""
+        repeat = path + query(**again) if again else None
+        return _decoded(await self.read(path + query(**parameters), waits, repeat))
+
+
+def _decoded(answer: Answer) -> tuple[int, Any, Mapping[str, str]]:
+    decoded = answer.json() if answer.status == HTTPStatus.OK else None
+    return answer.status, decoded, answer.fields
+
+
+async def _ends_within(call: asyncio.Task[Answer], seconds: float, ended: asyncio.Event) -> bool:
+    """Waits for a call; returns False after some seconds, or once an event is set before."""
+    event = asyncio.create_task(ended.wait())
+    try:
+        await asyncio.wait({call, event}, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        event.cancel()
+    return call.done()
+
+
+async def _first_success(calls: list[asyncio.Task[Answer]]) -> asyncio.Task[Answer]:
+    """Returns the first call that succeeds; the first one of all where none does."""
+    waiting = set(calls)
+    while waiting:
+        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        for call in done:
+            if call.exception() is None:
+                return call
+    return calls[0]
 
 
 @contextmanager
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -41,6 +41,9 @@
 RESTORE_READS_PER_SECOND = 500.0
 """Reads a second of all entries together after a restore of the store, which all notice at once."""
 
+RECONNECT_SECONDS = 0.7
+"""Room for a read over a new connection, after one that waited over a silent connection."""
+
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.5
 """Pauses between failed reads, growing, so that a store that is down sees few calls."""
@@ -58,6 +61,7 @@
         rng: Spreads the pauses.
         wait: Seconds that a read waits for a change.
         change_limit: Seconds after which a change must be known here, whichever entries are lost.
+        contact_limit: Seconds after which an entry that was cut off must know the table again.
         relay: What entries tell each other.
         eras: Eras of the store.
     """
@@ -71,6 +75,7 @@
         rng: Random,
         wait: float,
         change_limit: float,
+        contact_limit: float,
         relay: TableRelay,
         eras: EraTracker,
     ) -> None:
@@ -79,7 +84,7 @@
         self._eras = eras
         self._spreads_read = False
         eras.subscribe(self._begin_era)
-        self._wait = wait
+        self._wait = min(wait, max(RETRY_SECONDS, contact_limit - RECONNECT_SECONDS))
         self._relay = relay
         self._known_at = float("-inf")
         self._relayed = False
--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -95,7 +95,7 @@
             self.relays.append(relay)
             self.tables.append(table)
             self.watches.append(
-                Watch(table, "t", Random(name), self.WAIT, self.CHANGE_LIMIT, relay, eras)
+                Watch(table, "t", Random(name), self.WAIT, self.CHANGE_LIMIT, 3.0, relay, eras)
             )
         for part in (*self.relays, *self.watches):
             await part.start()
