Bound the series of metrics by class, and drop those of classes that are gone

Cause: each route name ever seen made a full set of series for its class label, some 38 KB and half a millisecond of the loop's time, and nothing removed any.

Change: at most 100 classes have series, from their first use where more are declared; others are counted under `other`; the version that drops a class drops its series.

--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -1,6 +1,7 @@
 """Counters, histograms and gauges of one process.
 
-Label values come from closed lists: the typed reasons, and the class names of the configuration.
+Label values come from closed lists: the typed reasons, and the class names of the configuration, of
+which so many have series that neither memory nor the text of a scrape grows with the configuration.
 There is no label for organisations: thousands of them times the classes and reasons would hold more
 memory than a process may use for control. Usage by organisation is in the usage reports.
 """
@@ -19,10 +20,16 @@
     disable_created_metrics,
     generate_latest,
 )
+from prometheus_client.metrics import MetricWrapperBase
 
 from bilberryplank_core.errors import RefusalReason, RetryReason
 
 NO_CLASS = "none"
+OTHER_CLASSES = "other"
+
+MAX_CLASSES = 100
+"""Classes with series of their own, some 38 KB each; further ones are counted under `other`."""
+
 FIRST_TOKEN_BUCKETS_SECONDS = (0.05, 0.1, 0.2, 0.38, 0.75, 1.5, 3.0, 6.0, 15.0, 30.0, 60.0)
 TOKEN_GAP_BUCKETS_SECONDS = (0.01, 0.02, 0.03, 0.048, 0.075, 0.15, 0.5, 2.0)
 QUEUE_WAIT_BUCKETS_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.38, 0.75, 1.5, 5.0, 20.0, 60.0)
@@ -90,22 +97,28 @@
 
     def __init__(self, registry: CollectorRegistry | None = None) -> None:
         self.registry = registry or CollectorRegistry()
-        self._classes = {NO_CLASS}
+        self._declared: frozenset[str] = frozenset()
+        self._series: dict[str, list[tuple[MetricWrapperBase, tuple[str, ...]]]] = {}
         ProcessCollector(registry=self.registry)
         self._build_request_metrics()
         self._build_link_metrics()
         self._build_platform_metrics()
         self._create_reasons()
-        self._create_class(NO_CLASS)
+        for name in (NO_CLASS, OTHER_CLASSES):
+            self._create_class(name)
 
     def declare_classes(self, names: Iterable[str]) -> None:
-        """Creates the series of the configuration's classes, so that each exists at 0.
+        """Takes in all classes of the configuration, and drops the series of those that are gone.
 
-        A class that was never declared is counted under `none`.
+        Series exist at 0 from then on where the classes are few enough for all of them to have
+        some; else from a class's first use on. A class that is not declared is counted under
+        `none`.
         """
-        for name in names:
-            if name not in self._classes:
-                self._classes.add(name)
+        self._declared = frozenset(names) - {NO_CLASS, OTHER_CLASSES}
+        for name in set(self._series) - self._declared - {NO_CLASS, OTHER_CLASSES}:
+            self._drop_class(name)
+        if len(self._declared) <= MAX_CLASSES:
+            for name in self._declared - set(self._series):
                 self._create_class(name)
 
     def render(self) -> bytes:
@@ -214,7 +227,14 @@
         self._usage_records.labels(event.value).inc(count)
 
     def _class_label(self, name: str) -> str:
-        return name if name in self._classes else NO_CLASS
+        if name in self._series:
+            return name
+        if name not in self._declared:
+            return NO_CLASS
+        if len(self._series) >= MAX_CLASSES + len((NO_CLASS, OTHER_CLASSES)):
+            return OTHER_CLASSES
+        self._create_class(name)
+        return name
 
     def _build_request_metrics(self) -> None:
         self._requests = self._counter(
@@ -284,16 +304,20 @@
                 self._platform_calls.labels(service.value, outcome.value)
 
     def _create_class(self, name: str) -> None:
-        for reason in RefusalReason:
-            self._refusals.labels(reason.value, name)
-        for outcome in RequestOutcome:
-            self._requests.labels(name, outcome.value)
-        for use in TokenUse:
-            self._tokens.labels(name, use.value)
-        for met in ("true", "false"):
-            self._targets.labels(name, met)
-        for series in (self._preemptions, self._first_token, self._token_gap, self._queue_wait):
-            series.labels(name)
+        series: list[tuple[MetricWrapperBase, tuple[str, ...]]] = []
+        series += [(self._refusals, (reason.value, name)) for reason in RefusalReason]
+        series += [(self._requests, (name, outcome.value)) for outcome in RequestOutcome]
+        series += [(self._tokens, (name, use.value)) for use in TokenUse]
+        series += [(self._targets, (name, met)) for met in ("true", "false")]
+        plain = (self._preemptions, self._first_token, self._token_gap, self._queue_wait)
+        series += [(metric, (name,)) for metric in plain]
+        for metric, values in series:
+            metric.labels(*values)
+        self._series[name] = series
+
+    def _drop_class(self, name: str) -> None:
+        for metric, values in self._series.pop(name):
+            metric.remove(*values)
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(name, text, labels, namespace="bilberryplank", registry=self.registry)
--- a/packages/bilberryplank/bilberryplank/tests/test_metrics.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_metrics.py
@@ -1,5 +1,7 @@
+import re
 import unittest
 
+from bilberryplank._metrics import MAX_CLASSES
 from bilberryplank.metrics import (
     FrameDropCause,
     PlatformOutcome,
@@ -73,6 +75,37 @@
         self.assertEqual(len(self.metrics.render().splitlines()), before)
         self.assertEqual(self.value("refusals_total", **{"class": "none", "reason": "shed"}), 50)
 
+    # Each class name ever declared kept 38 KB of series for good.
+    def test_names_that_come_and_go_leave_no_series(self):
+        self.metrics.declare_classes(["reply"])
+        before = self.metrics.render().count(b"\n")
+        for release in range(5):
+            self.metrics.declare_classes(f"reply-{release}-{number}" for number in range(90))
+        self.metrics.declare_classes(["reply"])
+        self.assertEqual(self.metrics.render().count(b"\n"), before)
+        self.assertEqual(
+            self.value("requests_total", **{"class": "reply", "outcome": "answered"}), 0
+        )
+
+    def test_classes_beyond_the_bound_are_counted_together(self):
+        names = [f"c{number}" for number in range(5 * MAX_CLASSES)]
+        self.metrics.declare_classes(names)
+        for name in names:
+            self.metrics.request_ended(name, RequestOutcome.ANSWERED)
+        found = self.answered()
+        self.assertEqual(sum(found.values()), len(names))
+        self.assertEqual(sum(found.get(name) == 1 for name in names), MAX_CLASSES)
+        self.assertEqual(found["other"], len(names) - MAX_CLASSES)
+        self.metrics.declare_classes(names[MAX_CLASSES : 2 * MAX_CLASSES])
+        self.metrics.request_ended(names[MAX_CLASSES], RequestOutcome.ANSWERED)
+        self.assertEqual(self.answered()[names[MAX_CLASSES]], 1)
+        self.assertNotIn(names[0], self.answered())
+
+    def answered(self):
+        """Returns the answered requests by class."""
+        line = re.compile(r'bilberryplank_requests_total{class="([^"]+)",outcome="answered"} (.+)')
+        return {name: float(count) for name, count in line.findall(self.metrics.render().decode())}
+
     def test_two_processes_share_nothing(self):
         other = ProcessMetrics()
         other.retried(RetryReason.NOT_RUN)
