Forget what is kept by service, upstream and prompt part once they are gone

An entry that runs for months kept records for each service that a configuration ever named, for each upstream whose last answer came after its row had gone, and for each prompt part of no tokens.

Cause: the records were made on first use; only a removed row took back those of its upstream, before the late answer, and a part that fills no cache was never evicted.

Change: a configuration drops the records of services that it drops, once nothing runs there; a change of the roster retains what is known only of upstreams that are known; a cache holds 8,192 parts at most.

--- a/packages/bilberryplank-core/bilberryplank_core/_engine_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_selector.py
@@ -476,6 +476,12 @@
             states.pop(name, None)
         self._queueing_delays.forget(name)
 
+    def retain(self, names: Collection[str]) -> None:
+        """Drops the states of all other engines; a late answer may have left some."""
+        known = {*self._engine_caches, *self._loads, *self._queueing_delays.engines()}
+        for name in known - set(names):
+            self.forget(name)
+
     def set_peers(self, peers: Collection[str]) -> None:
         """Sets the other entries of the fleet."""
         self._peer_work.set_peers(len(peers))
--- a/packages/bilberryplank-core/bilberryplank_core/_prefix_cache_model.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_prefix_cache_model.py
@@ -12,6 +12,9 @@
 PREFIX_MEMORY_SHARE = 0.8
 """Share of an engine's KV cache assumed to hold earlier prefixes; running requests use the rest."""
 
+MAX_SEGMENTS = 8192
+"""Segments of one engine that are remembered: callers may send some of a token each, or of none."""
+
 
 def prefix_keys(model: str, prompt: Sequence[PromptSegment]) -> list[tuple[str, int]]:
     """Returns a key for each prefix of a prompt, with the tokens of its last segment.
@@ -57,7 +60,9 @@
             else:
                 self._segments[key] = tokens
                 self._total_tokens += tokens
-        while self._total_tokens > self._capacity_tokens and self._segments:
+        while self._segments and (
+            self._total_tokens > self._capacity_tokens or len(self._segments) > MAX_SEGMENTS
+        ):
             _, evicted_tokens = self._segments.popitem(last=False)
             self._total_tokens -= evicted_tokens
 
--- a/packages/bilberryplank-core/bilberryplank_core/_queueing_delays.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_queueing_delays.py
@@ -98,6 +98,10 @@
         self._observed.pop(engine, None)
         self._pending.pop(engine, None)
 
+    def engines(self) -> set[str]:
+        """Returns the engines of which anything is known."""
+        return {*self._observed, *self._pending}
+
     def _evidence(self, engine: str, urgency: Urgency, now: float) -> _Evidence:
         observed = self._observed.get(engine, {}).get(urgency)
         pending = self._pending.get(engine)
--- a/packages/bilberryplank-core/bilberryplank_core/_upstream_health.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_upstream_health.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from bilberryplank_core._direct_attempts import Outcome
@@ -136,3 +136,8 @@
     def forget(self, name: str) -> None:
         """Removes the state of a removed upstream."""
         self._states.pop(name, None)
+
+    def retain(self, names: Collection[str]) -> None:
+        """Removes the states of all other upstreams."""
+        for name in self._states.keys() - set(names):
+            self.forget(name)
--- a/packages/bilberryplank-core/bilberryplank_core/_upstream_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_upstream_selector.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from random import Random
 
 from bilberryplank_core._direct_types import DirectUpstream, UpstreamLoad
@@ -90,6 +90,11 @@
         for records in (self._loads, self._service_seconds):
             records.pop(name, None)
 
+    def retain(self, names: Collection[str]) -> None:
+        """Removes the records of all other upstreams; a late answer may have left some."""
+        for name in {*self._loads, *self._service_seconds} - set(names):
+            self.forget(name)
+
     def _cost(self, upstream: DirectUpstream, now: float) -> float:
         busy = float(self._in_flight.get(upstream.name, 0))
         report = self._loads.get(upstream.name)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -62,8 +62,14 @@
         self.freshness_tracker.set_limits(settings.sure_limit, settings.stale_limit)
 
     def apply_configuration(self, cfg: DirectConfiguration) -> None:
-        """Takes in a newer configuration."""
+        """Takes in a newer configuration, and forgets services that it drops."""
         self.routes = RouteIndex(cfg)
+        for service in self._boards.keys() - cfg.services.keys():
+            if not self._boards[service].in_flight:
+                del self._boards[service]
+        for records in (self._budgets, self._hears_peers, self._told_paces):
+            for service in records.keys() - cfg.services.keys():
+                del records[service]
 
     def apply_roster(self, change: RegistryChange) -> None:
         """Forgets what was known of upstreams that are gone or started anew."""
@@ -72,6 +78,10 @@
             board = self._boards.get(upstream.service)
             if board is not None:
                 board.forget(upstream.name)
+        known = self.registry.upstreams
+        self.health.retain(known)
+        for board in self._boards.values():
+            board.retain(known)
 
     def upstreams(self, service: str) -> list[DirectUpstream]:
         """Returns the upstreams of a service that may get new work."""
