Bound memory and the loop's work for answers without end, each and all together

Callers of sound services waited up to 3.4 s or were refused beside 48 answers that came in chunks of a byte without end; unfinished events had a bound each, and none together.

Cause: nothing bounded the pieces of a read, of which the HTTP library handles each by itself, nor what all connections together bring in one turn of the loop, nor what all answers together hold.

--- a/packages/bilberryplank-core/bilberryplank_core/_events.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_events.py
@@ -29,6 +29,11 @@
         """Bytes of the buffered incomplete event."""
         return bytes(self._buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the buffered incomplete event."""
+        return len(self._buffer)
+
     @property
     def overflowed(self) -> bool:
         """Whether the incomplete event exceeds `MAX_EVENT_BYTES`; the caller must then stop."""
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -51,6 +51,7 @@
 )
 from bilberryplank_core._engine_selector import EngineChoice, EngineSelector
 from bilberryplank_core._fleet_members import STANDBY_WAIT_FACTOR, FleetMembers
+from bilberryplank_core._held_bytes import HeldBytes
 from bilberryplank_core._leases import LeaseHolder
 from bilberryplank_core._link_pacer import LinkPacer
 from bilberryplank_core._notice_format import NoticeInvalid
@@ -73,6 +74,7 @@
     Withheld,
     shared_segments,
 )
+from bilberryplank_core._read_pacer import ReadPacer, excess_pieces
 from bilberryplank_core._restored_windows import (
     SealMemory,
     WindowGivenUp,
@@ -142,7 +144,10 @@
     "read_crash_row",
     "Withheld",
     "shared_segments",
+    "HeldBytes",
     "LinkPacer",
+    "ReadPacer",
+    "excess_pieces",
     "heartbeat_notice",
     "check_heartbeat",
     "HEARTBEAT_INTERVAL_SECONDS",
--- /dev/null
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_read_pacer.py
@@ -0,0 +1,38 @@
+import unittest
+
+from bilberryplank_core._held_bytes import FREE_HELD_BYTES, MAX_HELD_BYTES
+from bilberryplank_core._read_pacer import PIECES_PER_SECOND
+from bilberryplank_core.direct import HeldBytes, ReadPacer, excess_pieces
+
+
+class ReadPacerTest(unittest.TestCase):
+    def test_pieces_of_usual_answers_are_no_excess(self):
+        self.assertEqual(excess_pieces(1, 9), 0)
+        self.assertEqual(excess_pieces(160, 160 * 100), 0)
+        self.assertGreater(excess_pieces(2700, 16384), 2000)
+
+    def test_all_connections_together_keep_the_rate(self):
+        pacer, now, pieces = ReadPacer(), 100.0, 0
+        free_at = [now] * 48
+        while now < 110.0:
+            number = free_at.index(min(free_at))
+            now = max(now, free_at[number])
+            free_at[number] = now + pacer.reserve(600, now)
+            pieces += 600
+        self.assertLess(pieces, 11 * PIECES_PER_SECOND)
+        self.assertAlmostEqual(pacer.reserve(600, now + 60), 600 / PIECES_PER_SECOND)
+
+
+class HeldBytesTest(unittest.TestCase):
+    # Long events of a few hundred streams together had no bound.
+    def test_long_answers_are_bounded_together_and_short_ones_are_always_granted(self):
+        held, size = HeldBytes(), 1024 * 1024
+        granted = [held.change(0, size) for _ in range(100)]
+        self.assertTrue(granted[0])
+        self.assertFalse(granted[-1])
+        self.assertLessEqual(sum(granted) * (size - FREE_HELD_BYTES), MAX_HELD_BYTES)
+        self.assertTrue(held.change(0, FREE_HELD_BYTES))
+        for _ in range(100):
+            held.change(size, 0)
+        self.assertEqual(held.total, 0)
+        self.assertTrue(held.change(0, size))
--- a/packages/bilberryplank/bilberryplank/_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/_answer_bounds.py
@@ -10,29 +10,67 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import StreamReader
+
+from bilberryplank_core.direct import ReadPacer, excess_pieces
 
 MAX_INTERIM_ANSWERS = 32
 """Interim answers (1xx) before the final one; HTTP allows any number."""
 
-HEAD_READ_BYTES = 4 * 1024
-"""Bytes of one read until the head is there: each may begin hundreds of interim answers."""
+LEAST_READ_BYTES = 4 * 1024
+"""Bytes of one read until the head is there, and after a read of many small pieces."""
+
+MAX_READ_BYTES = 16 * 1024
+"""Bytes of one read; hundreds of connections may be readable in one turn of the loop."""
+
+MAX_BODILESS_BYTES = 256 * 1024
+"""Bytes after the head in which no byte of the body comes, as in the extension of a chunk."""
 
-BODY_READ_BYTES = 64 * 1024
+MAX_EXCESS_PIECES = 65_536
+"""Small pieces of one answer beyond those that its bytes allow for."""
 
 
 class AnswerOverflow(aiohttp.ClientPayloadError):
     """More came than an answer may have; the connection was closed."""
 
 
+def limit_read(transport: asyncio.BaseTransport, size: int) -> None:
+    """Has a transport of asyncio's selector loops read up to `size` bytes in one turn."""
+    transport.max_size = size
+
+
+async def read_bounded(resp: aiohttp.ClientResponse, limit: int) -> bytes:
+    """Returns the whole body of an answer.
+
+    Raises:
+        AnswerOverflow: It has more than `limit` bytes; the connection was closed.
+    """
+    held = bytearray()
+    async for data in resp.content.iter_any():
+        held += data
+        if len(held) > limit:
+            resp.close()
+            raise AnswerOverflow(f"more than {limit} bytes")
+    return bytes(held)
+
+
 class BoundedHandler(ResponseHandler):
-    """Closes a connection on which interim answers go on without the final one."""
+    """Bounds the work for one connection in one turn of the loop, and in all.
+
+    Closes a connection on which interim answers go on without the final one, or an answer goes on
+    in pieces of a few bytes. Until then a connection with such pieces reads slowly.
+    """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         retired_at: Callable[[], float] = lambda: float("-inf"),
+        pacer: ReadPacer | None = None,
     ) -> None:
         super().__init__(loop)
+        self._pacer = pacer or ReadPacer()
+        self._pace_timer: asyncio.TimerHandle | None = None
+        self._excess_pieces = self._bodiless_bytes = 0
         self._opened_at = loop.time()
         self._retired_at = retired_at
         self._interim_answers = 0
@@ -54,21 +92,44 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Has the transport read little at a time."""
         super().connection_made(transport)
-        self._limit_read(HEAD_READ_BYTES)
+        self._limit_read(LEAST_READ_BYTES)
 
     def set_response_params(self, **params: Any) -> None:
         """Takes in that a request goes out."""
-        self._interim_answers = 0
-        self._limit_read(HEAD_READ_BYTES)
+        self._interim_answers = self._excess_pieces = self._bodiless_bytes = 0
+        self._limit_read(LEAST_READ_BYTES)
         super().set_response_params(**params)
 
+    def data_received(self, data: bytes) -> None:
+        """Takes in bytes, and has the connection read on later where their pieces are small."""
+        known, before = self._payload, _pieces(self._payload)
+        super().data_received(data)
+        payload = self._payload
+        if payload is None or self._overflow is not None:
+            return
+        pieces = _pieces(payload) - (before if payload is known else 0)
+        excess = excess_pieces(pieces, len(data))
+        self._limit_read(LEAST_READ_BYTES if excess else MAX_READ_BYTES)
+        self._excess_pieces += excess
+        self._bodiless_bytes = 0 if pieces else self._bodiless_bytes + len(data)
+        if self._bodiless_bytes > MAX_BODILESS_BYTES:
+            self.overflow(f"more than {MAX_BODILESS_BYTES} bytes that are no part of the body")
+        elif self._excess_pieces > MAX_EXCESS_PIECES:
+            self.overflow(f"more than {MAX_EXCESS_PIECES} pieces of a few bytes")
+        elif excess:
+            self._pause_for(self._pacer.reserve(excess, self._loop.time()))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the connection."""
+        if self._pace_timer is not None:
+            self._pace_timer.cancel()
+        super().connection_lost(exc)
+
     def feed_data(self, data: Any, *size: int) -> None:
         """Takes in the head of an answer."""
         if self._overflow is not None:
             return
-        if data[0].code >= HTTPStatus.OK:
-            self._limit_read(BODY_READ_BYTES)
-        else:
+        if data[0].code < HTTPStatus.OK:
             self._interim_answers += 1
         if self._interim_answers > MAX_INTERIM_ANSWERS:
             self.overflow(f"more than {MAX_INTERIM_ANSWERS} interim answers")
@@ -88,21 +149,45 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _pause_for(self, seconds: float) -> None:
+        if self._pace_timer is None:
+            self._pause_transport_reading()
+            self._pace_timer = self._loop.call_later(seconds, self._end_pause)
+
+    def _end_pause(self) -> None:
+        self._pace_timer = None
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        # Called by the library too, whose own reasons to pause may end first.
+        if self._pace_timer is None:
+            super()._resume_transport_reading()
+
     def _limit_read(self, size: int) -> None:
-        # The transport of asyncio's selector loops reads up to `max_size` bytes in one turn.
         if self.transport is not None:
-            self.transport.max_size = size
+            limit_read(self.transport, size)
+
+
+def _pieces(payload: StreamReader | None) -> int:
+    """Returns the pieces of a body that are not taken yet."""
+    return 0 if payload is None else len(getattr(payload, "_buffer", ()))
 
 
 class BoundedConnector(aiohttp.TCPConnector):
     """Opens such connections, and replaces all of them where they may have fallen silent."""
 
-    def __init__(self, handler: type[BoundedHandler], **options: Any) -> None:
+    def __init__(
+        self, handler: type[BoundedHandler], pacer: ReadPacer | None, **options: Any
+    ) -> None:
         super().__init__(**options)
         self._retired_at = float("-inf")
         self._fell_silent = asyncio.Event()
         self._factory = functools.partial(
-            handler, loop=self._loop, retired_at=lambda: self._retired_at
+            handler,
+            loop=self._loop,
+            retired_at=lambda: self._retired_at,
+            pacer=pacer or ReadPacer(),
         )
 
     @property
@@ -121,12 +206,15 @@
 
 
 def bounded_connector(
-    handler: type[BoundedHandler] = BoundedHandler, **options: Any
+    handler: type[BoundedHandler] = BoundedHandler,
+    pacer: ReadPacer | None = None,
+    **options: Any,
 ) -> BoundedConnector:
     """Returns a connector whose connections have these bounds.
 
     Args:
         handler: Protocol of the connections.
+        pacer: Paces the reads of all of them; None for one of their own.
         options: Options of the connector.
     """
-    return BoundedConnector(handler, **options)
+    return BoundedConnector(handler, pacer, **options)
--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -10,6 +10,7 @@
 from aiohttp.http_exceptions import LineTooLong
 from loguru import logger
 
+from bilberryplank._answer_bounds import MAX_READ_BYTES, limit_read
 from bilberryplank._logs import log_event
 from bilberryplank._refusals import raw_refusal, refusal_response
 from bilberryplank_core.errors import RefusalReason, Refused
@@ -55,6 +56,11 @@
         self._header_timer: asyncio.TimerHandle | None = None
         self._on_refused = on_refused
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Has the transport read little at a time, as a body may come in chunks of one byte."""
+        super().connection_made(transport)
+        limit_read(transport, MAX_READ_BYTES)
+
     def data_received(self, data: bytes) -> None:
         """Takes bytes; a header that has begun must be whole in time."""
         super().data_received(data)
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -30,7 +30,7 @@
     single_connector,
 )
 from bilberryplank_core.checks import ValueInvalid, check_endpoint, split_endpoint
-from bilberryplank_core.direct import LinkPacer
+from bilberryplank_core.direct import LinkPacer, ReadPacer
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """A living upstream accepts within milliseconds; a dark one must not cost an objective."""
@@ -140,15 +140,16 @@
 
     def __init__(self, link: LinkPacer) -> None:
         self._link = link
+        pacer = ReadPacer()
         self._session = aiohttp.ClientSession(
-            connector=single_connector(),
+            connector=single_connector(pacer),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=AUTOMATIC_HEADERS,
         )
         self._questions = aiohttp.ClientSession(
-            connector=bounded_connector(_KeptHandler, limit_per_host=QUESTION_CONNECTIONS),
+            connector=bounded_connector(_KeptHandler, pacer, limit_per_host=QUESTION_CONNECTIONS),
             timeout=aiohttp.ClientTimeout(total=QUESTION_SECONDS),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -22,6 +22,7 @@
     FleetClock,
     Freshness,
     HeaderCodec,
+    HeldBytes,
     RequestHead,
     StopSchedule,
     WindowCounts,
@@ -67,7 +68,15 @@
         self._callers = callers
         self._stop_schedule = stop_schedule
         self._parts = RunParts(
-            state, client, crashes, header_codec, counts, fleet_clock, metrics, stop_schedule
+            state,
+            client,
+            crashes,
+            header_codec,
+            counts,
+            fleet_clock,
+            metrics,
+            stop_schedule,
+            HeldBytes(),
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -29,6 +29,7 @@
     EngineSelector,
     FleetClock,
     HeaderCodec,
+    HeldBytes,
     LatencyObjective,
     NextAction,
     Outcome,
@@ -94,6 +95,7 @@
     fleet_clock: FleetClock
     metrics: ProcessMetrics
     stop_schedule: StopSchedule
+    held_bytes: HeldBytes
 
 
 class DirectRun:
@@ -141,6 +143,7 @@
         self._first_piece_at = arrived
         self._settled = False
         self._task = asyncio.current_task()
+        self._held = 0
         self._withheld: Withheld | None = None
         self._guarded = parts.crashes.guard(call, self._stop)
         self._deadline = arrived + found.time_limit(call)
@@ -361,6 +364,7 @@
         finally:
             if answer is not None:
                 answer.close()
+            self._hold(0)
             self._parts.crashes.end(self._guarded)
             seconds = boot_time() - began if outcome is Outcome.ANSWERED else None
             self._left(upstream, seconds)
@@ -414,11 +418,12 @@
         held = bytearray()
         async for data in answer.pieces():
             held += data
-            if len(held) > MAX_HELD_BYTES:
+            if not self._hold(len(held)) or len(held) > MAX_HELD_BYTES:
                 self._count()
                 await self._answer.begin(answer.status, fields)
                 await self._answer.piece(bytes(held))
                 held.clear()
+                self._hold(0)
         self._count()
         self._first_piece_at = self._attempt_began
         self._settle()
@@ -449,6 +454,8 @@
                     self._last_event = last_event_id(piece) or self._last_event
             if tail.overflowed:
                 raise UpstreamBroke(f"more than {MAX_EVENT_BYTES} bytes came without an event")
+            if splitter is not None and not self._hold(splitter.held_bytes):
+                raise UpstreamBroke("unfinished events of all streams hold too many bytes")
         if not tail.at_boundary:
             raise UpstreamBroke("the stream ended within an event")
         if not self._pieces and answer.ends_with_connection:
@@ -458,6 +465,11 @@
         await self._answer.begin(answer.status, fields)
         return await self._answer.finish(upstream.name)
 
+    def _hold(self, size: int) -> bool:
+        """Records the bytes that this answer holds; returns False where all hold too many."""
+        before, self._held = self._held, size
+        return self._parts.held_bytes.change(before, size)
+
     def _note_piece(self) -> None:
         self._pieces += 1
         if self._settled:
--- a/packages/bilberryplank/bilberryplank/_guarded_http.py
+++ b/packages/bilberryplank/bilberryplank/_guarded_http.py
@@ -20,8 +20,8 @@
 import aiohttp
 from yarl import URL
 
-from bilberryplank._answer_bounds import bounded_connector
-from bilberryplank._platform_http import Answer, unavailable_on_failure
+from bilberryplank._answer_bounds import bounded_connector, read_bounded
+from bilberryplank._platform_http import MAX_ANSWER_BYTES, Answer, unavailable_on_failure
 from bilberryplank_core.contracts import Guard
 from bilberryplank_core.errors import LeaseLost, PlatformUnavailable
 
@@ -88,7 +88,7 @@
                 allow_redirects=False,
             ) as resp,
         ):
-            return Answer(resp.status, await resp.read())
+            return Answer(resp.status, await read_bounded(resp, MAX_ANSWER_BYTES))
 
 
 class _GuardedBody:
--- a/packages/bilberryplank/bilberryplank/_logs.py
+++ b/packages/bilberryplank/bilberryplank/_logs.py
@@ -90,9 +90,11 @@
 
 def format_value(value: object) -> str:
     """Returns a value as it stands in a line: quoted where needed, on one line, without keys."""
-    text = _SECRET_TEXT.sub(MASK, _text_of(value))
-    if len(text) > MAX_VALUE_CHARS:
-        text = text[:MAX_VALUE_CHARS] + "..."
+    shown = _text_of(value)
+    # Cut before it is searched: a peer may have sent megabytes.
+    text = _SECRET_TEXT.sub(MASK, shown[:MAX_VALUE_CHARS])
+    if len(shown) > MAX_VALUE_CHARS:
+        text += "..."
     if _PLAIN.fullmatch(text):
         return text
     return '"' + "".join(_escape(char) for char in text) + '"'
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -15,7 +15,7 @@
 from loguru import logger
 from yarl import URL
 
-from bilberryplank._answer_bounds import BoundedConnector
+from bilberryplank._answer_bounds import BoundedConnector, read_bounded
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
 from bilberryplank_core.checks import decode_json
@@ -28,6 +28,9 @@
 MAX_PATIENCE_SECONDS = 0.8
 """Up to this the patience grows where the service is slow, so that few reads are made twice."""
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Bytes of one answer; the longest holds a configuration of a few megabytes."""
+
 JSON_FIELDS = {"Content-Type": "application/json"}
 
 
@@ -97,7 +100,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
-                return Answer(resp.status, await resp.read(), resp.headers)
+                return Answer(resp.status, await read_bounded(resp, MAX_ANSWER_BYTES), resp.headers)
         except TimeoutError as exc:
             if self._connector is not None:
                 self._connector.retire()
--- a/packages/bilberryplank/bilberryplank/_single_call.py
+++ b/packages/bilberryplank/bilberryplank/_single_call.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from bilberryplank._answer_bounds import BoundedHandler, bounded_connector
+from bilberryplank_core.direct import ReadPacer
 from bilberryplank_core.errors import BilberryplankError
 
 MAX_STATUS = 599
@@ -74,10 +75,10 @@
         super().connection_lost(exc)
 
 
-def single_connector() -> aiohttp.TCPConnector:
+def single_connector(pacer: ReadPacer | None = None) -> aiohttp.TCPConnector:
     """Returns a connector that opens a connection for each call.
 
     A kept connection may be closed by the upstream just then, or hold a second copy of an earlier
     answer, which would pass for the answer to the next call.
     """
-    return bounded_connector(_StrictHandler, limit=0, force_close=True)
+    return bounded_connector(_StrictHandler, pacer, limit=0, force_close=True)
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/tests/test_answer_bounds.py
@@ -0,0 +1,85 @@
+"""Connections on which more comes than an answer, over sockets."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from bilberryplank._answer_bounds import (
+    MAX_EXCESS_PIECES,
+    MAX_INTERIM_ANSWERS,
+    AnswerOverflow,
+    bounded_connector,
+)
+from bilberryplank._platform_http import MAX_ANSWER_BYTES, ServiceClient
+from bilberryplank_core.errors import PlatformUnavailable
+
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class AnswerBoundsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.begin, self.piece, self.most = b"", b"", 0
+        self.sent = 0
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.url = "http://{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+        self.session = aiohttp.ClientSession(connector=bounded_connector())
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(self.begin)
+                for _ in range(self.most):
+                    writer.write(self.piece)
+                    await writer.drain()
+                    self.sent += len(self.piece)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def body(self):
+        async with self.session.get(self.url) as resp:
+            return await resp.read()
+
+    async def test_a_few_interim_answers_are_taken_and_more_end_the_call(self):
+        self.begin = (
+            MAX_INTERIM_ANSWERS * INTERIM + b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        )
+        for _ in range(3):
+            self.assertEqual(await self.body(), b"ok")
+        self.begin = INTERIM + self.begin
+        with self.assertRaisesRegex(AnswerOverflow, "interim"):
+            await self.body()
+
+    async def test_small_chunks_of_a_whole_answer_are_taken(self):
+        count = MAX_EXCESS_PIECES // 4
+        self.begin = CHUNKED + count * b"1\r\na\r\n" + b"0\r\n\r\n"
+        self.assertEqual(await self.body(), count * b"a")
+
+    async def test_small_chunks_without_end_are_read_slowly_and_end_the_call(self):
+        self.begin, self.piece, self.most = CHUNKED, 3000 * b"1\r\na\r\n", 10**6
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with self.assertRaisesRegex(AnswerOverflow, "pieces"):
+            await self.body()
+        self.assertGreater(loop.time() - began, 0.5)
+
+    async def test_an_endless_chunk_extension_ends_the_call(self):
+        self.begin, self.piece, self.most = CHUNKED + b"5;x=", 16384 * b"a", 10**6
+        with self.assertRaisesRegex(AnswerOverflow, "no part"):
+            await self.body()
+        self.assertLess(self.sent, 16 * 1024 * 1024)
+
+    # A body of the store without end was held whole.
+    async def test_an_endless_answer_of_a_service_is_not_held(self):
+        self.begin = b"HTTP/1.1 200 OK\r\n\r\n"
+        self.piece, self.most = 65536 * b"a", 10**6
+        client = ServiceClient(self.session, self.url, 10.0)
+        with self.assertRaisesRegex(PlatformUnavailable, "more than"):
+            await client.call("GET", "/")
+        self.assertLess(self.sent, 2 * MAX_ANSWER_BYTES)
