Let answers with few small pieces pass connections that are paced

Cause: the pacer served excess pieces in the order of their coming, so that a sound answer with a handful of them waited behind every connection that sends nothing else.

Change: the first 512 of an answer are not paced; they count towards its bound as before.

--- a/packages/bilberryplank/bilberryplank/_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/_answer_bounds.py
@@ -26,6 +26,9 @@
 MAX_BODILESS_BYTES = 256 * 1024
 """Bytes after the head in which no byte of the body comes, as in the extension of a chunk."""
 
+UNPACED_PIECES = 512
+"""Small pieces of one answer that need not wait behind those of others."""
+
 MAX_EXCESS_PIECES = 65_536
 """Small pieces of one answer beyond those that its bytes allow for."""
 
@@ -116,7 +119,7 @@
             self.overflow(f"more than {MAX_BODILESS_BYTES} bytes that are no part of the body")
         elif self._excess_pieces > MAX_EXCESS_PIECES:
             self.overflow(f"more than {MAX_EXCESS_PIECES} pieces of a few bytes")
-        elif excess:
+        elif excess and self._excess_pieces > UNPACED_PIECES:
             self._pause_for(self._pacer.reserve(excess, self._loop.time()))
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/packages/bilberryplank/bilberryplank/tests/test_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_answer_bounds.py
@@ -12,6 +12,8 @@
     bounded_connector,
 )
 from bilberryplank._platform_http import MAX_ANSWER_BYTES, ServiceClient
+from bilberryplank_core._read_pacer import PIECES_PER_SECOND
+from bilberryplank_core.direct import ReadPacer
 from bilberryplank_core.errors import PlatformUnavailable
 
 INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
@@ -61,6 +63,16 @@
         self.begin = CHUNKED + count * b"1\r\na\r\n" + b"0\r\n\r\n"
         self.assertEqual(await self.body(), count * b"a")
 
+    async def test_an_answer_with_some_small_chunks_does_not_wait_for_connections_with_many(self):
+        await self.session.close()
+        pacer, loop = ReadPacer(), asyncio.get_running_loop()
+        self.session = aiohttp.ClientSession(connector=bounded_connector(pacer=pacer))
+        pacer.reserve(int(10 * PIECES_PER_SECOND), loop.time())
+        self.begin = CHUNKED + 300 * b"1\r\na\r\n" + b"0\r\n\r\n"
+        began = loop.time()
+        self.assertEqual(await self.body(), 300 * b"a")
+        self.assertLess(loop.time() - began, 1.0)
+
     async def test_small_chunks_without_end_are_read_slowly_and_end_the_call(self):
         self.begin, self.piece, self.most = CHUNKED, 3000 * b"1\r\na\r\n", 10**6
         loop = asyncio.get_running_loop()
