--- a/packages/bilberryplank/bilberryplank/_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/_answer_bounds.py
@@ -69,8 +69,10 @@
         loop: asyncio.AbstractEventLoop,
         retired_at: Callable[[], float] = lambda: float("-inf"),
         pacer: ReadPacer | None = None,
+        byte_rate: float | None = None,
     ) -> None:
         super().__init__(loop)
+        self._byte_rate = byte_rate
         self._pacer = pacer or ReadPacer()
         self._pace_timer: asyncio.TimerHandle | None = None
         self._excess_pieces = self._bodiless_bytes = 0
@@ -121,6 +123,8 @@
             self.overflow(f"more than {MAX_EXCESS_PIECES} pieces of a few bytes")
         elif excess and self._excess_pieces > UNPACED_PIECES:
             self._pause_for(self._pacer.reserve(excess, self._loop.time()))
+        elif self._byte_rate is not None and len(data) >= LEAST_READ_BYTES:
+            self._pause_for(len(data) / self._byte_rate)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the connection."""
@@ -181,7 +185,11 @@
     """Opens such connections, and replaces all of them where they may have fallen silent."""
 
     def __init__(
-        self, handler: type[BoundedHandler], pacer: ReadPacer | None, **options: Any
+        self,
+        handler: type[BoundedHandler],
+        pacer: ReadPacer | None,
+        byte_rate: float | None,
+        **options: Any,
     ) -> None:
         super().__init__(**options)
         self._retired_at = float("-inf")
@@ -191,6 +199,7 @@
             loop=self._loop,
             retired_at=lambda: self._retired_at,
             pacer=pacer or ReadPacer(),
+            byte_rate=byte_rate,
         )
 
     @property
@@ -211,6 +220,7 @@
 def bounded_connector(
     handler: type[BoundedHandler] = BoundedHandler,
     pacer: ReadPacer | None = None,
+    byte_rate: float | None = None,
     **options: Any,
 ) -> BoundedConnector:
     """Returns a connector whose connections have these bounds.
@@ -218,6 +228,7 @@
     Args:
         handler: Protocol of the connections.
         pacer: Paces the reads of all of them; None for one of their own.
+        byte_rate: Bytes a second at which one of them reads a long answer; None for no bound.
         options: Options of the connector.
     """
-    return BoundedConnector(handler, pacer, **options)
+    return BoundedConnector(handler, pacer, byte_rate, **options)
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -31,6 +31,9 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Bytes of one answer; the longest holds a configuration of a few megabytes."""
 
+MAX_BODY_SECONDS = 20.0
+"""Time that the body of an answer may take beyond the time-out: the longest over a slow link."""
+
 JSON_FIELDS = {"Content-Type": "application/json"}
 
 
@@ -63,7 +66,7 @@
     Args:
         session: Session whose connections it shares.
         base_url: `http://ip:port` of the service.
-        timeout: Seconds that a whole call may take.
+        timeout: Seconds in which a connection must stand, and in which more of an answer must come.
     """
 
     __slots__ = ("_base_url", "_connector", "_patience", "_session", "_timeout")
@@ -83,14 +86,26 @@
         body: bytes | None = None,
         fields: dict[str, str] | None = None,
         waits: float = 0.0,
+        begun: asyncio.Event | None = None,
     ) -> Answer:
-        """Returns the answer to one call; `waits` is how long the service was asked to hold it.
+        """Returns the answer to one call.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Body of the request; None for none.
+            fields: Further header fields.
+            waits: Seconds for which the service was asked to hold the answer.
+            begun: Set once the head of the answer is here.
 
         Raises:
             PlatformUnavailable: Timeout or connection failure.
         """
         url = URL(self._base_url + path, encoded=True)
-        timeout = aiohttp.ClientTimeout(total=self._timeout + waits)
+        patience = self._timeout + waits
+        timeout = aiohttp.ClientTimeout(
+            total=patience + MAX_BODY_SECONDS, sock_connect=self._timeout, sock_read=patience
+        )
         try:
             async with self._session.request(
                 method,
@@ -100,6 +115,8 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
+                if begun is not None:
+                    begun.set()
                 return Answer(resp.status, await read_bounded(resp, MAX_ANSWER_BYTES), resp.headers)
         except TimeoutError as exc:
             if self._connector is not None:
@@ -109,7 +126,7 @@
             raise PlatformUnavailable(f"{type(exc).__name__}: {exc}") from exc
 
     async def read(self, target: str, waits: float = 0.0, again: str | None = None) -> Answer:
-        """Returns the answer to a read; a late one is repeated over a new connection.
+        """Returns the answer to a read; one that begins late is repeated over a new connection.
 
         Args:
             target: Path and query.
@@ -119,16 +136,17 @@
         Raises:
             PlatformUnavailable: Timeout or connection failure.
         """
-        first = asyncio.create_task(self.call("GET", target, waits=waits))
+        begun = asyncio.Event()
+        first = asyncio.create_task(self.call("GET", target, waits=waits, begun=begun))
         connector = self._connector
         if connector is None:
             return await first
         calls, asked_at = [first], boot_time()
         try:
             fell_silent = connector.fell_silent
-            if await _ends_within(first, waits + self._patience, fell_silent):
+            if await _begins_within(first, begun, waits + self._patience, fell_silent):
                 self._note_lateness(asked_at, waits)
-                return first.result()
+                return await first
             # A read that another one told of the silence must not tell others of it again.
             is_late = not fell_silent.is_set()
             if is_late:
@@ -187,14 +205,17 @@
     return answer.status, decoded, answer.fields
 
 
-async def _ends_within(call: asyncio.Task[Answer], seconds: float, ended: asyncio.Event) -> bool:
-    """Waits for a call; returns False after some seconds, or once an event is set before."""
-    event = asyncio.create_task(ended.wait())
+async def _begins_within(
+    call: asyncio.Task[Answer], begun: asyncio.Event, seconds: float, ended: asyncio.Event
+) -> bool:
+    """Waits for the head of an answer; returns False after some seconds, or once `ended` is set."""
+    events = [asyncio.create_task(each.wait()) for each in (begun, ended)]
     try:
-        await asyncio.wait({call, event}, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait({call, *events}, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
     finally:
-        event.cancel()
-    return call.done()
+        for event in events:
+            event.cancel()
+    return begun.is_set() or call.done()
 
 
 async def _first_success(calls: list[asyncio.Task[Answer]]) -> asyncio.Task[Answer]:
--- a/packages/bilberryplank/bilberryplank/tests/test_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_answer_bounds.py
@@ -95,3 +95,51 @@
         with self.assertRaisesRegex(PlatformUnavailable, "more than"):
             await client.call("GET", "/")
         self.assertLess(self.sent, 2 * MAX_ANSWER_BYTES)
+
+
+class SlowServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Load pattern: a configuration of a few megabytes over a link of 10 Mbit/s."""
+
+    PIECES, PIECE, PAUSE, TIMEOUT = 25, 40_000 * b"a", 0.1, 1.0
+
+    async def asyncSetUp(self):
+        self.asked = 0
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.url = "http://{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+
+    async def asyncTearDown(self):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        self.asked += 1
+        await reader.readuntil(b"\r\n\r\n")
+        size = self.PIECES * len(self.PIECE)
+        try:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            for _ in range(self.PIECES):
+                writer.write(self.PIECE)
+                await writer.drain()
+                await asyncio.sleep(self.PAUSE)
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def read(self, **options):
+        async with aiohttp.ClientSession(connector=bounded_connector(**options)) as session:
+            return await ServiceClient(session, self.url, self.TIMEOUT).read("/")
+
+    # No answer that took longer than the time-out was ever read, however it went on.
+    async def test_a_long_answer_that_goes_on_is_read_whole_and_asked_for_once(self):
+        answer = await self.read()
+        self.assertEqual(len(answer.body), self.PIECES * len(self.PIECE))
+        self.assertEqual(self.asked, 1)
+
+    # The bytes of a configuration held up the streams on a slow link.
+    async def test_a_long_answer_is_read_at_the_given_rate(self):
+        self.PAUSE = 0.0
+        rate = 500_000
+        began = asyncio.get_running_loop().time()
+        await self.read(byte_rate=rate)
+        took = asyncio.get_running_loop().time() - began
+        self.assertGreater(took, 0.7 * self.PIECES * len(self.PIECE) / rate)
+        self.assertLess(took, 2.0 * self.PIECES * len(self.PIECE) / rate)
