--- a/packages/bilberryplank-core/bilberryplank_core/_read_pacer.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_read_pacer.py
@@ -11,8 +11,8 @@
 FREE_PIECES = 8
 """Pieces of one read that are no excess, as a slow answer comes in reads of a few bytes."""
 
-PIECES_PER_SECOND = 50_000.0
-"""Excess pieces of all connections together: a tenth of a core."""
+PIECES_PER_SECOND = 20_000.0
+"""Excess pieces of all connections together."""
 
 
 def excess_pieces(pieces: int, size: int) -> int:
