Take a configuration in in steps, and look a route up by its prefix

A request looked through all routes of its host.

Change: decoding and indexing yield after each 50 routes, organisations or services, and run between the loop's other tasks (map_in_steps, run_in_steps). Prefixes are looked up by length. The check of JSON's depth looks at containers only. An era that begins meanwhile has the table read whole again, as a revision of the era before means nothing in it.

--- a/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_checked_values.py
@@ -26,6 +26,7 @@
 MAX_PORT = 65535
 
 _NAME = re.compile(r"[!-~]+")
+_CONTAINERS = (dict, list)
 _DIGITS = re.compile(r"-?[0-9]{1,16}")
 _PORT = re.compile(r"[0-9]{1,5}")
 
@@ -150,14 +151,15 @@
 
 
 def _is_deeper(value: Any, limit: int) -> bool:
-    level = [value]
-    for _ in range(limit):
+    """Returns True if a decoded value has more than `limit` levels, its innermost one included."""
+    level = [value] if type(value) in _CONTAINERS else []
+    for _ in range(limit - 1):
+        if not level:
+            return False
         level = [
             child
             for each in level
-            if isinstance(each, (dict, list))
-            for child in (each.values() if isinstance(each, dict) else each)
+            for child in (each.values() if type(each) is dict else each)
+            if type(child) in _CONTAINERS
         ]
-        if not level:
-            return False
-    return True
+    return bool(level)
--- a/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -16,6 +16,7 @@
     UpstreamLoad,
 )
 from bilberryplank_core._errors import PlatformError, Refused
+from bilberryplank_core._stepwise import Steps
 from bilberryplank_core._store_era import EraOpening, EraTracker
 from bilberryplank_core._window_counts import FleetClock
 
@@ -159,8 +160,8 @@
     upstream_table: str
 
     @abstractmethod
-    def read_configuration(self, value: Any) -> DirectConfiguration:
-        """Returns the configuration stored in a row.
+    def read_configuration(self, value: Any) -> Steps[DirectConfiguration]:
+        """Returns the configuration stored in a row, in steps.
 
         Raises:
             ConfigurationInvalid: The row holds no valid configuration.
--- a/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from dataclasses import dataclass
+from operator import neg
 from random import Random
 
 from bilberryplank_core._direct_types import DirectConfiguration, DirectRoute, RequestHead
 from bilberryplank_core._errors import RefusalReason, Refused
+from bilberryplank_core._stepwise import Steps, map_in_steps
 
 ROUTE_RANK_COUNT = 3
 """Number of route ranks that an engine distinguishes within each rank of organisations."""
@@ -38,25 +41,58 @@
         return limit if call.time_limit is None else min(limit, call.time_limit)
 
 
+class PrefixMap:
+    """Routes of one authority by path prefix; the first of those with the same prefix counts."""
+
+    __slots__ = ("_by_prefix", "_lengths")
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, DirectRoute] = {}
+        self._lengths: list[int] = []
+
+    def add(self, route: DirectRoute) -> None:
+        """Adds a route."""
+        length = len(route.prefix)
+        if length not in self._lengths:
+            insort(self._lengths, length, key=neg)
+        self._by_prefix.setdefault(route.prefix, route)
+
+    def longest(self, path: str) -> DirectRoute | None:
+        """Returns the route with the longest prefix of a path."""
+        for length in self._lengths:
+            route = self._by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 class RouteIndex:
-    """Index of one configuration by authority and path prefix."""
+    """Index of one configuration by authority and path prefix; see `build`."""
 
     __slots__ = ("_by_authority", "_cfg", "_least_urgent")
 
     def __init__(self, cfg: DirectConfiguration) -> None:
         self._cfg = cfg
-        self._by_authority: dict[str, list[DirectRoute]] = {}
-        organisations = set((cfg.organisations or {}).values())
-        ranks = [
-            organisation.rank for organisation in organisations if organisation.rank is not None
-        ]
+        self._by_authority: dict[str, PrefixMap] = {}
         self._least_urgent: dict[str, tuple[int, int]] = {}
-        for route in cfg.routes:
-            least = (max(ranks, default=route.rank), route.rank)
-            for service, _ in route.targets:
-                self._least_urgent[service] = max(least, self._least_urgent.get(service, least))
-        for route in sorted(cfg.routes, key=lambda indexed: -len(indexed.prefix)):
-            self._by_authority.setdefault(route.authority, []).append(route)
+
+    @classmethod
+    def build(cls, cfg: DirectConfiguration) -> Steps[RouteIndex]:
+        """Returns the index of a configuration, in steps."""
+        index = cls(cfg)
+        owners = (cfg.organisations or {}).values()
+        least_rank = max((each.rank for each in owners if each.rank is not None), default=None)
+        yield
+        yield from map_in_steps(lambda route: index._add(route, least_rank), cfg.routes)
+        return index
+
+    def _add(self, route: DirectRoute, least_rank: int | None) -> None:
+        self._by_authority.setdefault(route.authority, PrefixMap()).add(route)
+        least = (route.rank if least_rank is None else least_rank, route.rank)
+        for service, _ in route.targets:
+            known = self._least_urgent.get(service)
+            if known is None or least > known:
+                self._least_urgent[service] = least
 
     @property
     def configuration(self) -> DirectConfiguration:
@@ -89,10 +125,8 @@
         return urgency >= self._least_urgent.get(service, (0, 0))
 
     def _route(self, authority: str, path: str) -> DirectRoute | None:
-        for route in self._by_authority.get(authority, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        known = self._by_authority.get(authority)
+        return None if known is None else known.longest(path)
 
 
 def engine_rank(urgency: tuple[int, int]) -> int:
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_routes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_routes.py
@@ -14,6 +14,7 @@
     engine_rank,
 )
 from bilberryplank_core.errors import RefusalReason, Refused
+from bilberryplank_core.stepwise import finish
 
 
 def route(name, prefix, authority="a.example", public=False, targets=(("s", 1),)):
@@ -32,7 +33,7 @@
             route("elsewhere", "/", authority="b.example"),
         )
         owners = {"k1": Organisation("one"), "k2": Organisation("two", 0)}
-        self.index = RouteIndex(DirectConfiguration(7, routes, {}, owners))
+        self.index = finish(RouteIndex.build(DirectConfiguration(7, routes, {}, owners)))
 
     def test_the_longest_prefix_of_the_authority_wins(self):
         cases = (
@@ -46,6 +47,23 @@
                 classified = self.index.classify(authority, path, RequestHead("r", credential="k1"))
                 self.assertEqual((classified.route.name, classified.version), (name, 7))
 
+    # A request looked through all routes of its host.
+    def test_any_path_finds_what_a_search_through_all_prefixes_would(self):
+        rng = Random(5)
+        paths = ["/" + "".join(rng.choices("ab/", k=rng.randrange(9))) for _ in range(400)]
+        routes = [route(f"r{number}", path) for number, path in enumerate(paths[:60])]
+        index = finish(RouteIndex.build(DirectConfiguration(7, tuple(routes), {}, None)))
+        ordered = sorted(routes, key=lambda each: -len(each.prefix))
+        for path in paths:
+            wanted = next((each for each in ordered if path.startswith(each.prefix)), None)
+            with self.subTest(path=path):
+                if wanted is None:
+                    with self.assertRaises(Refused):
+                        index.classify("a.example", path, RequestHead("r"))
+                else:
+                    found = index.classify("a.example", path, RequestHead("r"))
+                    self.assertIs(found.route, wanted)
+
     def test_the_organisation_s_rank_takes_precedence_over_the_route_s(self):
         urgencies = [
             self.index.classify("a.example", "/", RequestHead("r", credential=key)).urgency
@@ -58,7 +76,7 @@
 
     def test_only_the_lowest_priority_of_a_service_is_least_urgent(self):
         owners = {"k1": Organisation("one", 2), "k2": Organisation("two", 0)}
-        index = RouteIndex(DirectConfiguration(7, self.routes, {}, owners))
+        index = finish(RouteIndex.build(DirectConfiguration(7, self.routes, {}, owners)))
         cases = (((2, 3), True), ((2, 2), False), ((0, 3), False))
         for urgency, least in cases:
             self.assertEqual(index.is_least_urgent("s", urgency), least)
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -33,10 +33,10 @@
 from bilberryplank._usage_store import UsageStore
 from bilberryplank._work_relay import WorkRelay
 from bilberryplank_core.direct import (
-    DirectConfiguration,
     DirectPlatform,
     Freshness,
     LinkPacer,
+    RouteIndex,
     SealNotice,
     StopSchedule,
     WindowCounts,
@@ -312,9 +312,9 @@
         self._state.apply_settings(settings)
         log_event(logger, "settings_reloaded")
 
-    def _configured(self, cfg: DirectConfiguration) -> None:
-        self._state.apply_configuration(cfg)
-        self.metrics.declare_classes(route.name for route in cfg.routes)
+    def _configured(self, routes: RouteIndex) -> None:
+        self._state.apply_configuration(routes)
+        self.metrics.declare_classes(each.name for each in routes.configuration.routes)
 
     def _refused_early(self, reason: RefusalReason) -> None:
         self.metrics.refused(reason)
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -10,6 +10,7 @@
 
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
+from bilberryplank._stepwise import run_in_steps
 from bilberryplank._table_relay import TableRelay
 from bilberryplank._table_watch import TableWatch
 from bilberryplank_core.contracts import Row
@@ -21,6 +22,7 @@
     FleetClock,
     FreshnessTracker,
     RegistryChange,
+    RouteIndex,
     TableChanges,
     UpstreamRegistry,
     WatchedTable,
@@ -62,7 +64,7 @@
         table: WatchedTable,
         rows: DirectRowDecoder,
         freshness_tracker: FreshnessTracker,
-        apply: Callable[[DirectConfiguration], None],
+        apply: Callable[[RouteIndex], None],
         rng: Random,
         stale_limit: float,
         change_limit: float,
@@ -98,31 +100,31 @@
         doubt_left = self.freshness_tracker.doubt_left(boot_time())
         return min(self._wait, doubt_left) if doubt_left else self._wait
 
-    def take_all(self, changes: TableChanges) -> None:
+    async def take_all(self, changes: TableChanges) -> None:
         """Takes in all rows."""
         if all(row.key != self._rows.configuration_key for row in changes.rows):
             self._compare(0)
-        self._take(changes)
+        await self._take(changes)
 
-    def take_changes(self, changes: TableChanges) -> None:
+    async def take_changes(self, changes: TableChanges) -> None:
         """Takes in what changed."""
-        self._take(changes)
+        await self._take(changes)
 
     def take_quiet(self, as_of: float) -> None:
         """Confirms the configuration in force."""
         if self.configuration is not None:
             self.freshness_tracker.confirm(as_of)
 
-    def _take(self, changes: TableChanges) -> None:
+    async def _take(self, changes: TableChanges) -> None:
         for row in changes.rows:
-            if row.key == self._rows.configuration_key and not self._take_row(row):
+            if row.key == self._rows.configuration_key and not await self._take_row(row):
                 return
         if self.configuration is not None:
             self.freshness_tracker.confirm(changes.as_of)
 
-    def _take_row(self, row: Row) -> bool:
+    async def _take_row(self, row: Row) -> bool:
         try:
-            cfg = self._rows.read_configuration(row.value)
+            cfg = await run_in_steps(self._rows.read_configuration(row.value))
         except ConfigurationInvalid as exc:
             log_event(
                 logger,
@@ -136,16 +138,17 @@
         self._compare(cfg.version)
         if cfg.version <= self._version():
             return True
+        routes = await run_in_steps(RouteIndex.build(cfg))
         log_event(
             logger,
             "configuration_in_force",
             version=cfg.version,
             before=self._version(),
             routes=len(cfg.routes),
-            organisations=len(set((cfg.organisations or {}).values())),
+            organisations=len({each.name for each in (cfg.organisations or {}).values()}),
         )
         self.configuration = cfg
-        self._apply(cfg)
+        self._apply(routes)
         return True
 
     def _compare(self, version: int) -> None:
@@ -211,14 +214,14 @@
         """Has outdated rows told from present ones."""
         self.registry.begin_era(boot_time())
 
-    def take_all(self, changes: TableChanges) -> None:
+    async def take_all(self, changes: TableChanges) -> None:
         """Takes in all rows."""
         found = self._read_rows(changes.rows)
         self._forget_refused(set(self._unreadable) - {row.key for row in changes.rows})
         self._tell(self.registry.replace_all(found, boot_time()))
         self._expire_in_time()
 
-    def take_changes(self, changes: TableChanges) -> None:
+    async def take_changes(self, changes: TableChanges) -> None:
         """Takes in what changed."""
         now = boot_time()
         found = self._read_rows(changes.rows)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -9,7 +9,6 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
 from bilberryplank_core.direct import (
-    DirectConfiguration,
     DirectUpstream,
     EngineSelector,
     FleetMembers,
@@ -61,9 +60,9 @@
         self._settings = settings
         self.freshness_tracker.set_limits(settings.sure_limit, settings.stale_limit)
 
-    def apply_configuration(self, cfg: DirectConfiguration) -> None:
+    def apply_configuration(self, routes: RouteIndex) -> None:
         """Takes in a newer configuration, and forgets services that it drops."""
-        self.routes = RouteIndex(cfg)
+        cfg, self.routes = routes.configuration, routes
         for service in self._boards.keys() - cfg.services.keys():
             if not self._boards[service].in_flight:
                 del self._boards[service]
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -95,11 +95,11 @@
         self._dependency = Dependency(f"table {name}")
 
     @abstractmethod
-    def take_all(self, changes: TableChanges) -> None:
+    async def take_all(self, changes: TableChanges) -> None:
         """Takes in all rows."""
 
     @abstractmethod
-    def take_changes(self, changes: TableChanges) -> None:
+    async def take_changes(self, changes: TableChanges) -> None:
         """Takes in what changed."""
 
     def take_quiet(self, as_of: float) -> None:
@@ -179,12 +179,16 @@
             await self.prepare()
             changes = await self._table.snapshot(self._name)
             self._answered()
-            self.take_all(changes)
+            era = self._eras.current
+            await self.take_all(changes)
         else:
             wait = self._next_wait()
             changes = await self._table.changes(self._name, self._revision, wait)
             self._answered()
-            self.take_changes(changes)
+            era = self._eras.current
+            await self.take_changes(changes)
+        if era != self._eras.current:
+            return
         self._revision = max(changes.revision, self._revision or 0)
         self._known_at = max(self._known_at, changes.as_of)
         self._relay.answered(self._name, changes, whole)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_state.py
@@ -9,14 +9,17 @@
     DirectUpstream,
     Outcome,
     RegistryChange,
+    RouteIndex,
     UpstreamLoad,
 )
 from bilberryplank_core.settings import DirectEntrySettings
+from bilberryplank_core.stepwise import finish
 
 
 def configuration(version, *names):
     services = {name: DirectService(name, 10, None) for name in names}
-    return DirectConfiguration(version=version, routes=(), services=services, organisations={})
+    cfg = DirectConfiguration(version=version, routes=(), services=services, organisations={})
+    return finish(RouteIndex.build(cfg))
 
 
 def upstream(name, service="plain"):
--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -60,10 +60,10 @@
     abstract = False
     seen, newest, confirmed = 0, 0, float("-inf")
 
-    def take_all(self, changes):
-        self.take_changes(changes)
+    async def take_all(self, changes):
+        await self.take_changes(changes)
 
-    def take_changes(self, changes):
+    async def take_changes(self, changes):
         self.seen = max([self.seen, *(row.value for row in changes.rows)])
         self.newest = changes.rows[0].value if changes.rows else self.newest
         self.take_quiet(changes.as_of)
@@ -72,6 +72,14 @@
         self.confirmed = max(self.confirmed, as_of)
 
 
+class SlowWatch(Watch):
+    """Takes rows in while the loop does other work."""
+
+    async def take_changes(self, changes):
+        await asyncio.sleep(0.2)
+        await super().take_changes(changes)
+
+
 class RelayCase(unittest.IsolatedAsyncioTestCase):
     WAIT = 0.3
     CHANGE_LIMIT = 0.45
@@ -155,6 +163,19 @@
         await asyncio.sleep(0.2)
         self.assertEqual([watch.newest for watch in self.watches], [11] * ENTRIES)
 
+    async def test_a_restore_while_rows_are_taken_in_has_the_table_read_whole_again(self):
+        eras, time = EraTracker(), FleetClock(self.clock)
+        table, relay = Table(self.clock, eras), TableRelay("", FleetMembers("e"), time, eras)
+        watch = SlowWatch(table, "t", Random(1), 0.1, 1.0, 3.0, relay, eras)
+        table.revision = table.changed_at = 50
+        await watch.start()
+        await asyncio.sleep(0.1)
+        table.revision, table.changed_at, table.era = 10, 9, 2
+        eras.record_answer(None, 2)
+        await asyncio.sleep(1.0)
+        await watch.stop()
+        self.assertEqual(watch.newest, 9)
+
     async def test_without_readers_each_reads_for_itself(self):
         await asyncio.sleep(0.6)
         for number in range(ENTRIES):
