Tell the other entries what a version changed, and have hosts on fast links read it

Cause: each entry read each version whole. Over 10 Mbit/s the 0.5 MB of 1,400 routes hold up streams, however slowly they are read: the first window of an answer, some 64 KB, is on the link before its head is seen. An idle change alters up to four routes of 1,400.

Change: a table poller tells the difference from the row's revision that it held before, if it fits into 1,200 bytes (RowEdit); an entry that holds that revision in the same era applies it, any other reads. It confirms nothing. Entries on links under 4 MB/s, which their rows tell, poll only where fewer than four others are heard. Routes are reused only where their values are the same to the type.

--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -20,7 +20,17 @@
     check_text,
 )
 from bilberryplank_core._rendezvous import is_ranked, rank_of
-from bilberryplank_core._table_notices import MIN_ENTRIES_FOR_POLLERS, is_table_poller
+from bilberryplank_core._table_notices import (
+    MIN_ENTRIES_FOR_POLLERS,
+    TABLE_POLLERS,
+    is_table_poller,
+)
+
+SLOW_LINK = "slow_link"
+"""Member of a row; true where it would take the entry seconds to read a long table."""
+
+SLOW_LINK_BYTES_PER_SECOND = 4.0e6
+"""The longest row of the operator, of 4 MB, takes more than a second over a slower link."""
 
 MEMBER_LIFETIME_SECONDS = 200.0
 """An entry whose row is older is considered gone: it missed three writes."""
@@ -38,12 +48,15 @@
 
     Args:
         name: Name of this entry, which is always a member.
+        slow_link: True if long rows take seconds over the link of this entry's host.
     """
 
-    __slots__ = ("_address_by_name", "_addresses", "_name", "_names")
+    __slots__ = ("_address_by_name", "_addresses", "_name", "_names", "_slow_names", "slow_link")
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, slow_link: bool = False) -> None:
         self._name = name
+        self.slow_link = slow_link
+        self._slow_names: frozenset[str] = frozenset()
         self._names: frozenset[str] = frozenset()
         self._addresses: frozenset[str] = frozenset()
         self._address_by_name: dict[str, str] = {}
@@ -65,6 +78,8 @@
         others = {name: _address(rows[name]) for name in alive if name != self._name}
         self._address_by_name = {name: address for name, address in others.items() if address}
         self._addresses = frozenset(self._address_by_name.values())
+        slow = {name for name in alive if rows[name].get(SLOW_LINK) is True} - {self._name}
+        self._slow_names = frozenset({*slow, self._name} if self.slow_link else slow)
         return sorted(set(rows) - self._names)
 
     def address_of(self, name: str) -> str | None:
@@ -90,13 +105,16 @@
         return len(self._names) >= MIN_ENTRIES_FOR_POLLERS
 
     def is_table_poller(self, silent: Collection[str]) -> bool:
-        """Returns True if this entry is a table poller.
+        """Returns True if this entry is a table poller: not on a slow link, if enough are not.
 
         Args:
             silent: Addresses of entries that cannot be one, as nothing is heard from them.
         """
-        names = (name for name in self._names if self._address_by_name.get(name) not in silent)
-        return self.is_large and is_table_poller(self._name, names)
+        names = {name for name in self._names if self._address_by_name.get(name) not in silent}
+        fast_names = names - self._slow_names
+        if len(fast_names) < TABLE_POLLERS:
+            return self.is_large and is_table_poller(self._name, names)
+        return self.is_large and not self.slow_link and is_table_poller(self._name, fast_names)
 
     def flush_interval(self, least: float, window: float, tolerance: float) -> float:
         """Returns the seconds between two flushes of usage counts.
--- a/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_table_notices.py
@@ -3,8 +3,8 @@
 A table poller reports that a table did not change between two revisions, as of a time on the
 store's clock. An entry that holds the table as of the first revision or later then holds it as of
 the second, and knows its age without a call. Any other entry must read the table, and so must one
-that holds it as of another era of the store. So a notice never carries rows, and a late, lost,
-duplicated or reordered notice cannot bring back older state.
+that holds it as of another era of the store. So a late, lost, duplicated or reordered notice
+cannot bring back older state. What changed in a long row may be told too; see `_row_edits`.
 
 Motivating load: hundreds of entries that each need the age of the configuration every second or
 two.
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -50,7 +50,12 @@
     is_significant_change,
 )
 from bilberryplank_core._engine_selector import EngineChoice, EngineSelector
-from bilberryplank_core._fleet_members import STANDBY_WAIT_FACTOR, FleetMembers
+from bilberryplank_core._fleet_members import (
+    SLOW_LINK,
+    SLOW_LINK_BYTES_PER_SECOND,
+    STANDBY_WAIT_FACTOR,
+    FleetMembers,
+)
 from bilberryplank_core._held_bytes import HeldBytes
 from bilberryplank_core._leases import LeaseHolder
 from bilberryplank_core._link_pacer import LinkPacer
@@ -80,6 +85,7 @@
     WindowGivenUp,
     seal_may_be_forgotten,
 )
+from bilberryplank_core._row_edits import EDIT_FORMAT, RowEdit, compare_values, pack_exactly
 from bilberryplank_core._stop_schedule import StopSchedule
 from bilberryplank_core._store_era import (
     ERA_TABLE,
@@ -118,6 +124,12 @@
 from bilberryplank_core._window_retry_budget import WindowRetryBudget
 
 __all__ = [
+    "SLOW_LINK",
+    "SLOW_LINK_BYTES_PER_SECOND",
+    "EDIT_FORMAT",
+    "RowEdit",
+    "compare_values",
+    "pack_exactly",
     "REPORT_MARGIN_SECONDS",
     "SEAL_FORMAT",
     "SealInvalid",
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_fleet_members.py
@@ -6,8 +6,10 @@
 from bilberryplank_core._fleet_members import (
     LEASE_CONTENDERS,
     MEMBER_LIFETIME_SECONDS,
+    SLOW_LINK,
     FleetMembers,
 )
+from bilberryplank_core._table_notices import TABLE_POLLERS
 
 
 def fleet(size, now=100.0):
@@ -24,6 +26,24 @@
             contending = sum(member.contends("usage") for member in fleet(size))
             self.assertEqual(contending, min(size, LEASE_CONTENDERS))
 
+    # Streams of pollers on slow links were late while these read a long configuration for all.
+    def test_entries_on_slow_links_poll_only_where_too_few_others_are_left(self):
+        slow = {f"s{number}" for number in range(20)}
+        rows = {
+            name: {"at": 100.0, "address": f"10.0.0.{place}:1", SLOW_LINK: name in slow}
+            for place, name in enumerate([*sorted(slow), *(f"f{number}" for number in range(6))])
+        }
+        members = {name: FleetMembers(name, name in slow) for name in rows}
+        for each in members.values():
+            each.update(rows, 100.0)
+        for lost in range(len(rows)):
+            silent = {rows[name]["address"] for name in list(members)[-lost:][: lost or 0]}
+            alive = {name for name in rows if rows[name]["address"] not in silent}
+            polling = {name for name in alive if members[name].is_table_poller(silent)}
+            self.assertEqual(len(polling), min(len(alive), TABLE_POLLERS))
+            if len(alive - slow) >= TABLE_POLLERS:
+                self.assertFalse(polling & slow)
+
     def test_before_the_first_read_each_entry_contends_and_flushes_often(self):
         members = FleetMembers("a")
         self.assertIsNone(members.size)
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
 
 from loguru import logger
@@ -15,17 +16,22 @@
 from bilberryplank._table_watch import TableWatch
 from bilberryplank_core.contracts import Row
 from bilberryplank_core.direct import (
+    EDIT_FORMAT,
     DirectConfiguration,
     DirectRowDecoder,
     DirectUpstream,
     EraTracker,
     FleetClock,
     FreshnessTracker,
+    NoticeInvalid,
     RegistryChange,
     RouteIndex,
+    RowEdit,
     TableChanges,
+    TableNotice,
     UpstreamRegistry,
     WatchedTable,
+    compare_values,
 )
 from bilberryplank_core.errors import ConfigurationInvalid, ValueInvalid
 
@@ -45,6 +51,9 @@
 
 MAX_SHOWN_KEY_CHARS = 200
 
+MAX_EDITS = 8
+"""Edits kept until a notice calls for them; an entry that lacks one reads the row."""
+
 LEAST_EXPIRY_SECONDS = 0.01
 """Bounds the timers where two clocks differ a little."""
 
@@ -83,6 +92,9 @@
         self._apply = apply
         self._fleet_clock = fleet_clock
         self._told_behind = 0
+        self._row: Row | None = None
+        self._edits: dict[int, RowEdit] = {}
+        relay.hear(EDIT_FORMAT, self._hear_edit)
 
     async def prepare(self) -> None:
         """Learns whether the store was restored right before this process started."""
@@ -93,6 +105,8 @@
 
     def restored(self) -> None:
         """Has the store confirm nothing until the operator had time to write again."""
+        self._row = None
+        self._edits.clear()
         self.freshness_tracker.doubt_until(boot_time() + DOUBT_SECONDS)
 
     def longest_wait(self) -> float:
@@ -104,12 +118,33 @@
         """Takes in all rows."""
         if all(row.key != self._rows.configuration_key for row in changes.rows):
             self._compare(0)
+        self._row = None
         await self._take(changes)
 
     async def take_changes(self, changes: TableChanges) -> None:
-        """Takes in what changed."""
+        """Takes in what changed, and tells entries that don't read for themselves."""
+        if self._relay.is_table_poller:
+            await self._tell_edit(changes)
         await self._take(changes)
 
+    async def catch_up(self, notice: TableNotice) -> bool:
+        """Takes in edits up to a change of which a notice tells."""
+        era = self._eras.current
+        while self._row is not None and self._revision < notice.unchanged_since:
+            edit = self._edits.pop(self._row.revision, None)
+            if edit is None or edit.era != notice.era:
+                return False
+            try:
+                row = replace(self._row, value=edit.apply(self._row.value), revision=edit.revision)
+            except NoticeInvalid as exc:
+                log_event(logger, "edit_refused", level="WARNING", cause=exc)
+                return False
+            await self._take_row(row)
+            if era != self._eras.current:
+                return False
+            self._revision = max(self._revision, edit.upto)
+        return self._row is not None
+
     def take_quiet(self, as_of: float) -> None:
         """Confirms the configuration in force."""
         if self.configuration is not None:
@@ -122,7 +157,29 @@
         if self.configuration is not None:
             self.freshness_tracker.confirm(changes.as_of)
 
+    async def _tell_edit(self, changes: TableChanges) -> None:
+        before, era = self._row, self._eras.current or 0
+        after = [row for row in changes.rows if row.key == self._rows.configuration_key]
+        if before is None or not after:
+            return
+        edits = await run_in_steps(compare_values(before.value, after[-1].value))
+        if edits is None:
+            return
+        revisions = (before.revision, after[-1].revision, changes.revision)
+        notice = RowEdit(self._name, era, *revisions, edits).encode()
+        if notice is not None:
+            self._relay.tell(notice)
+
+    def _hear_edit(self, _: str, data: bytes) -> None:
+        edit = RowEdit.decode(data)
+        if edit.table != self._name:
+            raise NoticeInvalid("no row of this table is held")
+        self._edits[edit.base] = edit
+        if len(self._edits) > MAX_EDITS:
+            del self._edits[min(self._edits)]
+
     async def _take_row(self, row: Row) -> bool:
+        self._row = row
         try:
             cfg = await run_in_steps(self._rows.read_configuration(row.value))
         except ConfigurationInvalid as exc:
--- a/packages/bilberryplank/bilberryplank/_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/_direct_members.py
@@ -15,7 +15,7 @@
 from bilberryplank._logs import log_event
 from bilberryplank._store_restorer import RestoredPart
 from bilberryplank_core.contracts import Put
-from bilberryplank_core.direct import FleetClock, FleetMembers, WatchedTable
+from bilberryplank_core.direct import SLOW_LINK, FleetClock, FleetMembers, WatchedTable
 from bilberryplank_core.errors import PlatformError
 
 MEMBERS_TABLE = "entries"
@@ -131,6 +131,8 @@
         if self._withdrawn:
             return
         value = {"at": round(now, 1), "address": self._address}
+        if self._members.slow_link:
+            value[SLOW_LINK] = True
         await self._table.commit([], [Put(MEMBERS_TABLE, self._name, value)])
         self._written, self._written_at = True, now
 
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 from loguru import logger
@@ -9,6 +10,7 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
 from bilberryplank_core.direct import (
+    SLOW_LINK_BYTES_PER_SECOND,
     DirectUpstream,
     EngineSelector,
     FleetMembers,
@@ -45,7 +47,8 @@
     def __init__(self, settings: DirectEntrySettings, rng: Random) -> None:
         self.freshness_tracker = FreshnessTracker(settings.sure_limit, settings.stale_limit)
         self.health = UpstreamHealth()
-        self.members = FleetMembers(settings.name)
+        link_rate = settings.link_rate or math.inf
+        self.members = FleetMembers(settings.name, link_rate < SLOW_LINK_BYTES_PER_SECOND)
         self.rng = rng
         self.routes: RouteIndex | None = None
         self._boards: dict[str, Board] = {}
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -18,6 +18,7 @@
     EraTracker,
     HistoryGone,
     TableChanges,
+    TableNotice,
     WatchedTable,
 )
 from bilberryplank_core.errors import PlatformError
@@ -105,6 +106,10 @@
     def take_quiet(self, as_of: float) -> None:
         """Takes in that nothing changed up to a moment on this process's clock."""
 
+    async def catch_up(self, notice: TableNotice) -> bool:
+        """Takes in what others told of a change; returns False where a read is due."""
+        return False
+
     def returned(self) -> None:
         """Takes in that the table answers again."""
 
@@ -161,7 +166,7 @@
         if notice.era < era:
             return True
         if not notice.covers(era, self._revision):
-            return False
+            return notice.era == era and await self.catch_up(notice)
         as_of = self._relay.as_of(notice)
         if as_of is not None:
             self._revision = max(self._revision, notice.upto)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_members.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_members.py
@@ -48,6 +48,15 @@
         # Each but the last saw only those before it at first.
         self.assertEqual(self.changes, 9)
 
+    async def test_rows_tell_which_entries_have_slow_links(self):
+        keepers = [self.keeper(f"e{number}") for number in range(9)]
+        for each in keepers[:5]:
+            each._members.slow_link = True
+        for each in (*keepers, *keepers):
+            await each.refresh()
+        polling = [each._members.is_table_poller(()) for each in keepers]
+        self.assertEqual(polling, [False] * 5 + [True] * 4)
+
     async def test_an_entry_that_is_heard_and_not_known_is_looked_up_now_and_then(self):
         one = self.keeper("e1")
         one.hear_stranger()
--- a/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_table_relay.py
@@ -99,17 +99,21 @@
             time.record_answer(self.clock(), self.clock(), self.clock())
             eras = EraTracker()
             relay = TableRelay(value["address"], members, time, eras)
-            table = Table(self.clock, eras)
+            table = self.new_table(eras)
             self.relays.append(relay)
             self.tables.append(table)
-            self.watches.append(
-                Watch(table, "t", Random(name), self.WAIT, self.CHANGE_LIMIT, 3.0, relay, eras)
-            )
+            self.watches.append(self.new_watch(table, Random(name), relay, eras, time))
         for part in (*self.relays, *self.watches):
             await part.start()
         self.stalls = []
         self.stall_meter = asyncio.create_task(self.measure_stalls())
 
+    def new_table(self, eras):
+        return Table(self.clock, eras)
+
+    def new_watch(self, table, rng, relay, eras, _fleet_clock):
+        return Watch(table, "t", rng, self.WAIT, self.CHANGE_LIMIT, 3.0, relay, eras)
+
     async def measure_stalls(self):
         while True:
             began = self.clock()
