Simplify what the review's fixes added, and document two settings where they are

Cause: read once more. change_limit and contact_limit were documented at FleetSettings, which has neither. ServiceClient.call repeated unavailable_on_failure. bounded_connector only repeated its class's constructor. TableWatch took the era twice; is_table_poller asked for the size twice; the shared classes of the metrics were listed four times; a notice's limit stood in two modules.

Change: each is said once. Behaviour is the same.

--- a/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_fleet_members.py
@@ -78,8 +78,8 @@
         others = {name: _address(rows[name]) for name in alive if name != self._name}
         self._address_by_name = {name: address for name, address in others.items() if address}
         self._addresses = frozenset(self._address_by_name.values())
-        slow = {name for name in alive if rows[name].get(SLOW_LINK) is True} - {self._name}
-        self._slow_names = frozenset({*slow, self._name} if self.slow_link else slow)
+        slow = {name for name in others if rows[name].get(SLOW_LINK) is True}
+        self._slow_names = frozenset(slow | ({self._name} if self.slow_link else set()))
         return sorted(set(rows) - self._names)
 
     def address_of(self, name: str) -> str | None:
@@ -112,9 +112,9 @@
         """
         names = {name for name in self._names if self._address_by_name.get(name) not in silent}
         fast_names = names - self._slow_names
-        if len(fast_names) < TABLE_POLLERS:
-            return self.is_large and is_table_poller(self._name, names)
-        return self.is_large and not self.slow_link and is_table_poller(self._name, fast_names)
+        candidates = fast_names if len(fast_names) >= TABLE_POLLERS else names
+        is_candidate = self.is_large and self._name in candidates
+        return is_candidate and is_table_poller(self._name, candidates)
 
     def flush_interval(self, least: float, window: float, tolerance: float) -> float:
         """Returns the seconds between two flushes of usage counts.
--- a/packages/bilberryplank-core/bilberryplank_core/_row_edits.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_row_edits.py
@@ -24,13 +24,13 @@
 )
 from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
 from bilberryplank_core._stepwise import Steps, map_in_steps
+from bilberryplank_core._table_notices import MAX_TABLE_CHARS
 
 EDIT_FORMAT = 8
 
 MAX_EDIT_BYTES = 1200
 """Fits into one Ethernet frame."""
 
-MAX_TABLE_CHARS = 64
 SET, REMOVE, MERGE = range(3)
 UNCHANGED = [MERGE, [], [], []]
 
@@ -116,15 +116,26 @@
         return None
     changes: dict[str, list[Any]] = {name: [REMOVE] for name in before if name not in after}
     for name, value in after.items():
-        known, merge = before.get(name), None
-        if type(value) is list and type(known) is list:
-            merge = yield from _compare_lists(known, value)
-        is_same = merge == UNCHANGED if merge else name in before and _is_same(known, value)
-        if not is_same:
-            changes[name] = merge or [SET, value]
+        change = [SET, value]
+        if name in before:
+            change = yield from _compare_members(before[name], value)
+        if change is not None:
+            changes[name] = change
     return changes
 
 
+def _compare_members(before: Any, after: Any) -> Steps[list[Any] | None]:
+    """Returns the change of a member; None if it is the same."""
+    merge = None
+    if type(before) is list and type(after) is list:
+        merge = yield from _compare_lists(before, after)
+    if merge is not None:
+        return None if merge == UNCHANGED else merge
+    packed = pack_exactly(after)
+    is_same = packed is not None and packed == pack_exactly(before)
+    return None if is_same else [SET, after]
+
+
 def _compare_lists(before: list[Any], after: list[Any]) -> Steps[list[Any] | None]:
     """Returns the change of a list of named objects; None where only the whole list tells it."""
     old = yield from map_in_steps(_named, before)
@@ -148,11 +159,6 @@
     return [MERGE, removed, replaced, inserted]
 
 
-def _is_same(before: Any, after: Any) -> bool:
-    packed = pack_exactly(after)
-    return packed is not None and packed == pack_exactly(before)
-
-
 def _named(item: Any) -> tuple[str, bytes] | None:
     name = item.get("name") if type(item) is dict else None
     packed = pack_exactly(item)
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -107,8 +107,6 @@
         lease_margin: Safety margin: a holder stops this long before the lease expires, and a
             contender waits this long after it.
         lease_candidates: Number of processes that contend for a lease.
-        change_limit: A new configuration is in force after this time.
-        contact_limit: A cut off entry must know the state of the tables this long after the cut.
         leaving_limit: A leaving upstream receives no new requests after this time.
         stale_limit: A host refuses requests once its configuration has not been confirmed for
             this long.
@@ -246,6 +244,8 @@
         drain_timeout: Seconds after the lame-duck period in which running requests may finish.
         sure_limit: Maximum age of the confirmation of the configuration at which requests may be
             refused permanently.
+        change_limit: A new configuration is in force after this time.
+        contact_limit: A cut off entry must know the state of the tables this long after the cut.
         leaving_limit: A leaving upstream receives no new requests after this time.
         stale_limit: Requests are refused once the configuration has not been confirmed for this
             long.
--- a/packages/bilberryplank/bilberryplank/_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/_answer_bounds.py
@@ -182,13 +182,20 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Opens such connections, and replaces all of them where they may have fallen silent."""
+    """Opens such connections, and replaces all of them where they may have fallen silent.
+
+    Args:
+        handler: Protocol of the connections.
+        pacer: Paces the reads of all of them; None for one of their own.
+        byte_rate: Bytes a second at which one of them reads a long answer; None for no bound.
+        options: Options of the connector.
+    """
 
     def __init__(
         self,
-        handler: type[BoundedHandler],
-        pacer: ReadPacer | None,
-        byte_rate: float | None,
+        handler: type[BoundedHandler] = BoundedHandler,
+        pacer: ReadPacer | None = None,
+        byte_rate: float | None = None,
         **options: Any,
     ) -> None:
         super().__init__(**options)
@@ -215,20 +222,3 @@
         """Tells calls in flight that their connections are silent."""
         self._fell_silent.set()
         self._fell_silent = asyncio.Event()
-
-
-def bounded_connector(
-    handler: type[BoundedHandler] = BoundedHandler,
-    pacer: ReadPacer | None = None,
-    byte_rate: float | None = None,
-    **options: Any,
-) -> BoundedConnector:
-    """Returns a connector whose connections have these bounds.
-
-    Args:
-        handler: Protocol of the connections.
-        pacer: Paces the reads of all of them; None for one of their own.
-        byte_rate: Bytes a second at which one of them reads a long answer; None for no bound.
-        options: Options of the connector.
-    """
-    return BoundedConnector(handler, pacer, byte_rate, **options)
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -19,7 +19,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
-from bilberryplank._answer_bounds import BoundedHandler, bounded_connector
+from bilberryplank._answer_bounds import BoundedConnector, BoundedHandler
 from bilberryplank._header_fields import AUTOMATIC_HEADERS
 from bilberryplank._logs import log_event
 from bilberryplank._single_call import (
@@ -149,7 +149,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
         )
         self._questions = aiohttp.ClientSession(
-            connector=bounded_connector(_KeptHandler, pacer, limit_per_host=QUESTION_CONNECTIONS),
+            connector=BoundedConnector(_KeptHandler, pacer, limit_per_host=QUESTION_CONNECTIONS),
             timeout=aiohttp.ClientTimeout(total=QUESTION_SECONDS),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/packages/bilberryplank/bilberryplank/_guarded_http.py
+++ b/packages/bilberryplank/bilberryplank/_guarded_http.py
@@ -20,7 +20,7 @@
 import aiohttp
 from yarl import URL
 
-from bilberryplank._answer_bounds import bounded_connector, read_bounded
+from bilberryplank._answer_bounds import BoundedConnector, read_bounded
 from bilberryplank._platform_http import MAX_ANSWER_BYTES, Answer, unavailable_on_failure
 from bilberryplank_core.contracts import Guard
 from bilberryplank_core.errors import LeaseLost, PlatformUnavailable
@@ -76,7 +76,7 @@
     async def _exchange(
         self, method: str, path: str, sending: _GuardedBody, fields: dict[str, str]
     ) -> Answer:
-        connector = bounded_connector(force_close=True, socket_factory=sending.open_socket)
+        connector = BoundedConnector(force_close=True, socket_factory=sending.open_socket)
         async with (
             aiohttp.ClientSession(connector=connector, timeout=self._timeout) as session,
             session.request(
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -26,6 +26,7 @@
 
 NO_CLASS = "none"
 OTHER_CLASSES = "other"
+SHARED_CLASSES = (NO_CLASS, OTHER_CLASSES)
 
 MAX_CLASSES = 100
 """Classes with series of their own, some 38 KB each; further ones are counted under `other`."""
@@ -104,7 +105,7 @@
         self._build_link_metrics()
         self._build_platform_metrics()
         self._create_reasons()
-        for name in (NO_CLASS, OTHER_CLASSES):
+        for name in SHARED_CLASSES:
             self._create_class(name)
 
     def declare_classes(self, names: Iterable[str]) -> None:
@@ -114,8 +115,8 @@
         some; else from a class's first use on. A class that is not declared is counted under
         `none`.
         """
-        self._declared = frozenset(names) - {NO_CLASS, OTHER_CLASSES}
-        for name in set(self._series) - self._declared - {NO_CLASS, OTHER_CLASSES}:
+        self._declared = frozenset(names).difference(SHARED_CLASSES)
+        for name in set(self._series).difference(self._declared, SHARED_CLASSES):
             self._drop_class(name)
         if len(self._declared) <= MAX_CLASSES:
             for name in self._declared - set(self._series):
@@ -231,7 +232,7 @@
             return name
         if name not in self._declared:
             return NO_CLASS
-        if len(self._series) >= MAX_CLASSES + len((NO_CLASS, OTHER_CLASSES)):
+        if len(self._series) >= MAX_CLASSES + len(SHARED_CLASSES):
             return OTHER_CLASSES
         self._create_class(name)
         return name
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -106,7 +106,7 @@
         timeout = aiohttp.ClientTimeout(
             total=patience + MAX_BODY_SECONDS, sock_connect=self._timeout, sock_read=patience
         )
-        try:
+        with unavailable_on_failure(), self._retire_on_timeout():
             async with self._session.request(
                 method,
                 url,
@@ -118,12 +118,15 @@
                 if begun is not None:
                     begun.set()
                 return Answer(resp.status, await read_bounded(resp, MAX_ANSWER_BYTES), resp.headers)
-        except TimeoutError as exc:
+
+    @contextmanager
+    def _retire_on_timeout(self) -> Iterator[None]:
+        try:
+            yield
+        except TimeoutError:
             if self._connector is not None:
                 self._connector.retire()
-            raise PlatformUnavailable(f"{type(exc).__name__}: {exc}") from exc
-        except (aiohttp.ClientError, OSError) as exc:
-            raise PlatformUnavailable(f"{type(exc).__name__}: {exc}") from exc
+            raise
 
     async def read(self, target: str, waits: float = 0.0, again: str | None = None) -> Answer:
         """Returns the answer to a read; one that begins late is repeated over a new connection.
--- a/packages/bilberryplank/bilberryplank/_process.py
+++ b/packages/bilberryplank/bilberryplank/_process.py
@@ -9,7 +9,7 @@
 import aiohttp
 from mode import Service
 
-from bilberryplank._answer_bounds import bounded_connector
+from bilberryplank._answer_bounds import BoundedConnector
 from bilberryplank._clocks import boot_time
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._decisions import DecisionJournal
@@ -66,7 +66,7 @@
     async def on_start(self) -> None:
         """Starts the parts, the one that takes work last."""
         settings = self._settings
-        self._session = aiohttp.ClientSession(connector=bounded_connector())
+        self._session = aiohttp.ClientSession(connector=BoundedConnector())
         client = Platform.from_settings(settings.platform, self._session)
         platform = meter_platform(client, self.metrics)
         rng = process_rng(settings.name)
--- a/packages/bilberryplank/bilberryplank/_single_call.py
+++ b/packages/bilberryplank/bilberryplank/_single_call.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from bilberryplank._answer_bounds import BoundedHandler, bounded_connector
+from bilberryplank._answer_bounds import BoundedConnector, BoundedHandler
 from bilberryplank_core.direct import ReadPacer
 from bilberryplank_core.errors import BilberryplankError
 
@@ -81,4 +81,4 @@
     A kept connection may be closed by the upstream just then, or hold a second copy of an earlier
     answer, which would pass for the answer to the next call.
     """
-    return bounded_connector(_StrictHandler, pacer, limit=0, force_close=True)
+    return BoundedConnector(_StrictHandler, pacer, limit=0, force_close=True)
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -183,15 +183,12 @@
         if whole:
             await self.prepare()
             changes = await self._table.snapshot(self._name)
-            self._answered()
-            era = self._eras.current
-            await self.take_all(changes)
         else:
             wait = self._next_wait()
             changes = await self._table.changes(self._name, self._revision, wait)
-            self._answered()
-            era = self._eras.current
-            await self.take_changes(changes)
+        self._answered()
+        era = self._eras.current
+        await (self.take_all(changes) if whole else self.take_changes(changes))
         if era != self._eras.current:
             return
         self._revision = max(changes.revision, self._revision or 0)
--- a/packages/bilberryplank/bilberryplank/direct.py
+++ b/packages/bilberryplank/bilberryplank/direct.py
@@ -1,6 +1,6 @@
 """An entry that calls its upstreams itself."""
 
-from bilberryplank._answer_bounds import bounded_connector
+from bilberryplank._answer_bounds import BoundedConnector
 from bilberryplank._bounded_output import BoundedOutput
 from bilberryplank._clocks import boot_time
 from bilberryplank._direct_entry import DirectEntry, run_direct_entry
@@ -20,7 +20,7 @@
     "MEMBERS_TABLE",
     "ServiceClient",
     "boot_time",
-    "bounded_connector",
+    "BoundedConnector",
     "forwarded_fields",
     "run_direct_entry",
 ]
--- a/packages/bilberryplank/bilberryplank/tests/test_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_answer_bounds.py
@@ -9,7 +9,7 @@
     MAX_EXCESS_PIECES,
     MAX_INTERIM_ANSWERS,
     AnswerOverflow,
-    bounded_connector,
+    BoundedConnector,
 )
 from bilberryplank._platform_http import MAX_ANSWER_BYTES, ServiceClient
 from bilberryplank_core._read_pacer import PIECES_PER_SECOND
@@ -26,7 +26,7 @@
         self.sent = 0
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.url = "http://{}:{}".format(*self.server.sockets[0].getsockname()[:2])
-        self.session = aiohttp.ClientSession(connector=bounded_connector())
+        self.session = aiohttp.ClientSession(connector=BoundedConnector())
 
     async def asyncTearDown(self):
         await self.session.close()
@@ -66,7 +66,7 @@
     async def test_an_answer_with_some_small_chunks_does_not_wait_for_connections_with_many(self):
         await self.session.close()
         pacer, loop = ReadPacer(), asyncio.get_running_loop()
-        self.session = aiohttp.ClientSession(connector=bounded_connector(pacer=pacer))
+        self.session = aiohttp.ClientSession(connector=BoundedConnector(pacer=pacer))
         pacer.reserve(int(10 * PIECES_PER_SECOND), loop.time())
         self.begin = CHUNKED + 300 * b"1\r\na\r\n" + b"0\r\n\r\n"
         began = loop.time()
@@ -125,7 +125,7 @@
         writer.close()
 
     async def read(self, **options):
-        async with aiohttp.ClientSession(connector=bounded_connector(**options)) as session:
+        async with aiohttp.ClientSession(connector=BoundedConnector(**options)) as session:
             return await ServiceClient(session, self.url, self.TIMEOUT).read("/")
 
     # No answer that took longer than the time-out was ever read, however it went on.
