Keep the time until a change is known within four fifths of the contact limit

Cause of what is changed: the wait of a read, its patience and the repeat over a new connection added up to 2.8 of 3.0 s for the configuration and to 3.3 s for the upstreams, where answers are late enough for the patience to grow to 0.8 s, as on a host that is short of processor time.

Change: ReadTimes derives wait and silence from both limits so that wait, patience (0.7 s at most) and the repeat stay within four fifths of the contact limit.

--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -80,6 +80,7 @@
     shared_segments,
 )
 from bilberryplank_core._read_pacer import ReadPacer, excess_pieces
+from bilberryplank_core._read_times import MAX_PATIENCE_SECONDS, PATIENCE_SECONDS, ReadTimes
 from bilberryplank_core._restored_windows import (
     SealMemory,
     WindowGivenUp,
@@ -159,6 +160,9 @@
     "HeldBytes",
     "LinkPacer",
     "ReadPacer",
+    "ReadTimes",
+    "PATIENCE_SECONDS",
+    "MAX_PATIENCE_SECONDS",
     "excess_pieces",
     "heartbeat_notice",
     "check_heartbeat",
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -112,7 +112,8 @@
     def longest_wait(self) -> float:
         """Returns the seconds that a read may wait for a change."""
         doubt_left = self.freshness_tracker.doubt_left(boot_time())
-        return min(self._wait, doubt_left) if doubt_left else self._wait
+        wait = super().longest_wait()
+        return min(wait, doubt_left) if doubt_left else wait
 
     async def take_all(self, changes: TableChanges) -> None:
         """Takes in all rows."""
--- a/packages/bilberryplank/bilberryplank/_platform_http.py
+++ b/packages/bilberryplank/bilberryplank/_platform_http.py
@@ -19,15 +19,9 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._logs import log_event
 from bilberryplank_core.checks import decode_json
+from bilberryplank_core.direct import MAX_PATIENCE_SECONDS, PATIENCE_SECONDS
 from bilberryplank_core.errors import PlatformUnavailable, ValueInvalid
 
-PATIENCE_SECONDS = 0.4
-"""A read whose answer is this late is repeated over a new connection: a kept one may have fallen
-silent without a reset."""
-
-MAX_PATIENCE_SECONDS = 0.8
-"""Up to this the patience grows where the service is slow, so that few reads are made twice."""
-
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Bytes of one answer; the longest holds a configuration of a few megabytes."""
 
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -17,6 +17,7 @@
     EraChanged,
     EraTracker,
     HistoryGone,
+    ReadTimes,
     TableChanges,
     TableNotice,
     WatchedTable,
@@ -27,10 +28,6 @@
 """Reads wait at least this share of the longest wait: a change wakes all readers at once, and they
 must not go on to speak at the same moments."""
 
-SILENCE_SHARE = 0.8
-"""An entry for which others read does so itself once it heard nothing for this share of the time
-in which it must know a change; the rest is left for its own read."""
-
 EARLIEST_SHARE = 0.85
 """Entries that fell silent leave all others without notices at once, and these spread their first
 reads over the last part of that time."""
@@ -42,9 +39,6 @@
 RESTORE_READS_PER_SECOND = 500.0
 """Reads a second of all entries together after a restore of the store, which all notice at once."""
 
-RECONNECT_SECONDS = 0.7
-"""Room for a read over a new connection, after one that waited over a silent connection."""
-
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.5
 """Pauses between failed reads, growing, so that a store that is down sees few calls."""
@@ -85,7 +79,7 @@
         self._eras = eras
         self._spreads_read = False
         eras.subscribe(self._begin_era)
-        self._wait = min(wait, max(RETRY_SECONDS, contact_limit - RECONNECT_SECONDS))
+        self._times = ReadTimes.from_limits(wait, change_limit, contact_limit)
         self._relay = relay
         self._known_at = float("-inf")
         self._relayed = False
@@ -122,7 +116,7 @@
 
     def longest_wait(self) -> float:
         """Returns the seconds that a read may wait for a change."""
-        return self._wait
+        return self._times.wait
 
     def restored(self) -> None:
         """Takes in that the table may have forgotten what it acknowledged."""
@@ -156,7 +150,7 @@
         """Takes other entries' word that nothing changed; returns False where a read is due."""
         if self._revision is None or not self._relay.listens:
             return False
-        silence = SILENCE_SHARE * self._change_limit * self._rng.uniform(EARLIEST_SHARE, 1)
+        silence = self._times.silence * self._rng.uniform(EARLIEST_SHARE, 1)
         due_in = self._known_at + silence - boot_time()
         notice = await self._relay.next(self._name, due_in)
         self._log_relayed(notice is not None)
