Bound what an entry holds for its callers by the memory of its host

What callers saw: 40 callers with bodies of 4 MiB, whole or a byte short, brought an entry from 46 MB to 283 MB; on a host of 160 MB the process ends, and every request on it.

Cause: a body was held before anything bounded it, then copied into bytes, and once more by the transport where the upstream was slow; the HTTP library buffers half a megabyte of each unread body and answer; a head had a bound a field, not in all; connections had a fixed bound, whatever the descriptors.

A body takes its room before it is read and waits unread for it, a second at most; stalled bodies and heads give way, the owner that holds most first; small bodies and heads have a share of their own. Bodies are held once and sent in pieces of 64 KiB. Answers that wait for their callers count, and the ones that waited longest are cut. Idle connections give way to new ones within bounds from the descriptors. Small pieces are paced as those of upstreams are. The operators' port takes 64 connections. Refusal memory_full (503, not run), counter callers_cut, gauge held_bytes, event caller_cut; refusals of direct entries can be explained again.

Why it works: whatever comes, what is held is either within the budget or in the sockets.

--- a/packages/bilberryplank-core/bilberryplank_core/_errors.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_errors.py
@@ -15,6 +15,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     SLOW_SENDER = "slow_sender"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    MEMORY_FULL = "memory_full"
     KEY_MISSING = "key_missing"
     KEY_UNKNOWN = "key_unknown"
     KEY_WITHDRAWN = "key_withdrawn"
@@ -200,6 +201,7 @@
     RefusalReason.HEADERS_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     RefusalReason.SLOW_SENDER: HTTPStatus.REQUEST_TIMEOUT,
     RefusalReason.TOO_MANY_CONNECTIONS: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.MEMORY_FULL: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.KEY_MISSING: HTTPStatus.UNAUTHORIZED,
     RefusalReason.KEY_UNKNOWN: HTTPStatus.UNAUTHORIZED,
     RefusalReason.KEY_WITHDRAWN: HTTPStatus.UNAUTHORIZED,
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -44,12 +44,25 @@
 
 @dataclass(slots=True, frozen=True)
 class CallerSettings:
-    """Limits on requests and connections of callers; durations in seconds."""
+    """Limits on requests and connections of callers; durations in seconds.
+
+    Attributes:
+        max_body_bytes: Longest body.
+        max_header_bytes: Longest request line or header field; a whole head may have twice that.
+        body_timeout: A head or body must be whole after this time.
+        body_wait: Longest time for which a body waits for room before it is read.
+        held_bytes: Memory for bodies, heads and unread responses of all callers together.
+        max_connections: Connections in all.
+        max_connections_per_address: Connections from one address.
+    """
 
     max_body_bytes: int = 4 * 1024 * 1024
     max_header_bytes: int = 32 * 1024
     body_timeout: float = 10.0
+    body_wait: float = 1.0
+    held_bytes: int = 160 * 1024 * 1024
     max_connections: int = 2000
+    max_connections_per_address: int = 1500
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -56,7 +56,6 @@
     STANDBY_WAIT_FACTOR,
     FleetMembers,
 )
-from bilberryplank_core._held_bytes import HeldBytes
 from bilberryplank_core._leases import LeaseHolder
 from bilberryplank_core._link_pacer import LinkPacer
 from bilberryplank_core._notice_format import NoticeInvalid
@@ -157,7 +156,6 @@
     "read_crash_row",
     "Withheld",
     "shared_segments",
-    "HeldBytes",
     "LinkPacer",
     "ReadPacer",
     "ReadTimes",
--- a/packages/bilberryplank-core/bilberryplank_core/_held_bytes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/memory/_held_bytes.py
@@ -5,19 +5,21 @@
 
 from __future__ import annotations
 
-MAX_HELD_BYTES = 32 * 1024 * 1024
-"""Bytes held for all answers together."""
-
 FREE_HELD_BYTES = 64 * 1024
 """Bytes of each answer that are always granted, so that long ones cannot end short ones."""
 
 
 class HeldBytes:
-    """Bytes held for all answers together."""
+    """Bytes held for all answers together.
+
+    Args:
+        most: Bytes beyond those that are always granted.
+    """
 
-    __slots__ = ("_total",)
+    __slots__ = ("_most", "_total")
 
-    def __init__(self) -> None:
+    def __init__(self, most: int) -> None:
+        self._most = most
         self._total = 0
 
     @property
@@ -34,4 +36,4 @@
         """
         grown = max(0, size - FREE_HELD_BYTES)
         self._total += grown - max(0, before - FREE_HELD_BYTES)
-        return not grown or self._total <= MAX_HELD_BYTES
+        return not grown or self._total <= self._most
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_read_pacer.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_read_pacer.py
@@ -1,8 +1,9 @@
 import unittest
 
-from bilberryplank_core._held_bytes import FREE_HELD_BYTES, MAX_HELD_BYTES
 from bilberryplank_core._read_pacer import PIECES_PER_SECOND
-from bilberryplank_core.direct import HeldBytes, ReadPacer, excess_pieces
+from bilberryplank_core.direct import ReadPacer, excess_pieces
+from bilberryplank_core.memory import HeldBytes
+from bilberryplank_core.memory._held_bytes import FREE_HELD_BYTES
 
 
 class ReadPacerTest(unittest.TestCase):
@@ -22,10 +23,13 @@
         self.assertAlmostEqual(pacer.reserve(size, now + 60), size / PIECES_PER_SECOND)
 
 
+MAX_HELD_BYTES = 32 * 1024 * 1024
+
+
 class HeldBytesTest(unittest.TestCase):
     # Long events of a few hundred streams together had no bound.
     def test_long_answers_are_bounded_together_and_short_ones_are_always_granted(self):
-        held, size = HeldBytes(), 1024 * 1024
+        held, size = HeldBytes(MAX_HELD_BYTES), 1024 * 1024
         granted = [held.change(0, size) for _ in range(100)]
         self.assertTrue(granted[0])
         self.assertFalse(granted[-1])
--- a/packages/bilberryplank/bilberryplank/_answer_bounds.py
+++ b/packages/bilberryplank/bilberryplank/_answer_bounds.py
@@ -10,8 +10,8 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.streams import StreamReader
 
+from bilberryplank._paced_reading import PacedReading, pieces_of
 from bilberryplank_core.direct import ReadPacer, excess_pieces
 
 MAX_INTERIM_ANSWERS = 32
@@ -57,7 +57,7 @@
     return bytes(held)
 
 
-class BoundedHandler(ResponseHandler):
+class BoundedHandler(PacedReading, ResponseHandler):
     """Bounds the work for one connection in one turn of the loop, and in all.
 
     Closes a connection on which interim answers go on without the final one, or an answer goes on
@@ -107,12 +107,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes in bytes, and has the connection read on later where their pieces are small."""
-        known, before = self._payload, _pieces(self._payload)
+        known, before = self._payload, pieces_of(self._payload)
         super().data_received(data)
         payload = self._payload
         if payload is None or self._overflow is not None:
             return
-        pieces = _pieces(payload) - (before if payload is known else 0)
+        pieces = pieces_of(payload) - (before if payload is known else 0)
         excess = excess_pieces(pieces, len(data))
         self._limit_read(LEAST_READ_BYTES if excess else MAX_READ_BYTES)
         self._excess_pieces += excess
@@ -122,14 +122,13 @@
         elif self._excess_pieces > MAX_EXCESS_PIECES:
             self.overflow(f"more than {MAX_EXCESS_PIECES} pieces of a few bytes")
         elif excess and self._excess_pieces > UNPACED_PIECES:
-            self._pause_for(self._pacer.reserve(excess, self._loop.time()))
+            self.pause_for(self._pacer.reserve(excess, self._loop.time()))
         elif self._byte_rate is not None and len(data) >= LEAST_READ_BYTES:
-            self._pause_for(len(data) / self._byte_rate)
+            self.pause_for(len(data) / self._byte_rate)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the connection."""
-        if self._pace_timer is not None:
-            self._pace_timer.cancel()
+        self.stop_pacing()
         super().connection_lost(exc)
 
     def feed_data(self, data: Any, *size: int) -> None:
@@ -156,31 +155,11 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _pause_for(self, seconds: float) -> None:
-        if self._pace_timer is None:
-            self._pause_transport_reading()
-            self._pace_timer = self._loop.call_later(seconds, self._end_pause)
-
-    def _end_pause(self) -> None:
-        self._pace_timer = None
-        if not self._reading_paused and not self._buffer_paused:
-            self._resume_transport_reading()
-
-    def _resume_transport_reading(self) -> None:
-        # Called by the library too, whose own reasons to pause may end first.
-        if self._pace_timer is None:
-            super()._resume_transport_reading()
-
     def _limit_read(self, size: int) -> None:
         if self.transport is not None:
             limit_read(self.transport, size)
 
 
-def _pieces(payload: StreamReader | None) -> int:
-    """Returns the pieces of a body that are not taken yet."""
-    return 0 if payload is None else len(getattr(payload, "_buffer", ()))
-
-
 class BoundedConnector(aiohttp.TCPConnector):
     """Opens such connections, and replaces all of them where they may have fallen silent.
 
--- a/packages/bilberryplank/bilberryplank/_caller_request.py
+++ b/packages/bilberryplank/bilberryplank/_caller_request.py
@@ -9,6 +9,8 @@
 
 from aiohttp import HttpVersion11, web
 
+from bilberryplank._caller_memory import BodyRoom
+from bilberryplank._caller_protocol import CallerProtocol
 from bilberryplank_core.errors import RefusalReason, Refused
 from bilberryplank_core.settings import CallerSettings
 
@@ -22,6 +24,9 @@
 CHARACTERS_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 0
 
+LEAST_ROOM_BYTES = 16 * 1024
+"""Room for a body of unknown length is taken in steps, the first of this size."""
+
 
 @dataclass(slots=True)
 class ModelCall:
@@ -58,7 +63,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
 
 
 def check_text(request: web.BaseRequest) -> None:
@@ -76,28 +81,53 @@
         raise _malformed("the path or a header is not UTF-8") from exc
 
 
-async def receive(request: web.BaseRequest, settings: CallerSettings) -> ReceivedRequest:
-    """Reads a request whole.
+async def receive(
+    request: web.BaseRequest, settings: CallerSettings, room: BodyRoom
+) -> ReceivedRequest:
+    """Reads a request whole, once there is room for its body.
+
+    Args:
+        request: The request.
+        settings: Bounds on what callers may send.
+        room: Room for the body, which the body needs until the request has ended.
 
     Raises:
-        Refused: The body is too large, too slow or broken off.
+        Refused: The body is too large, too slow or broken off, or there is no room for it.
     """
     declared = request.content_length
     if declared is not None and declared > settings.max_body_bytes:
         raise _too_large(settings)
-    await _continue(request)
     try:
-        async with asyncio.timeout(settings.body_timeout):
-            body = await _read_body(request, settings)
+        if declared:
+            await room.take(declared)
+        await _continue(request)
+        async with asyncio.timeout(settings.body_timeout) as bound:
+            room.interrupt(bound)
+            body = await _read_body(request, settings, room)
     except TimeoutError as exc:
-        message = f"the body did not arrive within {settings.body_timeout:g} s"
+        if room.is_evicted:
+            _leave_body(request)
+            message = "the body stopped coming while others waited for room"
+        else:
+            message = f"the body did not arrive within {settings.body_timeout:g} s"
         raise Refused(RefusalReason.SLOW_SENDER, message) from exc
+    except Refused as refused:
+        if refused.reason is RefusalReason.MEMORY_FULL:
+            _leave_body(request)
+        raise
     except web.RequestPayloadError as exc:
         raise Refused(RefusalReason.MALFORMED_REQUEST, f"broken body: {exc}") from exc
     headers = [[name, value] for name, value in request.headers.items()]
     return ReceivedRequest(request.method, request.raw_path, headers, body)
 
 
+def _leave_body(request: web.BaseRequest) -> None:
+    """Has the connection of a request read nothing more of its body."""
+    protocol = request.protocol
+    if isinstance(protocol, CallerProtocol):
+        protocol.leave_body()
+
+
 async def _continue(request: web.BaseRequest) -> None:
     """Tells a caller that waits for it (RFC 9110, 10.1.1) to send its body."""
     expected = request.headers.get("Expect", "").lower() == "100-continue"
@@ -107,13 +137,23 @@
         request.writer.output_size = 0
 
 
-async def _read_body(request: web.BaseRequest, settings: CallerSettings) -> bytes:
-    body = bytearray()
+async def _read_body(
+    request: web.BaseRequest, settings: CallerSettings, room: BodyRoom
+) -> bytes | bytearray:
+    taken = request.content_length or 0
+    # A body that grows piece by piece is moved, and held twice meanwhile.
+    body, size = bytearray(taken), 0
     async for data in request.content.iter_any():
-        body += data
-        if len(body) > settings.max_body_bytes:
+        begin, size = size, size + len(data)
+        if size > settings.max_body_bytes:
             raise _too_large(settings)
-    return bytes(body)
+        if size > taken:
+            taken = min(max(2 * size, LEAST_ROOM_BYTES), settings.max_body_bytes)
+            await room.take(taken)
+        body[begin:size] = data
+        room.received(len(data))
+    room.complete()
+    return body
 
 
 def _too_large(settings: CallerSettings) -> Refused:
@@ -121,7 +161,7 @@
     return Refused(RefusalReason.BODY_TOO_LARGE, message)
 
 
-def read_model_call(path: str, body: bytes) -> ModelCall:
+def read_model_call(path: str, body: bytes | bytearray) -> ModelCall:
     """Reads the JSON body of a model request.
 
     Raises:
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -8,8 +8,12 @@
 from aiohttp import web
 from mode import Service
 
+from bilberryplank._caller_connections import ConnectionBounds
+from bilberryplank._caller_memory import CallerMemory
 from bilberryplank._caller_protocol import CallerProtocol, RefusalCounter, TurnedAway
 from bilberryplank._caller_request import check_text
+from bilberryplank._metrics import ProcessMetrics
+from bilberryplank_core.direct import ReadPacer
 from bilberryplank_core.errors import RefusalReason
 from bilberryplank_core.settings import CallerSettings
 
@@ -27,6 +31,10 @@
 
 SENT_POLL_SECONDS = 0.01
 
+MAX_LINGERING = 64
+LINGERING_SHARE = 0.25
+"""Refused connections that may linger, as a share of those that are taken, and at most."""
+
 CallerHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -34,18 +42,42 @@
     """Makes one protocol object for each caller's connection, up to a bound."""
 
     def __init__(
-        self, handler: CallerHandler, settings: CallerSettings, on_refused: RefusalCounter
+        self,
+        handler: CallerHandler,
+        settings: CallerSettings,
+        on_refused: RefusalCounter,
+        memory: CallerMemory,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._bounds = ConnectionBounds(settings, memory)
+        self._pacer = ReadPacer()
+        self._memory = memory
         self._settings = settings
         self._on_refused = on_refused
         self._turned_away: set[TurnedAway] = set()
 
     def __call__(self) -> asyncio.Protocol:
         """Returns the protocol for a new connection."""
-        if len(self.connections) >= self._settings.max_connections:
-            return TurnedAway(self._turned_away, self._on_refused)
-        return CallerProtocol(self, self._settings, self._on_refused)
+        if not self._bounds.admits_another():
+            most = max(1, int(LINGERING_SHARE * self._settings.max_connections))
+            return TurnedAway(self._turned_away, min(MAX_LINGERING, most), self._on_refused)
+        return CallerProtocol(self, self._settings, self._on_refused, self._memory, self._pacer)
+
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        """Takes in a new connection."""
+        super().connection_made(handler, transport)
+        assert isinstance(handler, CallerProtocol)
+        if not self._bounds.admit(handler):
+            self._on_refused(RefusalReason.TOO_MANY_CONNECTIONS)
+            handler.cut()
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Takes in the end of a connection."""
+        super().connection_lost(handler, exc)
+        assert isinstance(handler, CallerProtocol)
+        self._bounds.remove(handler)
 
     @property
     def is_answering(self) -> bool:
@@ -69,6 +101,7 @@
         handler: Answers each request; typed refusals that it raises are answered for it.
         on_refused: Called with the reason of each refusal that the handler never saw: no HTTP, a
             header too large or too slow, or a connection too many.
+        memory: What is held for callers; None for a budget of its own.
     """
 
     def __init__(
@@ -77,8 +110,10 @@
         settings: CallerSettings,
         handler: CallerHandler,
         on_refused: RefusalCounter | None = None,
+        memory: CallerMemory | None = None,
     ) -> None:
         super().__init__()
+        self._memory = memory or CallerMemory(settings, ProcessMetrics())
         self._address = address
         self._settings = settings
         self._factory: _CallerProtocolFactory | None = None
@@ -95,7 +130,9 @@
     async def on_start(self) -> None:
         """Begins to listen."""
         host, _, port = self._address.rpartition(":")
-        self._factory = _CallerProtocolFactory(self._handle, self._settings, self._on_refused)
+        self._factory = _CallerProtocolFactory(
+            self._handle, self._settings, self._on_refused, self._memory
+        )
         self._server = await asyncio.get_running_loop().create_server(
             self._factory, host.strip("[]"), int(port), backlog=BACKLOG
         )
--- a/packages/bilberryplank/bilberryplank/_direct_client.py
+++ b/packages/bilberryplank/bilberryplank/_direct_client.py
@@ -35,6 +35,12 @@
 CONNECT_TIMEOUT_SECONDS = 0.4
 """A living upstream accepts within milliseconds; a dark one must not cost an objective."""
 
+MAX_PIECE_BYTES = 64 * 1024
+"""Longer bodies are sent in pieces: the transport keeps a copy of what the kernel does not take."""
+
+UNREAD_ANSWER_BYTES = 16 * 1024
+"""An answer that its caller does not take yet is left to the socket once it is this long."""
+
 QUESTION_SECONDS = 0.06
 """A request waits this long at the most for the loads of engines before it is placed without."""
 
@@ -143,6 +149,7 @@
         pacer = ReadPacer()
         self._session = aiohttp.ClientSession(
             connector=single_connector(pacer),
+            read_bufsize=UNREAD_ANSWER_BYTES,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -203,7 +210,7 @@
         method: str,
         target: str,
         fields: Iterable[tuple[str, str]],
-        body: bytes,
+        body: bytes | bytearray,
     ) -> UpstreamAnswer:
         """Sends a request and returns the answer once its head is here.
 
@@ -223,11 +230,13 @@
         except ValueInvalid as exc:
             raise UpstreamNotReached(str(exc)) from exc
         headers = CIMultiDict(fields)
-        data: bytes | AsyncIterator[bytes] | None = body or None
-        size = self._link.chunk_bytes(len(body))
+        size = min(self._link.chunk_bytes(len(body)), MAX_PIECE_BYTES)
+        data: bytes | AsyncIterator[memoryview] | None
         if size < len(body):
             headers["Content-Length"] = str(len(body))
             data = self._pieces(body, size)
+        else:
+            data = bytes(body) or None
         try:
             resp = await self._session.request(
                 method,
@@ -244,9 +253,10 @@
         check_head(resp)
         return UpstreamAnswer(resp)
 
-    async def _pieces(self, body: bytes, size: int) -> AsyncIterator[bytes]:
+    async def _pieces(self, body: bytes | bytearray, size: int) -> AsyncIterator[memoryview]:
+        whole = memoryview(body)
         for begin in range(0, len(body), size):
-            piece = body[begin : begin + size]
+            piece = whole[begin : begin + size]
             await asyncio.sleep(self._link.reserve(len(piece), asyncio.get_running_loop().time()))
             yield piece
 
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from mode import Service
 
+from bilberryplank._caller_memory import CallerMemory
 from bilberryplank._caller_server import CallerServer
 from bilberryplank._clocks import boot_time
 from bilberryplank._crash_guard import CrashGuard
@@ -57,6 +58,9 @@
 LAST_ANSWERS_SECONDS = 0.1
 """Time in which the answers go out that a stop gives to what still runs."""
 
+JOURNAL_DECISIONS = 1024
+"""Refusals kept for `explain`, some 600 bytes each."""
+
 SettingsReader = Callable[[], DirectEntrySettings]
 
 
@@ -146,6 +150,8 @@
             self._rng,
         )
         self._relay.hear_strangers(self._members.hear_stranger)
+        memory = CallerMemory(cfg.callers, self.metrics)
+        journal = DecisionJournal(JOURNAL_DECISIONS, cfg.name)
         self._requests = DirectRequests(
             self._state,
             self._client,
@@ -154,16 +160,17 @@
             counts,
             fleet_clock,
             self.metrics,
-            cfg.callers,
+            memory,
+            journal,
             self._stop_schedule,
         )
         self._server = CallerServer(
-            cfg.listen, cfg.callers, self._requests.handle, self._refused_early
+            cfg.listen, cfg.callers, self._requests.handle, self._refused_early, memory
         )
         self._operations = OperationsServer(
             cfg.operations_listen,
             self.metrics,
-            DecisionJournal(process=cfg.name),
+            journal,
             self.status,
             further_addresses=(cfg.metrics_listen,),
         )
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -8,9 +8,11 @@
 from loguru import logger
 
 from bilberryplank._caller_answer import AnswerCutOff, CallerGone
+from bilberryplank._caller_memory import CallerMemory
 from bilberryplank._caller_request import receive
 from bilberryplank._clocks import boot_time
 from bilberryplank._crash_guard import CrashGuard
+from bilberryplank._decisions import DecisionJournal, DecisionStep
 from bilberryplank._direct_client import DirectClient
 from bilberryplank._direct_run import STOP_RETURN_SECONDS, DirectRun, RunParts
 from bilberryplank._direct_state import DirectState
@@ -22,13 +24,12 @@
     FleetClock,
     Freshness,
     HeaderCodec,
-    HeldBytes,
     RequestHead,
     StopSchedule,
     WindowCounts,
 )
 from bilberryplank_core.errors import REFUSAL_STATUS, RefusalReason, Refused
-from bilberryplank_core.settings import CallerSettings
+from bilberryplank_core.memory import UNFINISHED_SHARE, HeldBytes
 
 SOON_SECONDS = 0.4
 """When to come back for what a fresh read of the store will settle."""
@@ -55,7 +56,8 @@
         counts: WindowCounts,
         fleet_clock: FleetClock,
         metrics: ProcessMetrics,
-        callers: CallerSettings,
+        memory: CallerMemory,
+        journal: DecisionJournal,
         stop_schedule: StopSchedule,
     ) -> None:
         self.in_flight = 0
@@ -65,7 +67,8 @@
         self._state = state
         self._header_codec = header_codec
         self._metrics = metrics
-        self._callers = callers
+        self._journal = journal
+        self._memory = memory
         self._stop_schedule = stop_schedule
         self._parts = RunParts(
             state,
@@ -76,7 +79,7 @@
             fleet_clock,
             metrics,
             stop_schedule,
-            HeldBytes(),
+            HeldBytes(int(UNFINISHED_SHARE * memory.settings.held_bytes)),
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -133,11 +136,12 @@
             CallerGone: The caller left, or its answer was cut off.
         """
         run: DirectRun | None = None
+        room = self._memory.open_body(found.organisation or request.remote or "")
         bound = asyncio.timeout_at(self._loop_time_due())
         self._bounds.add(bound)
         try:
             async with bound:
-                received = await receive(request, self._callers)
+                received = await receive(request, self._memory.settings, room)
                 run = DirectRun(
                     self._parts, request, received, call, found, arrived, self._is_stopping
                 )
@@ -147,6 +151,7 @@
                 raise run.end_early("this entry stops, and no whole answer came") from None
             raise self._stopped("this entry stops, and the body is not whole") from None
         finally:
+            room.release()
             self._bounds.discard(bound)
 
     def _loop_time_due(self) -> float | None:
@@ -200,6 +205,9 @@
         outcome = RequestOutcome.NOT_RUN if refused.not_run else RequestOutcome.MAY_HAVE_RUN
         self._metrics.refused(refused.reason, class_name)
         self._metrics.request_ended(class_name, outcome)
+        self._journal.record(
+            call.request_id, DecisionStep.REFUSED, f"{refused.reason.value}: {refused}"
+        )
         routes = self._state.routes
         log_event(
             logger,
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -29,7 +29,6 @@
     EngineSelector,
     FleetClock,
     HeaderCodec,
-    HeldBytes,
     LatencyObjective,
     NextAction,
     Outcome,
@@ -46,6 +45,7 @@
 )
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
 from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter, EventTail, last_event_id
+from bilberryplank_core.memory import HeldBytes
 
 if TYPE_CHECKING:
     from bilberryplank_core.messages import Headers
@@ -62,6 +62,9 @@
 MAX_HELD_BYTES = 256 * 1024
 """A longer answer is passed on as it comes: many at once must not fill a small host's memory."""
 
+MAX_UNSENT_BYTES = 64 * 1024
+"""A longer answer is sent piece by piece even if it is whole: its caller may never read it."""
+
 EVENT_END = b"\n\n"
 EVENT_STREAM = "text/event-stream"
 
@@ -427,9 +430,11 @@
         self._count()
         self._first_piece_at = self._attempt_began
         self._settle()
-        if not self._answer.begun:
+        if not self._answer.begun and len(held) <= MAX_UNSENT_BYTES:
             return self._answer.whole(answer.status, fields, bytes(held), upstream.name)
-        await self._answer.piece(bytes(held))
+        await self._answer.begin(answer.status, fields)
+        for begin in range(0, len(held), MAX_UNSENT_BYTES):
+            await self._answer.piece(bytes(held[begin : begin + MAX_UNSENT_BYTES]))
         return await self._answer.finish(upstream.name)
 
     def _is_stream(self, answer: UpstreamAnswer) -> bool:
--- a/packages/bilberryplank/bilberryplank/_entry.py
+++ b/packages/bilberryplank/bilberryplank/_entry.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from bilberryplank._caller_memory import CallerMemory
 from bilberryplank._caller_server import CallerServer
 from bilberryplank._engine_order_job import EngineOrderJob
 from bilberryplank._entry_links import EntryLinks
@@ -94,10 +95,11 @@
             metrics=self.metrics,
             journal=self.journal,
         )
-        intake = Intake(settings.callers, settings.key_hash_secret, self._feed)
+        memory = CallerMemory(settings.callers, self.metrics)
+        intake = Intake(memory, settings.key_hash_secret, self._feed)
         self._requests = EntryRequests(intake, parts, view, settings.routing)
         self._server = CallerServer(
-            settings.listen, settings.callers, self._requests.handle, self.metrics.refused
+            settings.listen, settings.callers, self._requests.handle, self.metrics.refused, memory
         )
         keeper = LinkKeeper(self._pool, view, self._feed, self._hosts, rng)
         self._hosts.subscribe(view.list_hosts)
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -79,13 +79,22 @@
         credentials, key = self._intake.authenticate(request)
         if is_models_list(request, credentials.path):
             return self._intake.list_models(key)
-        call = await self._intake.read_call(request, request_id, arrived, credentials, key)
+        room = self._intake.open_room(key)
+        try:
+            call = await self._intake.read_call(
+                request, request_id, arrived, credentials, key, room
+            )
+            return await self._answer(request, call, key)
+        finally:
+            room.release()
+
+    async def _answer(self, request: web.BaseRequest, call: Call, key: Key) -> web.StreamResponse:
         class_name = call.classified.request_class.name
         self._record(call, DecisionStep.CLASSIFIED, f"class={class_name}")
         try:
             return await self._run_admitted(request, call, key)
         except Refused as refused:
-            return self._refuse(request_id, refused, class_name)
+            return self._refuse(call.request_id, refused, class_name)
 
     async def _run_admitted(
         self, request: web.BaseRequest, call: Call, key: Key
--- a/packages/bilberryplank/bilberryplank/_intake.py
+++ b/packages/bilberryplank/bilberryplank/_intake.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from bilberryplank._caller_memory import BodyRoom, CallerMemory
 from bilberryplank._caller_request import MODELS_PATH, ModelCall, read_model_call, receive
 from bilberryplank._configuration_feed import ConfigurationFeed
 from bilberryplank._link_pool import VersionShown
@@ -22,7 +23,6 @@
     extract_credentials,
     is_model_path,
 )
-from bilberryplank_core.settings import CallerSettings
 from bilberryplank_core.world import Key, ServiceRoute
 
 CONFIGURATION_RETRY_SECONDS = 1.0
@@ -95,10 +95,8 @@
 class Intake:
     """Authenticates, reads and classifies callers' requests."""
 
-    def __init__(
-        self, callers: CallerSettings, key_hash_secret: str, feed: ConfigurationFeed
-    ) -> None:
-        self._callers = callers
+    def __init__(self, memory: CallerMemory, key_hash_secret: str, feed: ConfigurationFeed) -> None:
+        self._memory = memory
         self._key_hash_secret = key_hash_secret
         self._feed = feed
         self._classifier = RequestClassifier(Configuration(), key_hash_secret)
@@ -119,6 +117,10 @@
         credentials = extract_credentials(headers, request.raw_path)
         return credentials, self._classifier.authenticate(credentials.secret)
 
+    def open_room(self, key: Key) -> BodyRoom:
+        """Returns room for the body of one request, to be released at its end."""
+        return self._memory.open_body(key.organisation)
+
     async def read_call(
         self,
         request: web.BaseRequest,
@@ -126,13 +128,14 @@
         arrived: float,
         credentials: Credentials,
         key: Key,
+        room: BodyRoom,
     ) -> Call:
         """Reads the body and classifies the request.
 
         Raises:
-            Refused: The request is malformed, or not allowed.
+            Refused: The request is malformed, or not allowed, or there is no room for it.
         """
-        received = await receive(request, self._callers)
+        received = await receive(request, self._memory.settings, room)
         path = credentials.path
         model_call = None
         if is_model_path(path):
@@ -149,7 +152,7 @@
             request.method,
             path,
             headers,
-            received.body,
+            bytes(received.body),
             model_call,
         )
 
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -23,6 +23,7 @@
 from prometheus_client.metrics import MetricWrapperBase
 
 from bilberryplank_core.errors import RefusalReason, RetryReason
+from bilberryplank_core.memory import Pool
 
 NO_CLASS = "none"
 OTHER_CLASSES = "other"
@@ -85,6 +86,15 @@
     WASTED = "wasted"
 
 
+class CutCause(Enum):
+    """Why a caller's connection or body gave way to others."""
+
+    STALLED_BODY = "stalled_body"
+    STALLED_HEAD = "stalled_head"
+    UNREAD_ANSWER = "unread_answer"
+    IDLE_CONNECTION = "idle_connection"
+
+
 class UsageEvent(Enum):
     """What became of usage records."""
 
@@ -167,6 +177,14 @@
         self._queued.set(queued)
         self._running.set(running)
 
+    def set_held(self, pool: Pool, size: int) -> None:
+        """Sets the bytes that are held for callers from one part of the budget."""
+        self._held_bytes.labels(pool.value).set(size)
+
+    def caller_cut(self, cause: CutCause) -> None:
+        """Counts a caller's connection or body that gave way to others."""
+        self._callers_cut.labels(cause.value).inc()
+
     def set_links(self, count: int) -> None:
         """Sets the number of open links to other processes."""
         self._links.set(count)
@@ -261,6 +279,12 @@
         )
         self._queued = self._gauge("queued_requests", "Requests that wait.")
         self._running = self._gauge("running_requests", "Requests that run.")
+        self._held_bytes = self._gauge(
+            "held_bytes", "Bytes held for callers by part of the budget.", "pool"
+        )
+        self._callers_cut = self._counter(
+            "callers_cut", "Connections and bodies that gave way to others.", "cause"
+        )
 
     def _build_link_metrics(self) -> None:
         self._links = self._gauge("links", "Open links to other processes.")
@@ -295,6 +319,10 @@
     def _create_reasons(self) -> None:
         for retry in RetryReason:
             self._retries.labels(retry.value)
+        for cut in CutCause:
+            self._callers_cut.labels(cut.value)
+        for pool in Pool:
+            self._held_bytes.labels(pool.value)
         for cause in FrameDropCause:
             self._frames_dropped.labels(cause.value)
         for event in UsageEvent:
--- a/packages/bilberryplank/bilberryplank/_operations_server.py
+++ b/packages/bilberryplank/bilberryplank/_operations_server.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
@@ -20,6 +21,10 @@
 from bilberryplank._metrics import ProcessMetrics
 
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
+
+MAX_CONNECTIONS = 64
+"""Connections of operators, balancer and scrapers; for one more the oldest idle one is closed."""
+
 PUSH_PATH = "/configuration"
 
 
@@ -114,14 +119,14 @@
         self._journal = journal
         self._status = status
         self._push = push
+        self._listeners: list[asyncio.Server] = []
         self._runner: web.AppRunner | None = None
         super().__init__(**kwargs)
 
     @property
     def port(self) -> int:
         """The TCP port, once started."""
-        assert self._runner is not None
-        return self._runner.addresses[0][1]
+        return self._listeners[0].sockets[0].getsockname()[1]
 
     async def on_start(self) -> None:
         """Binds the port.
@@ -135,13 +140,28 @@
         await self._runner.setup()
         for address in self._addresses:
             host, _, port = address.rpartition(":")
-            await web.TCPSite(self._runner, host.strip("[]"), int(port)).start()
+            listener = await asyncio.get_running_loop().create_server(
+                self._new_connection, host.strip("[]"), int(port)
+            )
+            self._listeners.append(listener)
 
     async def on_stop(self) -> None:
         """Closes the port."""
+        for listener in self._listeners:
+            listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _new_connection(self) -> asyncio.Protocol:
+        assert self._runner is not None and self._runner.server is not None
+        server = self._runner.server
+        open_ones = [each for each in server.connections if each.connected]
+        if len(open_ones) >= MAX_CONNECTIONS:
+            # Idle connections to the port must not keep the balancer's questions out.
+            idle = (each for each in open_ones if each._current_request is None)
+            next(idle, open_ones[0]).force_close()
+        return server()
+
     def _application(self) -> web.Application:
         application = web.Application()
         application.router.add_get("/healthz", self._get_health)
--- a/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
@@ -8,8 +8,10 @@
 import aiohttp
 
 from bilberryplank._caller_answer import CallerAnswer, CallerGone
+from bilberryplank._caller_memory import CallerMemory
 from bilberryplank._caller_request import CHAT_PATH, read_model_call, receive
 from bilberryplank._caller_server import CallerServer
+from bilberryplank._metrics import ProcessMetrics
 from bilberryplank_core.errors import REFUSAL_STATUS, RefusalReason, Refused
 from bilberryplank_core.settings import CallerSettings
 
@@ -109,7 +111,8 @@
 
     async def start(self, settings):
         self.settings = settings
-        self.server = CallerServer("127.0.0.1:0", settings, self.handle, self.count)
+        self.memory = CallerMemory(settings, ProcessMetrics())
+        self.server = CallerServer("127.0.0.1:0", settings, self.handle, self.count, self.memory)
         await self.server.start()
 
     async def restart(self, **changes):
@@ -130,11 +133,14 @@
         return caller
 
     async def handle(self, request):
+        room = self.memory.open_body("acme")
         try:
-            received = await receive(request, self.settings)
+            received = await receive(request, self.settings, room)
         except asyncio.CancelledError:
             self.gone.set()
             raise
+        finally:
+            room.release()
         if request.method == "OPTIONS":
             raise Refused(Reason.ROUTE_UNKNOWN, "no route")
         answer = CallerAnswer(request, "r1", stall_timeout=self.stall_timeout)
@@ -377,7 +383,9 @@
 
     async def test_a_body_that_is_still_coming_as_connections_close_is_received(self):
         async def answer(request):
-            received = await receive(request, SETTINGS)
+            received = await receive(
+                request, SETTINGS, CallerMemory(SETTINGS, ProcessMetrics()).open_body("acme")
+            )
             return aiohttp.web.Response(body=received.body)
 
         server = CallerServer("127.0.0.1:0", SETTINGS, answer)
--- a/packages/bilberryplank/bilberryplank/tests/test_operations.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_operations.py
@@ -1,7 +1,9 @@
+import asyncio
 import unittest
 
 import aiohttp
 
+from bilberryplank._operations_server import MAX_CONNECTIONS
 from bilberryplank.decisions import DecisionJournal, DecisionStep
 from bilberryplank.metrics import ProcessMetrics
 from bilberryplank.operations import OperationsServer, ProcessStatus, Readiness, UpstreamStatus
@@ -35,6 +37,19 @@
                 self.assertEqual(await self.get("/readyz"), (status, f"{readiness.value}\n"))
                 self.assertEqual(await self.get("/healthz"), (200, "ok\n"))
 
+    # Connections without a byte kept the balancer's questions out, and took descriptors.
+    async def test_idle_connections_are_bounded_and_keep_no_question_out(self):
+        opened = [
+            await asyncio.open_connection("127.0.0.1", self.server.port)
+            for _ in range(2 * MAX_CONNECTIONS)
+        ]
+        self.assertEqual(await self.get("/healthz"), (200, "ok\n"))
+        closed = 0
+        for reader, writer in opened:
+            closed += reader.at_eof()
+            writer.close()
+        self.assertGreaterEqual(closed, MAX_CONNECTIONS)
+
     async def test_metrics_are_prometheus_text(self):
         status, text = await self.get("/metrics")
         self.assertEqual(status, 200)
