Bar cold upstreams, evacuated zones and regions that are no homes

Change: bilberryplank_core.eligibility decides which upstreams a request may go to before their costs are compared. For each cold upstream three entries, chosen by rendezvous hashing, may send a sixth of the bound in any second each, so that two views of the fleet keep it together; no message is needed. Evacuations are rows of the configuration's table, kept for two seconds where a restored store lacks them. All of it follows the configuration and the platform's settings; without them nothing is barred.

Open: an upstream that turns cold without a restart is known to be cold once its row says so.

--- a/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_contracts.py
@@ -167,6 +167,14 @@
             ConfigurationInvalid: The row holds no valid configuration.
         """
 
+    def read_evacuated_zone(self, key: str) -> str | None:
+        """Returns the zone whose evacuation a row of the configuration's table asks for.
+
+        Args:
+            key: The row's key; None is returned for any other row.
+        """
+        return None
+
     @abstractmethod
     def read_upstream(self, name: str, value: Any) -> DirectUpstream:
         """Returns the upstream stored in a row.
--- a/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_routes.py
@@ -13,6 +13,7 @@
 from bilberryplank_core._direct_types import DirectConfiguration, DirectRoute, RequestHead
 from bilberryplank_core._errors import RefusalReason, Refused
 from bilberryplank_core._stepwise import Steps, map_in_steps
+from bilberryplank_core.eligibility._homes import regions_allowed
 
 ROUTE_RANK_COUNT = 3
 """Number of route ranks that an engine distinguishes within each rank of organisations."""
@@ -28,12 +29,14 @@
         urgency: Rank of the organisation, or of the route if the organisation has none, followed by
             the rank of the route; lower values have priority.
         version: Version of the configuration that was used.
+        regions: Regions in which it may be served; None for any.
     """
 
     route: DirectRoute
     organisation: str | None
     urgency: tuple[int, int]
     version: int
+    regions: frozenset[str] | None = None
 
     def time_limit(self, call: RequestHead) -> float:
         """Returns the seconds after which a request ends in any case."""
@@ -110,15 +113,22 @@
             raise Refused(RefusalReason.ROUTE_UNKNOWN, "no route for this host and path")
         organisations = self._cfg.organisations
         if organisations is None:
-            return ClassifiedRequest(route, None, (route.rank, route.rank), self._cfg.version)
+            return self._without_organisation(route)
         organisation = organisations.get(head.credential or "")
         if organisation is None:
             if route.public:
-                return ClassifiedRequest(route, None, (route.rank, route.rank), self._cfg.version)
+                return self._without_organisation(route)
             reason = RefusalReason.KEY_UNKNOWN if head.credential else RefusalReason.KEY_MISSING
             raise Refused(reason, "the request carries no key that is known")
         rank = route.rank if organisation.rank is None else organisation.rank
-        return ClassifiedRequest(route, organisation.name, (rank, route.rank), self._cfg.version)
+        regions = regions_allowed(route.homes, organisation.homes)
+        urgency = (rank, route.rank)
+        return ClassifiedRequest(route, organisation.name, urgency, self._cfg.version, regions)
+
+    def _without_organisation(self, route: DirectRoute) -> ClassifiedRequest:
+        regions = regions_allowed(route.homes, frozenset())
+        urgency = (route.rank, route.rank)
+        return ClassifiedRequest(route, None, urgency, self._cfg.version, regions)
 
     def is_least_urgent(self, service: str, urgency: tuple[int, int]) -> bool:
         """Returns True if no route and organisation of a service has a lower priority."""
--- a/packages/bilberryplank-core/bilberryplank_core/_direct_types.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_types.py
@@ -85,6 +85,7 @@
         targets: Names of services with their traffic weights.
         max_executions: Maximum number of upstreams that may execute one request.
         public: True if no API key is needed.
+        homes: Regions in which it may be served; empty for any.
     """
 
     name: str
@@ -98,6 +99,7 @@
     targets: tuple[tuple[str, int], ...]
     max_executions: int
     public: bool
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,19 +119,36 @@
 
 @dataclass(slots=True, frozen=True)
 class DirectService:
-    """A service; `engine` is None for a plain service without model engines."""
+    """A service.
+
+    Attributes:
+        name: Unique name.
+        max_connections: Connections that each upstream accepts.
+        engine: Capacity of its engines; None for a plain service.
+        cold_seconds: Time for which an upstream is cold after its start; 0 if never.
+        cold_per_second: Requests a second that a cold upstream tolerates.
+    """
 
     name: str
     max_connections: int
     engine: EngineCapacity | None = None
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
 class Organisation:
-    """An organisation; its `rank`, if set, takes precedence over the route's."""
+    """An organisation.
+
+    Attributes:
+        name: Unique name.
+        rank: Priority that takes precedence over the route's; None if unset.
+        homes: Regions in which its requests may be served; empty for any.
+    """
 
     name: str
     rank: int | None = None
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
@@ -161,6 +180,7 @@
         slots: Requests that it runs at the same time.
         leaving: True if it accepts no new requests.
         started_at: Start time in milliseconds since 1970; None if unknown.
+        cold_remaining: Seconds for which it is cold from when it wrote this.
     """
 
     name: str
@@ -170,6 +190,7 @@
     slots: int
     leaving: bool = False
     started_at: int | None = None
+    cold_remaining: float = 0.0
 
     @classmethod
     def checked(
@@ -181,6 +202,7 @@
         slots: Any,
         leaving: bool = False,
         started_at: Any = None,
+        cold_remaining: float = 0.0,
     ) -> DirectUpstream:
         """Returns an upstream from values that another writer supplied.
 
@@ -197,6 +219,7 @@
             check_whole(slots, "the number of slots", least=1),
             leaving,
             started_at,
+            cold_remaining,
         )
 
 
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_engine_selector.py
@@ -42,6 +42,7 @@
 from bilberryplank_core._queueing_delays import QueueingDelays, Urgency
 from bilberryplank_core._rendezvous import rendezvous_weight
 from bilberryplank_core._upstream_health import UpstreamHealth
+from bilberryplank_core.eligibility._cold_upstreams import SendRule, always
 
 LOAD_REPORT_SECONDS = 1.0
 """The weight of a reported load falls with its age and is zero after this time."""
@@ -135,6 +136,7 @@
         capacity: Capacity of each engine.
         health: Tells which upstreams are ejected.
         rng: Breaks ties.
+        may_send: Returns False for an engine that this entry must send nothing to now.
     """
 
     __slots__ = (
@@ -143,6 +145,7 @@
         "_health",
         "_least_urgent",
         "_loads",
+        "_may_send",
         "_own_work",
         "_performance",
         "_peer_work",
@@ -158,8 +161,14 @@
     )
 
     def __init__(
-        self, zone: str, capacity: EngineCapacity, health: UpstreamHealth, rng: Random
+        self,
+        zone: str,
+        capacity: EngineCapacity,
+        health: UpstreamHealth,
+        rng: Random,
+        may_send: SendRule = always,
     ) -> None:
+        self._may_send = may_send
         self._zone = zone
         self._capacity = capacity
         self._health = health
@@ -249,7 +258,11 @@
         now: float,
     ) -> list[_Candidate]:
         """Returns the engines that may get a request, with their expected cost in seconds."""
-        engines = [engine for engine in upstreams if self._health.is_available(engine.name, now)]
+        engines = [
+            engine
+            for engine in upstreams
+            if self._health.is_available(engine.name, now) and self._may_send(engine, now)
+        ]
         if not engines:
             return []
         # Partitioned with the ejected engines, so that the others do not change sides.
--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -271,6 +271,10 @@
         lease_margin: Safety margin: a holder stops this long before the lease expires, and a
             contender waits this long after it.
         link_rate: Bandwidth of the host's network link in bytes per second; None if unknown.
+        cold_rate_factor: Multiple of the rate that a cold upstream tolerates, up to which all
+            entries together may send to it; None if the platform sets no limit.
+        cold_allowance: Requests in any second beside that.
+        region_by_zone: Regions of the availability zones; None if unknown.
     """
 
     name: str
@@ -293,6 +297,9 @@
     lease_duration: float = 6.0
     lease_margin: float = 1.0
     link_rate: float | None = None
+    cold_rate_factor: float | None = None
+    cold_allowance: float = 5.0
+    region_by_zone: dict[str, str] | None = None
     retries: RetryBudgetSettings = RetryBudgetSettings()
     callers: CallerSettings = CallerSettings()
     logs: LogSettings = LogSettings()
--- a/packages/bilberryplank-core/bilberryplank_core/_upstream_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_upstream_selector.py
@@ -11,6 +11,7 @@
 
 from bilberryplank_core._direct_types import DirectUpstream, UpstreamLoad
 from bilberryplank_core._upstream_health import UpstreamHealth
+from bilberryplank_core.eligibility._cold_upstreams import SendRule, always
 
 LOAD_REPORT_LIFETIME_SECONDS = 0.5
 """The weight of a reported load falls linearly with its age, to 0 at this age."""
@@ -35,11 +36,23 @@
         zone: Availability zone of the entry.
         health: Which upstreams are ejected.
         rng: Breaks ties.
+        may_send: Returns False for an upstream that this entry must send nothing to now.
     """
 
-    __slots__ = ("_health", "_in_flight", "_loads", "_rng", "_service_seconds", "_zone")
-
-    def __init__(self, zone: str, health: UpstreamHealth, rng: Random) -> None:
+    __slots__ = (
+        "_health",
+        "_in_flight",
+        "_loads",
+        "_may_send",
+        "_rng",
+        "_service_seconds",
+        "_zone",
+    )
+
+    def __init__(
+        self, zone: str, health: UpstreamHealth, rng: Random, may_send: SendRule = always
+    ) -> None:
+        self._may_send = may_send
         self._zone = zone
         self._health = health
         self._rng = rng
@@ -55,7 +68,9 @@
     def choose(self, upstreams: Sequence[DirectUpstream], now: float) -> DirectUpstream | None:
         """Returns the upstream with the lowest expected latency; None if all are ejected."""
         available = [
-            upstream for upstream in upstreams if self._health.is_available(upstream.name, now)
+            upstream
+            for upstream in upstreams
+            if self._health.is_available(upstream.name, now) and self._may_send(upstream, now)
         ]
         if not available:
             return None
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -94,8 +94,8 @@
         """Starts the parts, the one that takes work last."""
         cfg = self._settings
         platform = meter_direct_platform(self._platform, self.metrics)
-        self._state = DirectState(cfg, self._rng)
         fleet_clock, eras = platform.fleet_clock, platform.eras
+        self._state = DirectState(cfg, self._rng, fleet_clock)
         table = EraTable(platform.table, eras, fleet_clock)
         self._relay = TableRelay(cfg.peer_listen, self._state.members, fleet_clock, eras)
         self._registry_watch = UpstreamRegistryWatch(
@@ -103,6 +103,7 @@
             platform.rows,
             self._state.registry,
             self._state.apply_roster,
+            self._state.take_rows,
             self._rng,
             cfg.leaving_limit,
             cfg.contact_limit,
@@ -114,6 +115,8 @@
             platform.rows,
             self._state.freshness_tracker,
             self._configured,
+            self._state.evacuations,
+            self._evacuated,
             self._rng,
             cfg.stale_limit,
             cfg.change_limit,
@@ -283,6 +286,7 @@
     async def _keep_readiness(self) -> None:
         while not self.should_stop:
             now = boot_time()
+            self.metrics.set_cold_upstreams(self._state.cold.count(now))
             known = (
                 self._state.routes is not None
                 and bool(self._registry_watch.registry.upstreams)
@@ -323,6 +327,10 @@
         self._state.apply_configuration(routes)
         self.metrics.declare_classes(each.name for each in routes.configuration.routes)
 
+    def _evacuated(self, before: set[str]) -> None:
+        self._state.evacuations_changed(before)
+        self.metrics.set_evacuated_zones(len(self._state.evacuations.zones(boot_time())))
+
     def _refused_early(self, reason: RefusalReason) -> None:
         self.metrics.refused(reason)
 
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from random import Random
 
@@ -33,6 +34,7 @@
     WatchedTable,
     compare_values,
 )
+from bilberryplank_core.eligibility import ZoneEvacuations
 from bilberryplank_core.errors import ConfigurationInvalid, ValueInvalid
 
 CONFIGURATION_WAIT_SECONDS = 1.8
@@ -74,6 +76,8 @@
         rows: DirectRowDecoder,
         freshness_tracker: FreshnessTracker,
         apply: Callable[[RouteIndex], None],
+        evacuations: ZoneEvacuations,
+        evacuated: Callable[[set[str]], None],
         rng: Random,
         stale_limit: float,
         change_limit: float,
@@ -90,6 +94,8 @@
         self.configuration: DirectConfiguration | None = None
         self._rows = rows
         self._apply = apply
+        self._evacuations = evacuations
+        self._evacuated = evacuated
         self._fleet_clock = fleet_clock
         self._told_behind = 0
         self._row: Row | None = None
@@ -108,6 +114,8 @@
         self._row = None
         self._edits.clear()
         self.freshness_tracker.doubt_until(boot_time() + DOUBT_SECONDS)
+        self._evacuations.restored(boot_time())
+        self._end_doubt_in_time()
 
     def longest_wait(self) -> float:
         """Returns the seconds that a read may wait for a change."""
@@ -120,10 +128,17 @@
         if all(row.key != self._rows.configuration_key for row in changes.rows):
             self._compare(0)
         self._row = None
+        with self._telling_evacuations():
+            self._evacuations.replace_all(
+                self._zones(each.key for each in changes.rows), boot_time()
+            )
         await self._take(changes)
 
     async def take_changes(self, changes: TableChanges) -> None:
         """Takes in what changed, and tells entries that don't read for themselves."""
+        with self._telling_evacuations():
+            added = self._zones(each.key for each in changes.rows)
+            self._evacuations.update(added, self._zones(changes.removed))
         if self._relay.is_table_poller:
             await self._tell_edit(changes)
         await self._take(changes)
@@ -161,7 +176,9 @@
     async def _tell_edit(self, changes: TableChanges) -> None:
         before, era = self._row, self._eras.current or 0
         after = [row for row in changes.rows if row.key == self._rows.configuration_key]
-        if before is None or not after:
+        # An edit stands for all that changed up to its revision.
+        is_all = len(after) == len(changes.rows) and not changes.removed
+        if before is None or not after or not is_all:
             return
         edits = await run_in_steps(compare_values(before.value, after[-1].value))
         if edits is None:
@@ -224,6 +241,29 @@
                 era=self._eras.current,
             )
 
+    def _zones(self, keys: Iterable[str]) -> set[str]:
+        found = (self._rows.read_evacuated_zone(key) for key in keys)
+        return {zone for zone in found if zone is not None}
+
+    @contextmanager
+    def _telling_evacuations(self) -> Iterator[None]:
+        before = self._evacuations.zones(boot_time())
+        yield
+        if self._evacuations.zones(boot_time()) != before:
+            self._evacuated(before)
+
+    def _end_doubt_in_time(self) -> None:
+        """Has zones that are no longer evacuated be told of once no doubt keeps them."""
+        before = self._evacuations.zones(boot_time())
+        if not before:
+            return
+        delay = self._evacuations.doubt_until - boot_time() + LEAST_EXPIRY_SECONDS
+        asyncio.get_running_loop().call_later(delay, self._end_doubt, before)
+
+    def _end_doubt(self, before: set[str]) -> None:
+        if self._evacuations.zones(boot_time()) != before:
+            self._evacuated(before)
+
     def _version(self) -> int:
         return self.configuration.version if self.configuration else 0
 
@@ -243,6 +283,7 @@
         rows: DirectRowDecoder,
         registry: UpstreamRegistry,
         changed: Callable[[RegistryChange], None],
+        told: Callable[[Iterable[DirectUpstream]], None],
         rng: Random,
         leaving_limit: float,
         contact_limit: float,
@@ -256,6 +297,7 @@
         self.registry = registry
         self._rows = rows
         self._changed = changed
+        self._told = told
         self._unreadable: dict[str, str] = {}
         self._expiry: asyncio.TimerHandle | None = None
 
@@ -277,6 +319,7 @@
         found = self._read_rows(changes.rows)
         self._forget_refused(set(self._unreadable) - {row.key for row in changes.rows})
         self._tell(self.registry.replace_all(found, boot_time()))
+        self._told(found)
         self._expire_in_time()
 
     async def take_changes(self, changes: TableChanges) -> None:
@@ -287,6 +330,7 @@
         spoilt = {row.key for row in changes.rows} - {each.name for each in found}
         self._forget_refused(changes.removed)
         self._tell(self.registry.update(found, {*changes.removed, *spoilt}, now))
+        self._told(found)
         self._expire_in_time()
 
     def take_quiet(self, as_of: float) -> None:
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -238,7 +238,7 @@
 
     def _fresh_upstreams(self) -> list[DirectUpstream]:
         """Returns the upstreams that were not tried; all where none is left."""
-        known = self._parts.state.upstreams(self._service)
+        known = self._parts.state.eligible(self._service, self._found.regions)
         return [each for each in known if each.name not in self._tried] or known
 
     def _place(self) -> tuple[DirectUpstream, dict[str, object]]:
@@ -272,7 +272,7 @@
                 board.begin(upstream.name)
         if upstream is None:
             raise self._no_upstream()
-        state.health.record_sent(upstream.name, now)
+        state.note_sent(upstream, now)
         self._parts.metrics.set_load(0, state.in_flight())
         self._tried.add(upstream.name)
         return upstream, note
@@ -281,7 +281,9 @@
         """Returns the end of a request that no upstream may get now."""
         rest = self._parts.state.backoff_left(self._service)
         if rest is None:
-            return self._give_up(RefusalReason.NO_UPSTREAM, "no upstream can take the request")
+            barred = self._parts.state.describe_barred(self._service)
+            message = f"no upstream can take the request: {barred}"
+            return self._give_up(RefusalReason.NO_UPSTREAM, message)
         message = f"all upstreams asked to be left alone, the first for another {rest:.2f} s"
         spread = self._parts.state.rng.uniform(0, RETURN_SECONDS)
         return self._give_up(RefusalReason.NO_UPSTREAM, message, rest + spread)
--- a/packages/bilberryplank/bilberryplank/_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/_direct_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from random import Random
 
 from loguru import logger
@@ -13,6 +14,7 @@
     SLOW_LINK_BYTES_PER_SECOND,
     DirectUpstream,
     EngineSelector,
+    FleetClock,
     FleetMembers,
     FreshnessTracker,
     Outcome,
@@ -27,8 +29,16 @@
     WorkNotice,
     is_significant_change,
 )
+from bilberryplank_core.eligibility import (
+    ColdLimits,
+    ColdUpstreams,
+    ZoneEvacuations,
+    is_at_home,
+)
 from bilberryplank_core.settings import DirectEntrySettings
 
+MS_PER_SECOND = 1000
+
 Board = EngineSelector | UpstreamSelector
 
 
@@ -37,6 +47,8 @@
 
     Attributes:
         freshness_tracker: Age of the configuration.
+        cold: Which upstreams are cold, and may be sent little.
+        evacuations: Zones whose upstreams get no new work.
         health: Which upstreams are held out.
         members: The entries of the fleet.
         rng: Random source of the process.
@@ -44,7 +56,12 @@
         routes: Index of the configuration in force; None before the first.
     """
 
-    def __init__(self, settings: DirectEntrySettings, rng: Random) -> None:
+    def __init__(self, settings: DirectEntrySettings, rng: Random, fleet_clock: FleetClock) -> None:
+        self._fleet_clock = fleet_clock
+        factor = settings.cold_rate_factor
+        limits = None if factor is None else ColdLimits(factor, settings.cold_allowance)
+        self.cold = ColdUpstreams(limits, boot_time(), self._rank)
+        self.evacuations = ZoneEvacuations()
         self.freshness_tracker = FreshnessTracker(settings.sure_limit, settings.stale_limit)
         self.health = UpstreamHealth()
         link_rate = settings.link_rate or math.inf
@@ -66,6 +83,7 @@
     def apply_configuration(self, routes: RouteIndex) -> None:
         """Takes in a newer configuration, and forgets services that it drops."""
         cfg, self.routes = routes.configuration, routes
+        self.cold.apply_services(cfg.services.values())
         for service in self._boards.keys() - cfg.services.keys():
             if not self._boards[service].in_flight:
                 del self._boards[service]
@@ -75,19 +93,99 @@
 
     def apply_roster(self, change: RegistryChange) -> None:
         """Forgets what was known of upstreams that are gone or started anew."""
+        for upstream in change.gone:
+            self.cold.forget(upstream.name)
+        for upstream in change.joined:
+            self._take_start(upstream)
         for upstream in (*change.joined, *change.gone):
             self.health.forget(upstream.name)
             board = self._boards.get(upstream.service)
             if board is not None:
                 board.forget(upstream.name)
         known = self.registry.upstreams
+        self.cold.retain(known)
         self.health.retain(known)
         for board in self._boards.values():
             board.retain(known)
 
     def upstreams(self, service: str) -> list[DirectUpstream]:
         """Returns the upstreams of a service that may get new work."""
-        return self.registry.available(service)
+        available = self.registry.available(service)
+        evacuated = self.evacuations.zones(boot_time())
+        if not evacuated:
+            return available
+        return [each for each in available if each.zone not in evacuated]
+
+    def eligible(self, service: str, regions: frozenset[str] | None) -> list[DirectUpstream]:
+        """Returns those of them that are at home for a request.
+
+        Args:
+            service: Name of the service.
+            regions: Regions in which the request may be served; None for any.
+        """
+        upstreams = self.upstreams(service)
+        if regions is None:
+            return upstreams
+        known = self._settings.region_by_zone
+        return [each for each in upstreams if is_at_home(each.zone, regions, known)]
+
+    def take_rows(self, upstreams: Iterable[DirectUpstream]) -> None:
+        """Takes in what upstreams say of themselves in rows that were just read."""
+        now = boot_time()
+        for upstream in upstreams:
+            if self.cold.record_row(upstream, now):
+                self._turned_cold(upstream, "row")
+
+    def note_sent(self, upstream: DirectUpstream, now: float) -> None:
+        """Takes in that a request goes to an upstream."""
+        self.health.record_sent(upstream.name, now)
+        self.cold.record_sent(upstream, now)
+
+    def evacuations_changed(self, before: set[str]) -> None:
+        """Takes in that other zones are evacuated than before."""
+        now = boot_time()
+        after = self.evacuations.zones(now)
+        for zone in after - before:
+            log_event(logger, "zone_evacuated", level="WARNING", zone=zone)
+        for zone in before - after:
+            returned = [each for each in self.registry.upstreams.values() if each.zone == zone]
+            self.cold.record_taken_back(returned, now)
+            log_event(logger, "zone_taken_back", zone=zone, upstreams=len(returned))
+
+    def describe_barred(self, service: str) -> str:
+        """Returns how many upstreams of a service are barred, and by what, for messages."""
+        now = boot_time()
+        known = self.registry.available(service)
+        zones = self.evacuations.zones(now)
+        evacuated = sum(each.zone in zones for each in known)
+        cold = sum(self.cold.is_cold(each.name, now) for each in known)
+        return f"of {len(known)} known {evacuated} are in evacuated zones and {cold} are cold"
+
+    def _rank(self, job: str) -> int | None:
+        return None if self.members.size is None else self.members.rank(job)
+
+    def _take_start(self, upstream: DirectUpstream) -> None:
+        true_time = self._fleet_clock.now()
+        age = None
+        if true_time is not None and upstream.started_at is not None:
+            age = true_time - upstream.started_at / MS_PER_SECOND
+        if self.cold.record_start(upstream, age, boot_time()):
+            self._turned_cold(upstream, "start")
+
+    def _turned_cold(self, upstream: DirectUpstream, told_by: str) -> None:
+        """What a cold upstream had in its prefix cache is taken for gone."""
+        board = self._boards.get(upstream.service)
+        if board is not None:
+            board.forget(upstream.name)
+        log_event(
+            logger,
+            "upstream_cold",
+            upstream=upstream.name,
+            service=upstream.service,
+            zone=upstream.zone,
+            told_by=told_by,
+            remaining=round(upstream.cold_remaining, 2),
+        )
 
     def board(self, service: str) -> Board:
         """Returns what is known of the upstreams of a service."""
@@ -139,6 +237,7 @@
 
     def members_changed(self) -> None:
         """Divides among another number of entries what all share."""
+        self.cold.members_changed()
         for board in self._boards.values():
             if isinstance(board, EngineSelector):
                 board.set_peers(self.members.addresses)
@@ -151,6 +250,8 @@
 
     def record(self, upstream: DirectUpstream, outcome: Outcome, request_id: str) -> None:
         """Takes in how an attempt ended."""
+        if outcome in (Outcome.NOT_REACHED, Outcome.UNKNOWN):
+            self.cold.record_failure(upstream)
         if self.health.record(upstream.name, outcome, boot_time()):
             log_event(
                 logger,
@@ -163,6 +264,8 @@
 
     def heard(self, upstream: DirectUpstream, head: ResponseHead, request_id: str) -> None:
         """Takes in what the head of an upstream's answer says of the upstream itself."""
+        if self.cold.record_answer(upstream, boot_time()):
+            self._turned_cold(upstream, "answer")
         self.report(upstream, head.load)
         if head.leaving and self.registry.mark_leaving(upstream):
             log_event(
@@ -243,7 +346,7 @@
         known = self.routes.configuration.services.get(service) if self.routes else None
         shape = known.engine if known else None
         if shape is None:
-            return UpstreamSelector(zone, self.health, self.rng)
-        board = EngineSelector(zone, shape, self.health, self.rng)
+            return UpstreamSelector(zone, self.health, self.rng, self.cold.may_send)
+        board = EngineSelector(zone, shape, self.health, self.rng, self.cold.may_send)
         board.set_peers(self.members.addresses)
         return board
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -205,6 +205,14 @@
         """Counts a crash of an engine that this entry confirmed."""
         self._engine_crashes.inc()
 
+    def set_cold_upstreams(self, count: int) -> None:
+        """Sets the number of upstreams that are cold, or may be."""
+        self._cold_upstreams.set(count)
+
+    def set_evacuated_zones(self, count: int) -> None:
+        """Sets the number of zones whose upstreams get no new work."""
+        self._evacuated_zones.set(count)
+
     def set_quarantines(self, count: int) -> None:
         """Sets the number of prompt segments that are withheld from engines."""
         self._quarantines.set(count)
@@ -294,6 +302,8 @@
 
         self._engine_crashes = self._counter("engine_crashes", "Crashes of engines confirmed.")
         self._quarantines = self._gauge("prompt_quarantines", "Prompt segments withheld.")
+        self._cold_upstreams = self._gauge("cold_upstreams", "Upstreams that are cold.")
+        self._evacuated_zones = self._gauge("evacuated_zones", "Zones that are evacuated.")
 
     def _build_platform_metrics(self) -> None:
         self._platform_calls = self._counter(
--- a/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_crash_guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 from random import Random
 
@@ -96,7 +97,7 @@
         self.stopped = []
 
     def new_guard(self):
-        state = DirectState(settings(), Random(1))
+        state = DirectState(settings(), Random(1), FleetClock(time.monotonic))
         state.registry.upstreams.update({name: upstream(name) for name in ENGINES})
         return CrashGuard(state, self.client, ProcessMetrics())
 
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_feeds.py
@@ -13,6 +13,7 @@
     RowEdit,
     TableChanges,
 )
+from bilberryplank_core.eligibility import ZoneEvacuations
 from bilberryplank_core.errors import ConfigurationInvalid, Fault, PlatformUnavailable
 
 
@@ -21,6 +22,9 @@
 
     configuration_table, configuration_key, upstream_table = "op", "config", "servers"
 
+    def read_evacuated_zone(self, key):
+        return None
+
     def read_configuration(self, value):
         yield
         if not isinstance(value, dict) or "version" not in value:
@@ -75,7 +79,17 @@
         tracker = FreshnessTracker(2.0, 5.0)
         limits = (5.0, self.CHANGE_LIMIT, 3.0)
         return ConfigurationWatch(
-            table, Rows(), tracker, lambda routes: None, rng, *limits, relay, eras, fleet_clock
+            table,
+            Rows(),
+            tracker,
+            lambda routes: None,
+            ZoneEvacuations(),
+            lambda before: None,
+            rng,
+            *limits,
+            relay,
+            eras,
+            fleet_clock,
         )
 
     def put(self, version, routes, tables=None):
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_state.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 from random import Random
 
@@ -7,6 +8,7 @@
     DirectConfiguration,
     DirectService,
     DirectUpstream,
+    FleetClock,
     Outcome,
     RegistryChange,
     RouteIndex,
@@ -31,7 +33,7 @@
 
     def setUp(self):
         settings = DirectEntrySettings("e", "a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
-        self.state = DirectState(settings, Random(1))
+        self.state = DirectState(settings, Random(1), FleetClock(time.monotonic))
 
     # Each service ever named kept its records for good.
     def test_services_that_are_gone_leave_nothing(self):
