--- a/packages/bilberryplank-core/bilberryplank_core/_direct_types.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_direct_types.py
@@ -225,11 +225,19 @@
 
 @dataclass(slots=True, frozen=True)
 class UpstreamLoad:
-    """Load that an upstream reported with a response."""
+    """Load that an upstream reported with a response.
+
+    Attributes:
+        running: Requests that run there.
+        waiting: Requests that wait there.
+        slots: Requests that it runs at the same time.
+        pace: Time that work takes there now, as a multiple of the usual; None if it does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
     def is_plausible(self, max_requests: int | None) -> bool:
         """Returns True if an upstream limited to `max_requests` requests can have this load."""
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -43,13 +43,6 @@
     RetryRule,
     UpstreamLoad,
 )
-from bilberryplank_core._engine_admission import retry_delay, should_admit
-from bilberryplank_core._engine_performance import (
-    EnginePerformance,
-    LatencyObjective,
-    is_significant_change,
-)
-from bilberryplank_core._engine_selector import EngineChoice, EngineSelector
 from bilberryplank_core._fleet_members import (
     SLOW_LINK,
     SLOW_LINK_BYTES_PER_SECOND,
@@ -66,11 +59,6 @@
     check_heartbeat,
     heartbeat_notice,
 )
-from bilberryplank_core._peer_work import (
-    WORK_FORMAT,
-    WorkNotice,
-    notice_interval,
-)
 from bilberryplank_core._prompt_quarantine import (
     SETTLED_SECONDS,
     PromptQuarantine,
@@ -122,6 +110,18 @@
     window_of_key,
 )
 from bilberryplank_core._window_retry_budget import WindowRetryBudget
+from bilberryplank_core.engines._engine_admission import retry_delay, should_admit
+from bilberryplank_core.engines._engine_performance import (
+    EnginePerformance,
+    LatencyObjective,
+    is_significant_change,
+)
+from bilberryplank_core.engines._engine_selector import EngineChoice, EngineSelector
+from bilberryplank_core.engines._peer_work import (
+    WORK_FORMAT,
+    WorkNotice,
+    notice_interval,
+)
 
 __all__ = [
     "SLOW_LINK",
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_backlogs.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_backlogs.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from bilberryplank_core._engine_performance import LatencyObjective
-from bilberryplank_core._fleet_traffic import estimate_fleet_total
-from bilberryplank_core._peer_work import PeerWork
-from bilberryplank_core._queueing_delays import Urgency
+from bilberryplank_core.engines._engine_performance import LatencyObjective
+from bilberryplank_core.engines._fleet_traffic import estimate_fleet_total
+from bilberryplank_core.engines._peer_work import PeerWork
+from bilberryplank_core.engines._queueing_delays import Urgency
 
 
 @dataclass(slots=True)
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_partition.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_partition.py
@@ -22,8 +22,8 @@
 from functools import lru_cache
 
 from bilberryplank_core._direct_types import DirectUpstream
-from bilberryplank_core._engine_performance import EnginePerformance, LatencyObjective
 from bilberryplank_core._rendezvous import rendezvous_weight
+from bilberryplank_core.engines._engine_performance import EnginePerformance, LatencyObjective
 
 DEMAND_HALF_LIFE_SECONDS = 12.0
 """Half-life of a request in the demand: longer than a burst, so that the engines with cached shared
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_performance.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_performance.py
@@ -28,7 +28,7 @@
 from dataclasses import dataclass
 from statistics import median
 
-from bilberryplank_core._queueing_delays import Urgency
+from bilberryplank_core.engines._queueing_delays import Urgency
 
 INITIAL_PREFILL_TOKEN_SECONDS = 1 / 60_000
 """Initial prefill time of a token: the middle of present-day engines."""
--- a/packages/bilberryplank-core/bilberryplank_core/_engine_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_selector.py
@@ -10,9 +10,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
-from heapq import nlargest, nsmallest
+from collections.abc import Collection, Sequence
+from heapq import nsmallest
 from random import Random
 
 from bilberryplank_core._direct_types import (
@@ -21,72 +20,58 @@
     RequestHead,
     UpstreamLoad,
 )
-from bilberryplank_core._engine_backlogs import (
+from bilberryplank_core._rendezvous import rendezvous_weight
+from bilberryplank_core._upstream_health import UpstreamHealth
+from bilberryplank_core.eligibility._cold_upstreams import SendRule, always
+from bilberryplank_core.engines._engine_backlogs import (
     SentRequest,
     extrapolated_backlogs,
     local_backlogs,
     reported_backlogs,
 )
-from bilberryplank_core._engine_partition import EnginePartition
-from bilberryplank_core._engine_performance import EnginePerformance, LatencyObjective
-from bilberryplank_core._fleet_traffic import FleetTrafficRatio
-from bilberryplank_core._lateness_cost import (
+from bilberryplank_core.engines._engine_choice import (
+    EngineCandidate,
+    EngineChoice,
+    answer_tokens,
+    slot_wait,
+)
+from bilberryplank_core.engines._engine_paces import EnginePaces
+from bilberryplank_core.engines._engine_partition import EnginePartition
+from bilberryplank_core.engines._engine_performance import EnginePerformance, LatencyObjective
+from bilberryplank_core.engines._engine_sampling import (
+    LOAD_QUERY_INTERVAL_SECONDS,
+    MAX_QUERIED_ENGINES,
+    MIN_QUERY_PROMPT_TOKENS,
+    PREFERRED_ENGINES,
+    sample_engines,
+)
+from bilberryplank_core.engines._fleet_traffic import FleetTrafficRatio
+from bilberryplank_core.engines._lateness_cost import (
     LATE_REQUEST_COST_SECONDS,
     ArrivalRates,
-    expected_late_arrivals,
+    expected_late_requests,
     late_probability,
 )
-from bilberryplank_core._own_work import OwnWork
-from bilberryplank_core._peer_work import PeerWork, WorkNotice
-from bilberryplank_core._prefix_cache_model import PrefixCacheModel, prefix_keys
-from bilberryplank_core._queueing_delays import QueueingDelays, Urgency
-from bilberryplank_core._rendezvous import rendezvous_weight
-from bilberryplank_core._upstream_health import UpstreamHealth
-from bilberryplank_core.eligibility._cold_upstreams import SendRule, always
+from bilberryplank_core.engines._own_work import OwnWork
+from bilberryplank_core.engines._peer_work import PeerWork, WorkNotice
+from bilberryplank_core.engines._placement_cost import placement_cost, repeated_prefill_tokens
+from bilberryplank_core.engines._prefix_cache_model import (
+    PrefixCacheModel,
+    prefix_keys,
+    shared_prefix_key,
+)
+from bilberryplank_core.engines._queueing_delays import QueueingDelays, Urgency
 
 LOAD_REPORT_SECONDS = 1.0
 """The weight of a reported load falls with its age and is zero after this time."""
 
-MIN_QUERY_PROMPT_TOKENS = 4_000
-"""Prefill of a shorter prompt takes tens of milliseconds; a load query would cost more than it
-saves."""
-
-PREFERRED_ENGINES, MAX_QUERIED_ENGINES = 2, 3
-"""Preferred engines of a shared segment that are queried, and all engines queried for one
-request."""
-
-LOAD_QUERY_INTERVAL_SECONDS = 0.1
-"""A load that is no older is not queried again; engines report it some 200 ms late."""
-
-MAX_CANDIDATES, MAX_CACHE_OWNERS = 96, 16
-"""Engines that are compared for one request, and those of them chosen for their cached tokens."""
-
-UNKNOWN_CACHE_COST_SHARES = {0: 0.0, 1: 0.6}
-"""Share of the cost of a repeated prefill that counts at an engine not known to have a segment
-cached, by its rank among the preferred engines: the second one often has it, as all entries fall
-back to the same one."""
-
-CACHE_MISS_PROBABILITY = 0.35
-"""Share of that cost that counts where peers do not report their placements: an engine may have a
-segment cached that this entry did not send there."""
-
 PREFILL_EWMA_WEIGHT = 0.05
 """Weight of one request in the mean prefill time of waiting requests."""
 
-OTHER_ZONE_COST_SECONDS = 0.01
-"""Cost of an engine in another zone: bytes between zones are billed."""
-
-REPEATED_PREFILL_COST_FACTOR = 20.0
-"""Queueing delay worth accepting to save the repeated prefill of a shared token, as a multiple of
-its prefill time: the prefill also delays all others in the queue, several times over under load."""
-
 RUNNING_REQUEST_COST_TOKENS = 0.2
 """Cost of each request that runs at an engine, as a multiple of the time of an output token: it
 slows all others."""
 
-FAILURE_COST_SECONDS = 1.0
-"""Cost of an engine that fails every request."""
-
 SERVICE_TIME_EWMA_WEIGHT = 0.02
 """Weight of one request in the mean time that requests spend in an engine's batch."""
 
@@ -95,39 +80,6 @@
 time: requests run for seconds, so it changes more slowly than the queue."""
 
 
-@dataclass(slots=True, frozen=True)
-class _Candidate:
-    choice: EngineChoice
-    cost: float
-    preference_rank: int
-
-
-@dataclass(slots=True, frozen=True)
-class EngineChoice:
-    """An engine and why it was chosen.
-
-    Attributes:
-        upstream: The engine.
-        objective: Latency objective of the request's stream.
-        urgency: Urgency of the request.
-        prefill_tokens: Tokens of the prompt that it does not have cached.
-        delay: Expected queueing delay in seconds.
-        wait: Expected seconds until the first token.
-        load_age: Age in seconds of the engine's last load report; None without one, and where peer
-            notices are used in its place.
-        at_preferred: True where it is the preferred engine of the prompt's shared prefix.
-    """
-
-    upstream: DirectUpstream
-    objective: LatencyObjective
-    urgency: Urgency
-    prefill_tokens: int
-    delay: float
-    wait: float
-    load_age: float | None
-    at_preferred: bool = False
-
-
 class EngineSelector:
     """Selects among the engines of one service, and keeps what one entry knows of them.
 
@@ -147,6 +99,7 @@
         "_loads",
         "_may_send",
         "_own_work",
+        "_paces",
         "_performance",
         "_peer_work",
         "_mean_prefill_seconds",
@@ -186,6 +139,7 @@
         self._arrival_rates = ArrivalRates()
         self._peer_work = PeerWork()
         self._own_work = OwnWork()
+        self._paces = EnginePaces()
 
     @property
     def performance(self) -> EnginePerformance:
@@ -256,7 +210,7 @@
         urgency: Urgency,
         upstreams: Sequence[DirectUpstream],
         now: float,
-    ) -> list[_Candidate]:
+    ) -> list[EngineCandidate]:
         """Returns the engines that may get a request, with their expected cost in seconds."""
         engines = [
             engine
@@ -271,7 +225,7 @@
         }
         self._rng.shuffle(engines)
         prefix_segments = prefix_keys(call.model, call.prompt)
-        shared_key = _shared_key(call, prefix_segments)
+        shared_key = shared_prefix_key(call, prefix_segments)
         preferred = nsmallest(
             PREFERRED_ENGINES,
             engines,
@@ -287,14 +241,12 @@
             for engine in engines
         }
         uncached = shared_tokens - min(shared_tokens, max(cached.values()))
-        engines = _sample_engines(engines, preferred, cached, partition)
+        engines = sample_engines(engines, preferred, cached, partition)
         names = [engine.name for engine in engines]
         delays = self._queueing_delays.estimate(names, urgency, now)
         scale = self._peer_work.refresh_scale(now)
-        own_backlogs, residual_tokens = (
-            local_backlogs(names, self._in_flight_requests.values(), urgency),
-            self._performance.turn_tokens,
-        )
+        own_backlogs = local_backlogs(names, self._in_flight_requests.values(), urgency)
+        residual_tokens = self._performance.turn_tokens
         if scale is None:
             backlogs = extrapolated_backlogs(
                 own_backlogs, self._fleet_traffic_ratio.ratio(), residual_tokens
@@ -303,23 +255,28 @@
             backlogs = reported_backlogs(
                 own_backlogs, self._peer_work, scale, urgency, residual_tokens
             )
-        token_seconds, running_request_cost = (
-            self._performance.prefill_token_seconds,
-            RUNNING_REQUEST_COST_TOKENS * self._performance.output_token_seconds,
-        )
+        token_seconds = self._performance.prefill_token_seconds
+        running_request_cost = RUNNING_REQUEST_COST_TOKENS * self._performance.output_token_seconds
         rates = self._latency_sensitive_rates(len(upstreams) - len(partition), now)
+        paces = self._paces.ratios(names, now)
         candidates = []
         for engine in engines:
+            pace = paces[engine.name]
+            engine_token_seconds = token_seconds * pace
             prefill_tokens = max(0, call.prompt_tokens - cached[engine.name])
-            delay = max(backlogs[engine.name].prefill_tokens * token_seconds, delays[engine.name])
+            delay = max(
+                backlogs[engine.name].prefill_tokens * engine_token_seconds, delays[engine.name]
+            )
             running, load_age = backlogs[engine.name].requests, None
             if scale is None:
                 delay, running, load_age = self._apply_load_report(
                     engine.name, delay, running, urgency, now
                 )
-            delay += slot_wait(running, engine.slots, self._mean_service_seconds)
+            delay += slot_wait(running, engine.slots, self._mean_service_seconds * pace)
             wait = (
-                self._performance.idle_first_token_seconds + delay + prefill_tokens * token_seconds
+                self._performance.idle_first_token_seconds * pace
+                + delay
+                + prefill_tokens * engine_token_seconds
             )
             preference_rank = preference_ranks.get(engine.name, PREFERRED_ENGINES)
             at_preferred = preference_rank == 0
@@ -327,41 +284,31 @@
                 engine, objective, urgency, prefill_tokens, delay, wait, load_age, at_preferred
             )
             missing = shared_tokens - min(shared_tokens, cached[engine.name])
-            repeated_tokens = self._repeated_prefill_tokens(
+            repeated_tokens = repeated_prefill_tokens(
                 missing, uncached, preference_rank, scale is not None
             )
             cost = (
                 wait
-                + running * running_request_cost
-                + self._placement_cost(engine, repeated_tokens * token_seconds)
+                + running * running_request_cost * pace
+                + placement_cost(
+                    engine.zone == self._zone,
+                    repeated_tokens * engine_token_seconds,
+                    self._health.failure_share(engine.name),
+                )
             )
             late_requests = late_probability(wait, objective.first_event)
             if engine.name not in partition:
-                late_requests += self._expected_late_requests(
-                    objective, prefill_tokens * token_seconds, rates
+                late_requests += expected_late_requests(
+                    self._performance,
+                    objective,
+                    prefill_tokens * engine_token_seconds,
+                    rates,
+                    self._mean_service_seconds,
                 )
             cost += LATE_REQUEST_COST_SECONDS * late_requests
-            candidates.append(_Candidate(choice, cost, preference_rank))
+            candidates.append(EngineCandidate(choice, cost, preference_rank))
         return candidates
 
-    @staticmethod
-    def _repeated_prefill_tokens(
-        missing: int, uncached: int, preference_rank: int, has_peer_reports: bool
-    ) -> float:
-        """Returns the shared tokens whose prefill at an engine counts as repeated.
-
-        Args:
-            missing: Shared tokens that the engine is not known to have cached.
-            uncached: Those of them that no engine is known to have cached.
-            preference_rank: Rank of the engine among the preferred engines of the shared segments.
-            has_peer_reports: True where peers report their placements.
-        """
-        cost_share = UNKNOWN_CACHE_COST_SHARES.get(preference_rank, 1.0)
-        if not has_peer_reports:
-            return missing * cost_share * CACHE_MISS_PROBABILITY
-        # Tokens cached nowhere need one prefill anywhere; entries agree on the preferred engine.
-        return missing - uncached + uncached * cost_share
-
     def _latency_sensitive_rates(
         self, others: int, now: float
     ) -> list[tuple[LatencyObjective, float]]:
@@ -378,31 +325,6 @@
             if not self._performance.tolerates_prefill(objective)
         ]
 
-    def _expected_late_requests(
-        self,
-        objective: LatencyObjective,
-        prefill_seconds: float,
-        rates: Sequence[tuple[LatencyObjective, float]],
-    ) -> float:
-        """Returns the expected number of late requests if this one goes to the other partition.
-
-        Args:
-            objective: Latency objective of its stream.
-            prefill_seconds: Duration of its prefill.
-            rates: Objectives of latency-sensitive streams, and their arrivals per second at one
-                engine.
-        """
-        if not self._performance.tolerates_prefill(objective):
-            return self._performance.late_share_during_prefill(objective)
-        late_streams = sum(
-            rate * self._mean_service_seconds * self._performance.late_gap_share(stream_objective)
-            for stream_objective, rate in rates
-            if prefill_seconds > stream_objective.event_gap > 0
-        )
-        return late_streams + expected_late_arrivals(
-            prefill_seconds, self._performance.idle_first_token_seconds, rates
-        )
-
     def begin(self, choice: EngineChoice, call: RequestHead, now: float) -> None:
         """Records that a request was sent to an engine."""
         name = choice.upstream.name
@@ -434,7 +356,7 @@
             now,
         )
         self._arrival_rates.record_sent(choice.objective, now)
-        self._partition.record_request(choice.objective, prefill_seconds, _answer_tokens(call), now)
+        self._partition.record_request(choice.objective, prefill_seconds, answer_tokens(call), now)
 
     def record_events(self, request_id: str, count: int, now: float) -> None:
         """Records events of a stream; the first event shows that the request runs."""
@@ -477,6 +399,8 @@
     def report(self, name: str, load: UpstreamLoad, now: float) -> None:
         """Records a load that an engine reported."""
         self._loads[name] = (load, now)
+        if load.pace is not None:
+            self._paces.record(name, load.pace, now)
         own_requests = sum(
             request.upstream == name for request in self._in_flight_requests.values()
         )
@@ -487,11 +411,17 @@
         """Drops the state of an engine that is gone or was restarted."""
         for states in (self._engine_caches, self._loads):
             states.pop(name, None)
+        self._paces.forget(name)
         self._queueing_delays.forget(name)
 
     def retain(self, names: Collection[str]) -> None:
         """Drops the states of all other engines; a late answer may have left some."""
-        known = {*self._engine_caches, *self._loads, *self._queueing_delays.engines()}
+        known = {
+            *self._engine_caches,
+            *self._loads,
+            *self._paces.engines(),
+            *self._queueing_delays.engines(),
+        }
         for name in known - set(names):
             self.forget(name)
 
@@ -561,72 +491,7 @@
             delay += queue_weight * (load.waiting * self._mean_prefill_seconds - delay)
         return delay, running, now - reported_at
 
-    def _placement_cost(self, upstream: DirectUpstream, repeated_prefill_seconds: float) -> float:
-        """Returns the cost of the zone, of a repeated prefill and of failures, in seconds."""
-        zone_cost = 0.0 if upstream.zone == self._zone else OTHER_ZONE_COST_SECONDS
-        return (
-            zone_cost
-            + REPEATED_PREFILL_COST_FACTOR * repeated_prefill_seconds
-            + FAILURE_COST_SECONDS * self._health.failure_share(upstream.name)
-        )
-
     def _engine_cache(self, name: str) -> PrefixCacheModel:
         if name not in self._engine_caches:
             self._engine_caches[name] = PrefixCacheModel(self._capacity.kv_cache_tokens)
         return self._engine_caches[name]
-
-
-def _sample_engines(
-    shuffled: Sequence[DirectUpstream],
-    preferred: Sequence[DirectUpstream],
-    cached: Mapping[str, int],
-    partition: Collection[str],
-) -> Sequence[DirectUpstream]:
-    """Returns the engines to compare: all of a small fleet, a sample of a large one.
-
-    The sample has the preferred engines, those with most of the prompt cached, and random engines
-    from inside and outside the partition. The best of a few dozen is hardly worse than the best of
-    all (Azar, Broder, Karlin and Upfal, 1994), and the time of a choice does not grow with the
-    fleet.
-
-    Motivating load: hundreds of engines of one service, ten long prompts a second at an entry.
-
-    Args:
-        shuffled: Engines in random order.
-        preferred: Preferred engines of the prompt's shared prefix.
-        cached: Tokens of the prompt that each engine has cached.
-        partition: Names of the engines in the request's partition.
-    """
-    if len(shuffled) <= MAX_CANDIDATES:
-        return shuffled
-    cache_owners = nlargest(MAX_CACHE_OWNERS, shuffled, key=lambda engine: cached[engine.name])
-    inside = [engine for engine in shuffled if engine.name in partition]
-    outside = [engine for engine in shuffled if engine.name not in partition]
-    side_size = (MAX_CANDIDATES - MAX_CACHE_OWNERS - PREFERRED_ENGINES) // 2
-    sample = [*preferred, *cache_owners, *inside[:side_size], *outside[:side_size]]
-    return list({engine.name: engine for engine in sample}.values())
-
-
-def slot_wait(requests: float, slots: int, service_seconds: float) -> float:
-    """Returns the seconds until an engine's batch has room for one more request.
-
-    Motivating load: a burst of long answers; engines with idle slots next to full ones.
-
-    Args:
-        requests: Requests that the engine has, running or waiting.
-        slots: Requests in one batch.
-        service_seconds: Mean time that a request spends in the batch.
-    """
-    return max(0.0, requests + 1 - slots) * service_seconds / max(1, slots)
-
-
-def _answer_tokens(call: RequestHead) -> int:
-    """Returns the expected output tokens of a request."""
-    if call.expected_output_tokens is None:
-        return call.max_output_tokens
-    return min(call.expected_output_tokens, call.max_output_tokens)
-
-
-def _shared_key(call: RequestHead, prefix_segments: Sequence[tuple[str, int]]) -> str:
-    """Returns the key of the prompt's shared prefix; the request's own id where it has none."""
-    return prefix_segments[-2][0] if len(prefix_segments) > 1 else call.request_id
--- a/packages/bilberryplank-core/bilberryplank_core/_lateness_cost.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_lateness_cost.py
@@ -10,10 +10,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from bilberryplank_core._engine_performance import LatencyObjective
+from bilberryplank_core.engines._engine_performance import EnginePerformance, LatencyObjective
 
 LATE_REQUEST_COST_SECONDS = 1.0
 """Cost of one late request: the same as of a failed one."""
@@ -101,3 +101,32 @@
             )
             late_arrivals += rate * max(0.0, prefill_seconds - tolerated_seconds)
     return late_arrivals
+
+
+def expected_late_requests(
+    performance: EnginePerformance,
+    objective: LatencyObjective,
+    prefill_seconds: float,
+    rates: Sequence[tuple[LatencyObjective, float]],
+    service_seconds: float,
+) -> float:
+    """Returns the expected number of late requests if this one goes to the other partition.
+
+    Args:
+        performance: Performance estimates of the engines.
+        objective: Latency objective of its stream.
+        prefill_seconds: Duration of its prefill.
+        rates: Objectives of latency-sensitive streams, and their arrivals per second at one
+            engine.
+        service_seconds: Mean time that a request spends in an engine's batch.
+    """
+    if not performance.tolerates_prefill(objective):
+        return performance.late_share_during_prefill(objective)
+    late_streams = sum(
+        rate * service_seconds * performance.late_gap_share(stream_objective)
+        for stream_objective, rate in rates
+        if prefill_seconds > stream_objective.event_gap > 0
+    )
+    return late_streams + expected_late_arrivals(
+        prefill_seconds, performance.idle_first_token_seconds, rates
+    )
--- a/packages/bilberryplank-core/bilberryplank_core/_own_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_own_work.py
@@ -5,8 +5,8 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 
-from bilberryplank_core._peer_work import MAX_PLACEMENTS, EngineWork, Placement
-from bilberryplank_core._queueing_delays import Urgency
+from bilberryplank_core.engines._peer_work import MAX_PLACEMENTS, EngineWork, Placement
+from bilberryplank_core.engines._queueing_delays import Urgency
 
 OutstandingRequest = tuple[str, Urgency, int]
 """Engine and urgency of a request, and its tokens that still wait for prefill."""
--- a/packages/bilberryplank-core/bilberryplank_core/_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_peer_work.py
@@ -18,7 +18,7 @@
 
 from bilberryplank_core._checked_values import check_whole
 from bilberryplank_core._notice_format import NoticeInvalid, unpack_notice
-from bilberryplank_core._queueing_delays import Urgency
+from bilberryplank_core.engines._queueing_delays import Urgency
 
 WORK_FORMAT = 2
 MAX_NOTICE_BYTES = 8 * 1024
--- a/packages/bilberryplank-core/bilberryplank_core/_prefix_cache_model.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_prefix_cache_model.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from bilberryplank_core._direct_types import PromptSegment
+from bilberryplank_core._direct_types import PromptSegment, RequestHead
 
 PREFIX_MEMORY_SHARE = 0.8
 """Share of an engine's KV cache assumed to hold earlier prefixes; running requests use the rest."""
@@ -70,3 +70,8 @@
         """Empties the model after a restart of the engine."""
         self._segments.clear()
         self._total_tokens = 0
+
+
+def shared_prefix_key(call: RequestHead, prefix_segments: Sequence[tuple[str, int]]) -> str:
+    """Returns the key of the prompt's shared prefix; the request's own id where it has none."""
+    return prefix_segments[-2][0] if len(prefix_segments) > 1 else call.request_id
--- a/packages/bilberryplank-core/bilberryplank_core/tests/engine_fleet.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/engine_fleet.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from random import Random
 
-from bilberryplank_core._prefix_cache_model import PrefixCacheModel, prefix_keys
 from bilberryplank_core.direct import (
     DirectUpstream,
     EngineCapacity,
@@ -16,6 +15,7 @@
     UpstreamLoad,
     should_admit,
 )
+from bilberryplank_core.engines._prefix_cache_model import PrefixCacheModel, prefix_keys
 
 CAPACITY = EngineCapacity(64, 600_000, 6)
 PREFILL_TOKENS_PER_SECOND = 61_200.0
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_performance.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_performance.py
@@ -3,7 +3,7 @@
 import unittest
 from random import Random
 
-from bilberryplank_core._engine_performance import (
+from bilberryplank_core.engines._engine_performance import (
     EnginePerformance,
     LatencyObjective,
     QuantileTracker,
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_selector.py
@@ -4,12 +4,6 @@
 from collections import Counter
 from random import Random
 
-from bilberryplank_core._engine_partition import EnginePartition
-from bilberryplank_core._engine_performance import EnginePerformance, LatencyObjective
-from bilberryplank_core._engine_selector import MAX_CANDIDATES
-from bilberryplank_core._fleet_traffic import FleetTrafficRatio, estimate_fleet_total
-from bilberryplank_core._prefix_cache_model import PrefixCacheModel, prefix_keys
-from bilberryplank_core._queueing_delays import QueueingDelays
 from bilberryplank_core.direct import (
     DirectUpstream,
     EngineCapacity,
@@ -24,6 +18,12 @@
     retry_delay,
     should_admit,
 )
+from bilberryplank_core.engines._engine_partition import EnginePartition
+from bilberryplank_core.engines._engine_performance import EnginePerformance, LatencyObjective
+from bilberryplank_core.engines._engine_sampling import MAX_CANDIDATES
+from bilberryplank_core.engines._fleet_traffic import FleetTrafficRatio, estimate_fleet_total
+from bilberryplank_core.engines._prefix_cache_model import PrefixCacheModel, prefix_keys
+from bilberryplank_core.engines._queueing_delays import QueueingDelays
 
 ENGINES = [DirectUpstream(f"e{n}", "s", f"1.1.1.{n}:1", "z", 64) for n in range(6)]
 CAPACITY = EngineCapacity(64, 647_156, 5)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_peer_work.py
@@ -5,8 +5,16 @@
 
 import msgpack
 
-from bilberryplank_core._engine_performance import LatencyObjective
-from bilberryplank_core._peer_work import (
+from bilberryplank_core.direct import (
+    DirectUpstream,
+    EngineCapacity,
+    EngineSelector,
+    PromptSegment,
+    RequestHead,
+    UpstreamHealth,
+)
+from bilberryplank_core.engines._engine_performance import LatencyObjective
+from bilberryplank_core.engines._peer_work import (
     FRESH_SECONDS,
     MAX_NOTICE_BYTES,
     MAX_PLACEMENTS,
@@ -19,14 +27,6 @@
     WorkNotice,
     notice_interval,
 )
-from bilberryplank_core.direct import (
-    DirectUpstream,
-    EngineCapacity,
-    EngineSelector,
-    PromptSegment,
-    RequestHead,
-    UpstreamHealth,
-)
 
 URGENT, LEAST_URGENT = (0, 0), (0, 2)
 OBJECTIVE = LatencyObjective(0.5, 1.2)
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_state.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_state.py
@@ -3,7 +3,6 @@
 from random import Random
 
 from bilberryplank._direct_state import DirectState
-from bilberryplank_core._prefix_cache_model import MAX_SEGMENTS, PrefixCacheModel
 from bilberryplank_core.direct import (
     DirectConfiguration,
     DirectService,
@@ -14,6 +13,7 @@
     RouteIndex,
     UpstreamLoad,
 )
+from bilberryplank_core.engines._prefix_cache_model import MAX_SEGMENTS, PrefixCacheModel
 from bilberryplank_core.settings import DirectEntrySettings
 from bilberryplank_core.stepwise import finish
 
