--- a/packages/bilberryplank-core/bilberryplank_core/engines/_engine_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_selector.py
@@ -296,7 +296,9 @@
                     self._health.failure_share(engine.name),
                 )
             )
-            late_requests = late_probability(wait, objective.first_event)
+            late_requests = late_probability(
+                wait, objective.first_event
+            ) + self._performance.late_gap_change(objective, pace)
             if engine.name not in partition:
                 late_requests += expected_late_requests(
                     self._performance,
