--- a/packages/bilberryplank-core/bilberryplank_core/engines/_engine_admission.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_admission.py
@@ -16,6 +16,12 @@
 """Share of the objective that the least urgent requests may spend queueing. An engine in continuous
 prefill emits a token in some 50 ms: long answers would not end in time."""
 
+DEFERRED_TIME_SHARE = 0.6
+"""Share of the time left that a deferred request may be expected to take."""
+
+DEFERRED_URGENCY = (9, 9)
+"""Urgency of deferred requests: behind those of every route and organisation."""
+
 MIN_RETRY_SECONDS = 0.3
 MAX_RETRY_SECONDS = 2.0
 """Bounds on the retry delay: callers wait no longer than a third of the time they have."""
@@ -44,6 +50,20 @@
     return wait <= time_left
 
 
+def may_defer(wait: float, output_seconds: float, time_left: float) -> bool:
+    """Returns True where a request that should not be admitted now may go behind all others.
+
+    It delays nothing that can still be in time, and a late answer is worth more to its caller than
+    none. The rest of its time is left for what comes before it meanwhile.
+
+    Args:
+        wait: Expected seconds until its first token behind all others.
+        output_seconds: Expected seconds from there to its last token.
+        time_left: Seconds that its caller still waits.
+    """
+    return wait + output_seconds <= DEFERRED_TIME_SHARE * time_left
+
+
 def retry_delay(delay: float, objective: float, rng: Random) -> float:
     """Returns the seconds after which a refused request should find a short enough queue.
 
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -43,6 +43,7 @@
     retry_delay,
     should_admit,
 )
+from bilberryplank_core.engines import DEFERRED_URGENCY, may_defer
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
 from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter, EventTail, last_event_id
 from bilberryplank_core.memory import HeldBytes
@@ -150,6 +151,7 @@
         self._withheld: Withheld | None = None
         self._guarded = parts.crashes.guard(call, self._stop)
         self._deadline = arrived + found.time_limit(call)
+        self._urgency = found.urgency
 
     async def run(self) -> web.StreamResponse:
         """Returns the answer, sent whole.
@@ -256,7 +258,8 @@
             )
             upstream = choice.upstream if choice else None
             if choice is not None:
-                self._admit(choice, now)
+                choice = self._admit(choice, board, fresh, now)
+                upstream, self._urgency = choice.upstream, choice.urgency
                 self._check_stop(choice.wait + self._output_seconds(board), now)
                 board.begin(choice, self._call, now)
                 note.update(
@@ -288,15 +291,34 @@
         spread = self._parts.state.rng.uniform(0, RETURN_SECONDS)
         return self._give_up(RefusalReason.NO_UPSTREAM, message, rest + spread)
 
-    def _admit(self, choice: EngineChoice, now: float) -> None:
-        """Refuses a request that no engine can serve in time, unless its answer has begun."""
+    def _admit(
+        self,
+        choice: EngineChoice,
+        board: EngineSelector,
+        upstreams: list[DirectUpstream],
+        now: float,
+    ) -> EngineChoice:
+        """Returns where a request goes, perhaps behind all others.
+
+        Raises:
+            Refused: No engine can serve it before its caller leaves.
+        """
         if self._answer.begun:
-            return
+            return choice
         state, route = self._parts.state, self._found.route
         least_urgent = self._routes.is_least_urgent(self._service, self._found.urgency)
         left = self._deadline - now
         if should_admit(choice.delay, choice.wait, route.objective, left, least_urgent):
-            return
+            return choice
+        deferred = board.choose(
+            self._call, self._latency_objective, DEFERRED_URGENCY, upstreams, now
+        )
+        if (
+            least_urgent
+            and deferred is not None
+            and may_defer(deferred.wait, self._output_seconds(board), left)
+        ):
+            return deferred
         message = (
             f"{choice.upstream.name} would take {choice.wait:.2f} s to the first token, "
             f"{choice.delay:.2f} s of it behind others: too long for this request"
@@ -384,7 +406,7 @@
             ((name, value) for name, value in self._received.headers),
             upstream,
             self._found.organisation,
-            engine_rank(self._found.urgency) if is_engine else None,
+            engine_rank(self._urgency) if is_engine else None,
             self._deadline - now,
             self._last_event,
         )
@@ -573,7 +595,7 @@
             request=self._call.request_id,
             route=self._found.route.name,
             organisation=self._found.organisation,
-            rank=engine_rank(self._found.urgency),
+            rank=engine_rank(self._urgency),
             version=self._found.version,
             config_age=round(self._parts.state.freshness_tracker.age(now), 2),
             upstream=upstream.name,
