--- a/packages/bilberryplank-core/bilberryplank_core/engines/_engine_performance.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_performance.py
@@ -286,18 +286,6 @@
         late_streams = sum(gap > objective.event_gap for gap in self._longest_gaps)
         return late_streams / len(self._longest_gaps)
 
-    def late_gap_change(self, objective: LatencyObjective, pace: float) -> float:
-        """Returns how much more of the streams exceed a gap objective at an engine of some pace.
-
-        Args:
-            objective: Latency objective of a stream.
-            pace: Time that work takes there, as a multiple of the other engines'.
-        """
-        if pace == 1 or objective.event_gap <= 0:
-            return 0.0
-        scaled = LatencyObjective(objective.event_gap / pace, objective.first_event)
-        return self.late_gap_share(scaled) - self.late_gap_share(objective)
-
     def late_share_during_prefill(self, objective: LatencyObjective) -> float:
         """Returns the share of streams that miss an objective at an engine in prefill."""
         late_first_events = (
--- a/packages/bilberryplank-core/bilberryplank_core/engines/_engine_selector.py
+++ b/packages/bilberryplank-core/bilberryplank_core/engines/_engine_selector.py
@@ -296,9 +296,7 @@
                     self._health.failure_share(engine.name),
                 )
             )
-            late_requests = late_probability(
-                wait, objective.first_event
-            ) + self._performance.late_gap_change(objective, pace)
+            late_requests = late_probability(wait, objective.first_event)
             if engine.name not in partition:
                 late_requests += expected_late_requests(
                     self._performance,
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_paces.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_engine_paces.py
@@ -13,7 +13,7 @@
     UpstreamHealth,
     UpstreamLoad,
 )
-from bilberryplank_core.engines import EnginePaces, EnginePerformance
+from bilberryplank_core.engines import EnginePaces
 
 NAMES = [f"e{number}" for number in range(8)]
 ENGINES = [DirectUpstream(name, "pool", "10.0.0.1:80", "a", 64) for name in NAMES]
@@ -85,23 +85,3 @@
     def test_slow_engines_get_less_where_engines_tell_their_pace(self):
         self.assertGreater(self.placed(tells=False), 0.25)
         self.assertLess(self.placed(tells=True), 0.2)
-
-
-class LateGapsTest(unittest.TestCase):
-    """Load pattern: streams with short pauses beside prompts in prefill, on uneven engines."""
-
-    def performance(self):
-        performance = EnginePerformance(4)
-        for _ in range(60):
-            performance.record_stream_end(LatencyObjective(0.5, 2.0), 0.18, 10)
-        return performance
-
-    # Streams with short pauses ran on slow engines and were late by their pauses.
-    def test_slow_engines_make_more_streams_late_where_pauses_are_short(self):
-        performance = self.performance()
-        self.assertEqual(performance.late_gap_change(OBJECTIVE, 1.7), 1.0)
-        self.assertEqual(performance.late_gap_change(OBJECTIVE, 1.2), 0.0)
-        self.assertEqual(performance.late_gap_change(LatencyObjective(1.0, 2.0), 1.7), 0.0)
-
-    def test_where_engines_tell_nothing_nothing_changes(self):
-        self.assertEqual(self.performance().late_gap_change(OBJECTIVE, 1.0), 0.0)
