--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -4,8 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -14,39 +12,27 @@
 from bilberryplank._caller_answer import CallerGone
 from bilberryplank._caller_request import ReceivedRequest
 from bilberryplank._clocks import boot_time
-from bilberryplank._crash_guard import CrashGuard
-from bilberryplank._direct_client import DirectClient, UpstreamAnswer
+from bilberryplank._direct_client import UpstreamAnswer
 from bilberryplank._direct_delivery import Delivery
-from bilberryplank._direct_state import DirectState
+from bilberryplank._direct_placement import RETURN_SECONDS, Placement
 from bilberryplank._logs import log_event
-from bilberryplank._metrics import ProcessMetrics
+from bilberryplank._run_parts import RunParts
 from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
 from bilberryplank_core.direct import (
     SETTLED_SECONDS,
     ClassifiedRequest,
     DirectUpstream,
-    EngineChoice,
     EngineSelector,
-    FleetClock,
-    HeaderCodec,
-    LatencyObjective,
     NextAction,
     Outcome,
     RequestAttempts,
     RequestHead,
-    StopSchedule,
-    WindowCounts,
     Withheld,
-    choose_service,
     classify_response,
     engine_rank,
-    retry_delay,
-    should_admit,
 )
-from bilberryplank_core.engines import DEFERRED_URGENCY, may_defer
 from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
 from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter, EventTail, last_event_id
-from bilberryplank_core.memory import HeldBytes
 
 if TYPE_CHECKING:
     from bilberryplank_core.messages import Headers
@@ -57,9 +43,6 @@
 LEAST_TRY_SECONDS = 0.05
 """With less time left no upstream is asked again."""
 
-RETURN_SECONDS = 0.5
-"""When to come back if no upstream could take a request."""
-
 MAX_HELD_BYTES = 256 * 1024
 """A longer answer is passed on as it comes: many at once must not fill a small host's memory."""
 
@@ -87,21 +70,6 @@
 }
 
 
-@dataclass(slots=True)
-class RunParts:
-    """What all requests of an entry share."""
-
-    state: DirectState
-    client: DirectClient
-    crashes: CrashGuard
-    header_codec: HeaderCodec
-    counts: WindowCounts
-    fleet_clock: FleetClock
-    metrics: ProcessMetrics
-    stop_schedule: StopSchedule
-    held_bytes: HeldBytes
-
-
 class DirectRun:
     """Carries one request out.
 
@@ -130,15 +98,8 @@
         self._call = call
         self._found = found
         self._arrived = arrived
-        self._latency_objective = LatencyObjective(
-            found.route.inter_event_objective, found.route.objective
-        )
         self._answer = Delivery(request, call.request_id, arrived, closes)
-        assert parts.state.routes is not None
-        self._routes = parts.state.routes
-        self._service = choose_service(found.route, parts.state.rng)
         self._log = RequestAttempts(found.route.retry_rule, found.route.max_executions)
-        self._tried: set[str] = set()
         self._failed: tuple[int, Headers, bytes] | None = None
         self._counted = False
         self._last_event: str | None = call.last_event_id
@@ -151,7 +112,8 @@
         self._withheld: Withheld | None = None
         self._guarded = parts.crashes.guard(call, self._stop)
         self._deadline = arrived + found.time_limit(call)
-        self._urgency = found.urgency
+        self._placement = Placement(parts, self, call, found, self._guarded, self._deadline)
+        self._service = self._placement.service
 
     async def run(self) -> web.StreamResponse:
         """Returns the answer, sent whole.
@@ -170,18 +132,28 @@
             if self._withheld is None or self._task is None:
                 raise
             self._task.uncancel()
-            raise self._withhold(self._withheld) from None
+            raise self._placement.withhold(self._withheld) from None
         except TimeoutError:
             message = "no whole answer came before the time limit"
-            raise self._give_up(RefusalReason.DEADLINE_PASSED, message) from None
+            raise self.give_up(RefusalReason.DEADLINE_PASSED, message) from None
         finally:
             # A trial also ends where its request was never sent.
             self._parts.crashes.end(self._guarded)
 
+    @property
+    def has_begun(self) -> bool:
+        """True once the caller has a part of the answer."""
+        return self._answer.begun
+
+    @property
+    def attempt(self) -> int:
+        """Number of the next attempt, from 1."""
+        return self._log.delivered + self._log.connect_failures + 1
+
     async def _attempts(self) -> web.StreamResponse:
         while True:
-            await self._ask_loads()
-            upstream, note = self._place()
+            await self._placement.ask_loads()
+            upstream, note = self._placement.place()
             outcome, resp = await self._attempt(upstream, note)
             if resp is not None:
                 return resp
@@ -197,172 +169,25 @@
         if self._task is not None:
             self._task.cancel()
 
-    def _withhold(self, withheld: Withheld) -> Exception:
-        """Returns the end of a request that must not reach an engine."""
-        quarantine = withheld.quarantine
-        message = (
-            f"prompt part {quarantine.segment} crashed {len(quarantine.engines)} engines; "
-            f"it may be tried again in {withheld.retry_after:.0f} s"
-        )
-        return self._give_up(RefusalReason.PROMPT_QUARANTINED, message, withheld.retry_after)
-
-    async def _ask_loads(self) -> None:
-        """Asks the engines that are likely to take the request for their loads."""
-        board = self._parts.state.board(self._service)
-        if not isinstance(board, EngineSelector) or self._answer.begun:
-            return
-        urgency, upstreams = self._found.urgency, self._fresh_upstreams()
-        asked = board.engines_to_query(
-            self._call, self._latency_objective, urgency, upstreams, boot_time()
-        )
-        if asked:
-            await asyncio.gather(*(self._ask_load(each) for each in asked))
-
-    async def _ask_load(self, upstream: DirectUpstream) -> None:
-        parts = self._parts
-        try:
-            reply = await parts.client.ask(upstream.address, parts.header_codec.load_path)
-            head = parts.header_codec.read_response_head(reply.status, reply.fields)
-            parts.state.heard(upstream, head, self._call.request_id)
-            if reply.status != HTTPStatus.OK:
-                raise UpstreamBroke(f"answered {reply.status}")
-            load = parts.header_codec.read_load(reply.body, upstream.slots)
-        except (UpstreamBroke, ValueError) as exc:
-            log_event(
-                logger,
-                "load_not_told",
-                request=self._call.request_id,
-                upstream=upstream.name,
-                cause=exc,
-            )
-            return
-        parts.state.report(upstream, load)
-
-    def _fresh_upstreams(self) -> list[DirectUpstream]:
-        """Returns the upstreams that were not tried; all where none is left."""
-        known = self._parts.state.eligible(self._service, self._found.regions)
-        return [each for each in known if each.name not in self._tried] or known
-
-    def _place(self) -> tuple[DirectUpstream, dict[str, object]]:
-        """Returns the upstream of the next attempt, and what decided."""
-        state, now = self._parts.state, boot_time()
-        fresh = self._fresh_upstreams()
-        board = state.board(self._service)
-        note: dict[str, object] = {"known": len(fresh)}
-        if isinstance(board, EngineSelector):
-            withheld = self._parts.crashes.admit(self._guarded)
-            if withheld is not None:
-                raise self._withhold(withheld)
-            choice = board.choose(
-                self._call, self._latency_objective, self._found.urgency, fresh, now
-            )
-            upstream = choice.upstream if choice else None
-            if choice is not None:
-                choice = self._admit(choice, board, fresh, now)
-                upstream, self._urgency = choice.upstream, choice.urgency
-                self._check_stop(choice.wait + self._output_seconds(board), now)
-                board.begin(choice, self._call, now)
-                note.update(
-                    unread=choice.prefill_tokens,
-                    delay=round(choice.delay, 3),
-                    wait=round(choice.wait, 3),
-                )
-                note["load_age"] = None if choice.load_age is None else round(choice.load_age, 2)
-        else:
-            upstream = board.choose(fresh, now)
-            if upstream is not None:
-                self._check_stop(self._found.route.objective, now)
-                board.begin(upstream.name)
-        if upstream is None:
-            raise self._no_upstream()
-        state.note_sent(upstream, now)
-        self._parts.metrics.set_load(0, state.in_flight())
-        self._tried.add(upstream.name)
-        return upstream, note
-
-    def _no_upstream(self) -> Exception:
-        """Returns the end of a request that no upstream may get now."""
-        rest = self._parts.state.backoff_left(self._service)
-        if rest is None:
-            barred = self._parts.state.describe_barred(self._service)
-            message = f"no upstream can take the request: {barred}"
-            return self._give_up(RefusalReason.NO_UPSTREAM, message)
-        message = f"all upstreams asked to be left alone, the first for another {rest:.2f} s"
-        spread = self._parts.state.rng.uniform(0, RETURN_SECONDS)
-        return self._give_up(RefusalReason.NO_UPSTREAM, message, rest + spread)
-
-    def _admit(
-        self,
-        choice: EngineChoice,
-        board: EngineSelector,
-        upstreams: list[DirectUpstream],
-        now: float,
-    ) -> EngineChoice:
-        """Returns where a request goes, perhaps behind all others.
-
-        Raises:
-            Refused: No engine can serve it before its caller leaves.
-        """
-        if self._answer.begun:
-            return choice
-        state, route = self._parts.state, self._found.route
-        least_urgent = self._routes.is_least_urgent(self._service, self._found.urgency)
-        left = self._deadline - now
-        if should_admit(choice.delay, choice.wait, route.objective, left, least_urgent):
-            return choice
-        deferred = board.choose(
-            self._call, self._latency_objective, DEFERRED_URGENCY, upstreams, now
-        )
-        if (
-            least_urgent
-            and deferred is not None
-            and may_defer(deferred.wait, self._output_seconds(board), left)
-        ):
-            return deferred
-        message = (
-            f"{choice.upstream.name} would take {choice.wait:.2f} s to the first token, "
-            f"{choice.delay:.2f} s of it behind others: too long for this request"
-        )
-        retry_after = retry_delay(choice.delay, route.objective, state.rng)
-        raise self._give_up(RefusalReason.DEADLINE_UNREACHABLE, message, retry_after)
-
-    def _check_stop(self, expected: float, now: float) -> None:
-        """Refuses a request that should not end while this entry stops, unless its answer began.
-
-        Args:
-            expected: Seconds that the next attempt should take.
-            now: The time.
-        """
-        if not self._may_begin(expected, now):
-            raise self.end_early("this entry stops before the request would end")
-
-    def _may_begin(self, expected: float, now: float) -> bool:
+    def may_begin(self, expected: float, now: float) -> bool:
         if self._answer.begun:
             return True
         limit = self._deadline - now
         return self._parts.stop_schedule.may_begin(now, expected, limit, self._log.not_run)
 
-    def _output_seconds(self, board: EngineSelector) -> float:
-        """Returns the seconds from the first token to the last; the longest where it runs once."""
-        call = self._call
-        tokens = call.max_output_tokens
-        if self._resumable and call.expected_output_tokens is not None:
-            tokens = min(tokens, call.expected_output_tokens)
-        return tokens * board.performance.output_token_seconds
-
     def end_early(self, message: str) -> Exception:
         """Returns the end of a request for which a stop leaves no time.
 
         Raises:
             CallerGone: Its answer had begun, and was cut off.
         """
-        return self._give_up(RefusalReason.DRAINING, message, STOP_RETURN_SECONDS)
+        return self.give_up(RefusalReason.DRAINING, message, STOP_RETURN_SECONDS)
 
     async def _attempt(
         self, upstream: DirectUpstream, note: dict[str, object]
     ) -> tuple[Outcome, web.StreamResponse | None]:
         state, began = self._parts.state, boot_time()
-        self._log_placed(upstream, note, began)
+        self._placement.log_placed(upstream, note, began)
         outcome = Outcome.UNKNOWN
         abandoned = False
         answer: UpstreamAnswer | None = None
@@ -406,7 +231,7 @@
             ((name, value) for name, value in self._received.headers),
             upstream,
             self._found.organisation,
-            engine_rank(self._urgency) if is_engine else None,
+            engine_rank(self._placement.urgency) if is_engine else None,
             self._deadline - now,
             self._last_event,
         )
@@ -555,7 +380,7 @@
             return False
         # Another attempt may well take as long as this one did.
         expected = max(self._found.route.objective, now - self._attempt_began)
-        if not self._may_begin(expected, now):
+        if not self.may_begin(expected, now):
             return False
         if self._log.next_action(outcome, True) is not NextAction.RETRY:
             return False
@@ -567,10 +392,10 @@
 
     def _failure(self, outcome: Outcome) -> Exception:
         if outcome is Outcome.NOT_RUN:
-            return self._give_up(RefusalReason.QUEUE_FULL, "upstreams are full")
-        return self._give_up(RefusalReason.UPSTREAM_FAILED, "no upstream gave a whole answer")
+            return self.give_up(RefusalReason.QUEUE_FULL, "upstreams are full")
+        return self.give_up(RefusalReason.UPSTREAM_FAILED, "no upstream gave a whole answer")
 
-    def _give_up(
+    def give_up(
         self, reason: RefusalReason, message: str, retry_after: float | None = None
     ) -> Exception:
         """Returns what ends the request: a refusal, or the cut of an answer that has begun."""
@@ -588,22 +413,6 @@
             reason = RefusalReason.UPSTREAM_FAILED
         return Refused(reason, message, not_run=self._log.not_run)
 
-    def _log_placed(self, upstream: DirectUpstream, note: dict[str, object], now: float) -> None:
-        log_event(
-            logger,
-            "request_placed",
-            request=self._call.request_id,
-            route=self._found.route.name,
-            organisation=self._found.organisation,
-            rank=engine_rank(self._urgency),
-            version=self._found.version,
-            config_age=round(self._parts.state.freshness_tracker.age(now), 2),
-            upstream=upstream.name,
-            attempt=self._log.delivered + self._log.connect_failures + 1,
-            left=round(self._deadline - now, 3),
-            **note,
-        )
-
     def _log_failed(self, upstream: DirectUpstream, outcome: Outcome, cause: object) -> None:
         log_event(
             logger,
