Cut no answer for which another has made room, and count heads until their request ends

Found in reading. An answer that waits for its caller was cut although stalled ones had just given way, as their bytes were not returned yet. The bytes of a long head stayed counted until the connection ended, and could not be evicted while a request ran.

Change: hold() reckons with what gives way; a whole head gives way to none and is returned at the end of its request. Engines are compared for a deferred request only where it may be deferred.

--- a/packages/bilberryplank-core/bilberryplank_core/memory/_budget.py
+++ b/packages/bilberryplank-core/bilberryplank_core/memory/_budget.py
@@ -158,12 +158,10 @@
     def hold(self, holding: Holding, size: int, now: float) -> bool:
         """Records bytes that are held already; returns False if that is too much.
 
-        Others that stalled give way first, the longest in one owner's hands before others.
+        Others that stalled give way first, those of the owner that holds most before others.
         """
         holding.wanted = size
-        if not self._fits(holding):
-            self._evict_for(holding, now)
-        fits = self._fits(holding)
+        fits = self._fits(holding) or self._evict_for(holding, now)
         self._take(holding)
         return fits
 
@@ -218,18 +216,19 @@
         if not self._owned[key]:
             del self._owned[key]
 
-    def _evict_for(self, holding: Holding, now: float) -> None:
-        """Has stalled holdings give way until what they return is enough."""
+    def _evict_for(self, holding: Holding, now: float) -> bool:
+        """Has stalled holdings give way; returns True once what they return is enough."""
         pool = holding.pool
         lacking = self._used[pool] + holding.wanted - holding.size - self._limits[pool]
         lacking -= sum(each.size for each in self._holdings[pool] if each.evicted)
         if lacking <= 0:
-            return
+            return True
         for each in self._stalled(pool, holding, now):
-            if lacking <= 0:
-                return
             lacking -= each.size
             each.evict()
+            if lacking <= 0:
+                return True
+        return False
 
     def _stalled(self, pool: Pool, but: Holding, now: float) -> list[Holding]:
         stalled = [
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_caller_budget.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_caller_budget.py
@@ -117,10 +117,16 @@
         cut = []
         for number in range(100):
             holding = Holding("a", number, lambda n=number: cut.append(n), pool=Pool.ANSWERS)
-            self.budget.hold(holding, 160 * 1024, number)
+            self.assertTrue(self.budget.hold(holding, 160 * 1024, number))
         self.assertEqual(cut, sorted(cut))
         self.assertEqual(cut[0], 0)
 
+    def test_an_answer_is_too_much_where_no_other_has_stalled(self):
+        held = [Holding("a", 0.0, self.fail, pool=Pool.ANSWERS) for _ in range(100)]
+        fits = [self.budget.hold(each, 160 * 1024, 0.0) for each in held]
+        self.assertTrue(fits[0])
+        self.assertFalse(fits[-1])
+
     # Each sum is kept by hand; a slip would close the entry to its callers for good.
     def test_after_any_sequence_all_that_was_held_is_free_again(self):
         for seed in range(50):
--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -131,6 +131,8 @@
             self.idle_since = self._memory.now()
             self._head_bytes = 0
             self._stop_timer()
+            if self._head is not None:
+                self._head.complete()
             return
         if self._header_timer is None and data.strip():
             loop = asyncio.get_running_loop()
@@ -156,6 +158,7 @@
         """Ends a request; the connection is idle from then on."""
         ended = await super().finish_response(request, resp, start_time)
         self.idle_since = self._memory.now()
+        self._release_head()
         if self._leaves_body and not request.content.is_eof():
             # Closed at once, the bytes that were not read would cost the caller the answer.
             await asyncio.sleep(LINGER_SECONDS)
@@ -204,8 +207,7 @@
         self._stop_timer()
         self.stop_pacing()
         self._release_answer()
-        if self._head is not None:
-            self._memory.release(self._head)
+        self._release_head()
         super().connection_lost(exc)
 
     def handle_error(
@@ -280,6 +282,11 @@
         self.transport.write(raw_refusal(refused))
         self.force_close()
 
+    def _release_head(self) -> None:
+        if self._head is not None:
+            self._memory.release(self._head)
+            self._head = None
+
     def _release_answer(self) -> None:
         if self._answer is not None:
             self._memory.release(self._answer)
--- a/packages/bilberryplank/bilberryplank/_direct_placement.py
+++ b/packages/bilberryplank/bilberryplank/_direct_placement.py
@@ -214,15 +214,12 @@
         left = self._deadline - now
         if should_admit(choice.delay, choice.wait, route.objective, left, least_urgent):
             return choice
-        deferred = board.choose(
-            self._call, self._latency_objective, DEFERRED_URGENCY, upstreams, now
-        )
-        if (
-            least_urgent
-            and deferred is not None
-            and may_defer(deferred.wait, self._output_seconds(board), left)
-        ):
-            return deferred
+        if least_urgent:
+            deferred = board.choose(
+                self._call, self._latency_objective, DEFERRED_URGENCY, upstreams, now
+            )
+            if deferred and may_defer(deferred.wait, self._output_seconds(board), left):
+                return deferred
         message = (
             f"{choice.upstream.name} would take {choice.wait:.2f} s to the first token, "
             f"{choice.delay:.2f} s of it behind others: too long for this request"
@@ -258,6 +255,7 @@
         return self._run.give_up(RefusalReason.PROMPT_QUARANTINED, message, withheld.retry_after)
 
     def log_placed(self, upstream: DirectUpstream, note: dict[str, object], now: float) -> None:
+        """Logs where an attempt goes, and what decided."""
         log_event(
             logger,
             "request_placed",
