--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -34,7 +34,7 @@
     WatchedTable,
     compare_values,
 )
-from bilberryplank_core.eligibility import ZoneEvacuations
+from bilberryplank_core.eligibility import DOUBT_SECONDS, ZoneEvacuations
 from bilberryplank_core.errors import ConfigurationInvalid, ValueInvalid
 
 CONFIGURATION_WAIT_SECONDS = 1.8
@@ -48,9 +48,6 @@
 STALE_SHARE = 0.4
 """Share of the stale limit that a read may wait: what is known must not turn stale in between."""
 
-DOUBT_SECONDS = 2.0
-"""Time after a restore of the store within which the operator writes again what is missing."""
-
 MAX_SHOWN_KEY_CHARS = 200
 
 MAX_EDITS = 8
