Read what is held for callers when it is scraped

Cause: each request set three gauges at its end, bodies and answers once more. Change: the gauges read the budget when metrics are scraped, so nothing has to tell them. ReadTimes.longest had no user and goes.

--- a/packages/bilberryplank-core/bilberryplank_core/_read_times.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_read_times.py
@@ -51,8 +51,3 @@
         room = USED_SHARE * contact_limit - MAX_PATIENCE_SECONDS - ANSWER_SECONDS
         room = max(LEAST_WAIT_SECONDS, room)
         return cls(min(wait, room), min(SILENCE_SHARE * change_limit, room))
-
-    @property
-    def longest(self) -> float:
-        """Seconds from the loss of all connections until a change is known at the latest."""
-        return max(self.wait, self.silence) + MAX_PATIENCE_SECONDS + ANSWER_SECONDS
--- a/packages/bilberryplank/bilberryplank/_caller_memory.py
+++ b/packages/bilberryplank/bilberryplank/_caller_memory.py
@@ -58,14 +58,12 @@
         if holding.size >= size:
             return
         if memory.budget.request(holding, size, memory.now()):
-            memory.show()
             return
         self._granted.clear()
         memory.watch()
         with suppress(TimeoutError):
             async with asyncio.timeout(memory.settings.body_wait):
                 await self._granted.wait()
-        memory.show()
         if holding.size < size:
             self.release()
             message = f"no room for a body of {size} bytes"
@@ -81,8 +79,7 @@
 
     def release(self) -> None:
         """Gives the room back."""
-        self._memory.budget.release(self._holding, self._memory.now())
-        self._memory.show()
+        self._memory.release(self._holding)
 
     def _give_way(self) -> None:
         self._memory.cut(CutCause.STALLED_BODY, self._holding)
@@ -96,7 +93,7 @@
 
     Args:
         settings: Bounds on callers.
-        metrics: Told of what is held and who gave way.
+        metrics: Shows what is held, and counts who gave way.
 
     Attributes:
         budget: Decides.
@@ -109,6 +106,7 @@
         self.settings = settings
         self.budget = CallerBudget(settings.held_bytes)
         self._metrics = metrics
+        metrics.watch_held(self.budget.used)
         self._timer: asyncio.TimerHandle | None = None
 
     @staticmethod
@@ -143,7 +141,7 @@
 
     def hold_head(self, holding: Holding, size: int) -> bool:
         """Records the bytes of a head; returns False if it is too much."""
-        return self._hold(holding, size)
+        return self.budget.hold(holding, size, self.now())
 
     def hold_answer(self, address: str, cut: Callable[[], None]) -> Holding | None:
         """Records an answer that waits for its caller; returns None if it is too much.
@@ -153,7 +151,7 @@
             cut: Ends the connection.
         """
         holding = Holding(address, self.now(), lambda: self._evict(holding, cut), pool=Pool.ANSWERS)
-        if self._hold(holding, UNREAD_ANSWER_BYTES):
+        if self.budget.hold(holding, UNREAD_ANSWER_BYTES, self.now()):
             return holding
         self.cut(CutCause.UNREAD_ANSWER, holding)
         self.release(holding)
@@ -162,7 +160,6 @@
     def release(self, holding: Holding) -> None:
         """Records that nothing is held any more."""
         self.budget.release(holding, self.now())
-        self.show()
 
     def cut(self, cause: CutCause, holding: Holding) -> None:
         """Counts and logs what gave way."""
@@ -183,16 +180,6 @@
         self._metrics.caller_cut(cause)
         log_event(logger, "caller_cut", cause=cause.value, owner=address, idle=round(idle, 2))
 
-    def show(self) -> None:
-        """Sets the gauges of what is held."""
-        for pool in Pool:
-            self._metrics.set_held(pool, self.budget.used(pool))
-
-    def _hold(self, holding: Holding, size: int) -> bool:
-        fits = self.budget.hold(holding, size, self.now())
-        self.show()
-        return fits
-
     def _evict(self, holding: Holding, cut: Callable[[], None]) -> None:
         is_answer = holding.pool is Pool.ANSWERS
         self.cut(CutCause.UNREAD_ANSWER if is_answer else CutCause.STALLED_HEAD, holding)
--- a/packages/bilberryplank/bilberryplank/_metrics.py
+++ b/packages/bilberryplank/bilberryplank/_metrics.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import functools
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from prometheus_client import (
@@ -177,9 +178,14 @@
         self._queued.set(queued)
         self._running.set(running)
 
-    def set_held(self, pool: Pool, size: int) -> None:
-        """Sets the bytes that are held for callers from one part of the budget."""
-        self._held_bytes.labels(pool.value).set(size)
+    def watch_held(self, used: Callable[[Pool], int]) -> None:
+        """Has scrapes show the bytes that are held for callers.
+
+        Args:
+            used: Returns the bytes held from one part of the budget.
+        """
+        for pool in Pool:
+            self._held_bytes.labels(pool.value).set_function(functools.partial(used, pool))
 
     def caller_cut(self, cause: CutCause) -> None:
         """Counts a caller's connection or body that gave way to others."""
