--- a/review/lib-2/small_world.py
+++ b/review/lib-2/small_world.py
@@ -235,7 +235,7 @@
 
     async def start(self, runners):
         """Starts all; `runners` maps names to services."""
-        network = random.randint(20, 120)
+        network = random.randint(211, 250)
         self.session = aiohttp.ClientSession()
         self.store_address = (await self.store.start()).removeprefix("http://")
         address = self.store_address
