--- a/review/lib-2/small_world.py
+++ b/review/lib-2/small_world.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -67,13 +68,24 @@
 
 def free_port(ip="127.0.0.1"):
     """Returns a port that is free on an address."""
-    import socket
-
     with socket.socket() as sock:
         sock.bind((ip, 0))
         return sock.getsockname()[1]
 
 
+def free_network(count):
+    """Returns the second byte of loopback addresses whose port for metrics is free."""
+    while True:
+        network = random.randint(211, 250)
+        try:
+            for number in range(count):
+                with socket.socket() as sock:
+                    sock.bind((f"127.{network}.0.{10 + number}", 9464))
+        except OSError:
+            continue
+        return network
+
+
 def route(name, kind, service, **changes):
     """Returns a route of the desired state."""
     value = {
@@ -102,6 +114,7 @@
         self._file = (Path(folder) / "record.txt").open("w", encoding="utf-8")
 
     def __call__(self, text):
+        """Writes one line, with the seconds since the start."""
         line = f"{time.monotonic() - self._began:8.3f} {text}"
         print(line, file=self._file, flush=True)
 
@@ -170,7 +183,7 @@
         until = time.monotonic() + READY_SECONDS
         while time.monotonic() < until:
             if self.process.returncode is not None:
-                raise RuntimeError(f"{self.name} ended with {self.process.returncode}")
+                raise RuntimeError(f"{self.name} ended: {self.log.read_text()[-400:]}")
             try:
                 async with session.get(f"http://{self.ip}:{self.ready_port}/readyz") as resp:
                     if resp.status == 200:
@@ -205,8 +218,9 @@
 class World:
     """A store, runners and entries on loopback addresses."""
 
-    def __init__(self, record, entries=1, settings=None, through=None):
+    def __init__(self, record, entries=1, settings=None, through=None, make_runner=StandInUpstream):
         self.record = record
+        self._make_runner = make_runner
         self.store = StandInStore()
         self.runners = {}
         self.version = 0
@@ -235,7 +249,7 @@
 
     async def start(self, runners):
         """Starts all; `runners` maps names to services."""
-        network = random.randint(211, 250)
+        network = free_network(self._count)
         self.session = aiohttp.ClientSession()
         self.store_address = (await self.store.start()).removeprefix("http://")
         address = self.store_address
@@ -243,7 +257,7 @@
             address = await self._through(address)
         await self.write_config()
         for name, service in runners.items():
-            runner = StandInUpstream(name)
+            runner = self._make_runner(name)
             runner.address = (await runner.start()).removeprefix("http://")
             runner.service = service
             self.runners[name] = runner
