--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A caller of a dropped route, and what its next request on the kept channel gets."""
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
@@ -71,9 +72,11 @@
         channel.close()
     ran = [name for name, _ in world.runs(f"b{number}")]
     record(f"{text}; then {second.status} for {second.request_id}, run by {ran}")
-    if second.request_id == f"b{number}":
+    # Its own head has some 200 bytes: a 431 is meant for the bytes of the first request.
+    is_foreign = second.status == 431 or second.request_id not in (None, f"b{number}")
+    if not is_foreign:
         return None
     return f"MIXED: b{number} got {second.status} {second.body[:60]!r} and was run by {ran}"
 
 
-main(case, FOLDER)
+main(case, FOLDER, trouble=os.environ.get("TROUBLE", "1") != "0")
