Attribute the bytes of a refused body to it, and drop them

Cause: "no request is being handled" stood for "the next bytes are a head". After a refusal from the head the library forgets the request while the rest of its body still comes, so these bytes were counted, timed and refused as the head of another request. Nobody was responsible for the rest: it was read for a second, then the connection was closed with unread bytes, and so reset.

Change: the protocol keeps the body that comes now until its last byte. The rest of a refused body is dropped within the time and the bytes of an accepted one, takes no room, and the connection serves the next request. Where that can't be done the response says Connection: close, and the connection is half closed and drained within a bound (DiscardBound). The same for heads that are too large or too slow, connections over the bound, bodies without room, broken chunks (which got a second response, 400), Expect: 100-continue, and stops.

Ruled out: the link or the caller; the 431 is counted by the entry.

--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from http import HTTPStatus
 
 from aiohttp import web
@@ -19,13 +20,17 @@
 from bilberryplank._refusals import raw_refusal, refusal_response
 from bilberryplank_core.direct import ReadPacer, excess_pieces
 from bilberryplank_core.errors import RefusalReason, Refused
-from bilberryplank_core.memory import Holding
+from bilberryplank_core.memory import DiscardBound, Holding
 from bilberryplank_core.settings import CallerSettings
 
 KEEPALIVE_SECONDS = 75.0
 MAX_HEADER_FIELDS = 100
-LINGER_SECONDS = 1.0
-RETRY_CONNECTION_SECONDS = 1.0
+LINGER_IDLE_SECONDS = 2.0
+"""A half closed connection is read until its caller pauses for longer than this."""
+
+LINGER_BODIES = 4
+"""Bytes read after the last response, as a multiple of the longest body that is accepted."""
+
 TOO_MANY_FIELDS = "Too many headers"
 
 UNREAD_BODY_BYTES = 4 * 1024
@@ -62,17 +67,22 @@
         "address",
         "idle_since",
         "_answer",
-        "_closes_after_body",
+        "_body",
+        "_closed",
+        "_closes_after_requests",
         "_head",
         "_head_bytes",
         "_header_timeout",
         "_header_timer",
-        "_leaves_body",
+        "_linger_bound",
+        "_linger_task",
+        "_max_body_bytes",
         "_max_head_bytes",
         "_memory",
         "_on_refused",
         "_pace_timer",
         "_pacer",
+        "_responds_last",
     )
 
     def __init__(
@@ -92,23 +102,28 @@
             max_headers=MAX_HEADER_FIELDS,
             access_log=None,
             auto_decompress=False,
-            lingering_time=LINGER_SECONDS,
+            lingering_time=0.0,
             read_bufsize=UNREAD_BODY_BYTES,
         )
         self.address = ""
         self.idle_since = memory.now()
         self._answer: Holding | None = None
-        self._closes_after_body = False
+        self._body: StreamReader | None = None
+        self._closed = asyncio.Event()
+        self._closes_after_requests = False
         self._head: Holding | None = None
         self._head_bytes = 0
         self._max_head_bytes = HEAD_FIELDS * settings.max_header_bytes
-        self._leaves_body = False
+        self._linger_bound: DiscardBound | None = None
+        self._linger_task: asyncio.Task[None] | None = None
+        self._max_body_bytes = settings.max_body_bytes
         self._memory = memory
         self._pace_timer: asyncio.TimerHandle | None = None
         self._pacer = pacer
         self._header_timeout = settings.body_timeout
         self._header_timer: asyncio.TimerHandle | None = None
         self._on_refused = on_refused
+        self._responds_last = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Has the transport read little at a time, as a body may come in chunks of one byte."""
@@ -120,14 +135,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes; a header that has begun must be whole in time."""
-        before = pieces_of(self._body())
+        if self._linger_bound is not None:
+            self._drop(self._linger_bound, len(data))
+            return
+        before = pieces_of(self._body)
         super().data_received(data)
-        excess = excess_pieces(pieces_of(self._body()) - before, len(data))
+        if self._receives_body():
+            self._take_broken_body()
+        if self._messages:
+            self._body = self._messages[-1][1]
+        excess = excess_pieces(pieces_of(self._body) - before, len(data))
         if excess:
             self.pause_for(self._pacer.reserve(excess, self._loop.time()))
-        if self._closes_after_body and not self._receives_body():
-            super().close()
-        if self._messages or not self._awaits_request():
+        self._close_if_done()
+        if not self._awaits_head():
             self.idle_since = self._memory.now()
             self._head_bytes = 0
             self._stop_timer()
@@ -155,20 +176,31 @@
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
-        """Ends a request; the connection is idle from then on."""
+        """Ends a request; the connection is idle from then on.
+
+        The rest of a body that nobody reads is dropped first. Where that can't be done within its
+        bounds, the connection is half closed, and read until the caller has closed it as well.
+        """
+        body = request.content
+        if self._must_end_after(request):
+            resp.force_close()
         ended = await super().finish_response(request, resp, start_time)
         self.idle_since = self._memory.now()
         self._release_head()
-        if self._leaves_body and not request.content.is_eof():
-            # Closed at once, the bytes that were not read would cost the caller the answer.
-            await asyncio.sleep(LINGER_SECONDS)
-            self.force_close()
+        self._close_if_done()
+        if ended[1]:
+            return ended
+        if not resp.keep_alive:
+            may_be_reset = self._responds_last or not body.is_eof()
+        else:
+            may_be_reset = not await self._discard(body)
+        if may_be_reset and self.transport is not None:
+            await self._drop_until_closed(self._half_close())
         return ended
 
-    def leave_body(self) -> None:
-        """Reads nothing more of a body for which there is no room; the connection ends with it."""
-        self._leaves_body = True
-        self._lingering_time = 0.0
+    def end_after_response(self) -> None:
+        """Reads no further request, as the rest of this one's body will not come in time."""
+        self._responds_last = True
 
     def cut(self) -> None:
         """Ends the connection, with what was not sent yet."""
@@ -178,17 +210,23 @@
     @property
     def is_idle(self) -> bool:
         """True while no request is being answered or has been read whole."""
+        if self._linger_bound is not None:
+            return True
         return self._is_idle() and not self._receives_body()
 
     def close(self) -> None:
         """Takes no further request; a connection without one is closed at once.
 
+        Requests that were received behind the current one are answered first.
+
         The library leaves such a connection open and unread until the server is shut down, and a
         request that a caller sends on it meanwhile would wait for nothing. It also drops the rest
         of a body that is still being received, and the request would wait for that.
         """
-        if self._receives_body():
-            self._closes_after_body = True
+        if self._linger_bound is not None:
+            return
+        if self._messages or self._receives_body():
+            self._closes_after_requests = True
             return
         is_idle = self._is_idle()
         super().close()
@@ -198,6 +236,8 @@
     @property
     def is_answering(self) -> bool:
         """True while a request was read and bytes of its answer are unsent."""
+        if self._linger_bound is not None:
+            return True
         transport = self.transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
         return unsent or not self._is_idle()
@@ -208,6 +248,8 @@
         self.stop_pacing()
         self._release_answer()
         self._release_head()
+        self._body = None
+        self._closed.set()
         super().connection_lost(exc)
 
     def handle_error(
@@ -230,11 +272,16 @@
             log_event(logger, "request_unreadable", reason=refused.reason.value, cause=cause)
         resp = refusal_response(refused, "")
         resp.force_close()
+        self._responds_last = True
         return resp
 
     def _awaits_request(self) -> bool:
         return self._current_request is None and not self._request_in_progress
 
+    def _awaits_head(self) -> bool:
+        """Returns True where the next bytes belong to a head, and not to a body, read or not."""
+        return not self._messages and not self._receives_body() and self._awaits_request()
+
     def _is_idle(self) -> bool:
         """Returns True where every request that was read has been answered."""
         if self._messages:
@@ -242,16 +289,90 @@
         # A request is neither queued nor current in the turn of the loop before its handler starts.
         return not self._request_count or (self._waiter is not None and not self._waiter.done())
 
-    def _body(self) -> StreamReader | None:
-        """Returns the body that comes now, or came last; None without a request."""
-        if self._messages:
-            return self._messages[-1][1]
-        request = self._current_request
-        return None if request is None else request.content
-
     def _receives_body(self) -> bool:
-        body = self._body()
-        return body is not None and not body.is_eof()
+        return self._body is not None and not self._body.is_eof()
+
+    def _take_broken_body(self) -> None:
+        """Fails a body with bytes that are no part of it.
+
+        The library takes them for a request of their own, which would get a response as well.
+        """
+        if self._body is not None and self._messages and self._messages[-1][1] is not self._body:
+            self._messages.pop()
+            self._body.set_exception(web.RequestPayloadError("not a valid chunk"))
+
+    def _close_if_done(self) -> None:
+        """Closes the connection where that waited for what was being received."""
+        if self._closes_after_requests and not self._messages and not self._receives_body():
+            super().close()
+
+    def _must_end_after(self, request: web.BaseRequest) -> bool:
+        """Returns True where the response to a request has to be the last one."""
+        body = request.content
+        if self._responds_last or (self._closes_after_requests and not self._messages):
+            return True
+        if body.is_eof():
+            return False
+        if body.exception() is not None or (request.content_length or 0) > self._max_body_bytes:
+            return True
+        # The caller may send its next request in place of a body that it wasn't told to send.
+        waits = request.headers.get("Expect", "").lower() == "100-continue"
+        return body.total_bytes > self._max_body_bytes or (waits and not body.total_bytes)
+
+    async def _discard(self, body: StreamReader) -> bool:
+        """Drops the rest of a body; returns False where it doesn't end within its bounds."""
+        if body.at_eof():
+            return True
+        bound = self._discard_bound(self._max_body_bytes, self._header_timeout)
+        cause = ""
+        try:
+            async with asyncio.timeout_at(bound.ends_at):
+                while not body.at_eof():
+                    if not bound.record(len(await body.readany()), self._memory.now()):
+                        break
+        except (TimeoutError, web.RequestPayloadError) as exc:
+            cause = repr(exc)
+        if not body.at_eof():
+            self._log_discard("refused_body_unfinished", bound, cause)
+        return body.at_eof()
+
+    def _half_close(self) -> DiscardBound:
+        """Ends the responses of a connection whose caller may still be sending.
+
+        Closed at once, unread bytes would have the connection reset, and the response lost.
+        """
+        bound = self._discard_bound(LINGER_BODIES * self._max_body_bytes, LINGER_IDLE_SECONDS)
+        self._linger_bound = bound
+        self._parser = None
+        self._release_head()
+        self._stop_timer()
+        super().close()
+        assert self.transport is not None
+        self.transport.write_eof()
+        self.stop_pacing()
+        self._resume_transport_reading()
+        return bound
+
+    async def _drop_until_closed(self, bound: DiscardBound) -> None:
+        """Waits until the caller has closed its side as well, or the bound has come."""
+        while not self._closed.is_set():
+            if bound.ends_at <= self._memory.now():
+                self._log_discard("caller_not_closing", bound)
+                self.force_close()
+                return
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(bound.ends_at):
+                    await self._closed.wait()
+
+    def _discard_bound(self, most_bytes: int, idle_seconds: float) -> DiscardBound:
+        return DiscardBound(self._memory.now(), most_bytes, self._header_timeout, idle_seconds)
+
+    def _drop(self, bound: DiscardBound, count: int) -> None:
+        if not bound.record(count, self._memory.now()):
+            self.cut()
+
+    def _log_discard(self, event: str, bound: DiscardBound, cause: str = "") -> None:
+        log_event(logger, event, owner=self.address, dropped=bound.bytes, cause=cause)
 
     def _take_head(self, count: int) -> None:
         """Bounds the bytes of a head that is not whole yet, and of all of them together."""
@@ -275,12 +396,12 @@
 
     def _refuse(self, reason: RefusalReason, message: str) -> None:
         """Refuses a head that is not whole, and ends the connection."""
-        if self._messages or not self._awaits_request() or self.transport is None:
+        if self._linger_bound is not None or not self._awaits_head() or self.transport is None:
             return
         refused = Refused(reason, message)
         self._on_refused(reason)
         self.transport.write(raw_refusal(refused))
-        self.force_close()
+        self._linger_task = asyncio.create_task(self._drop_until_closed(self._half_close()))
 
     def _release_head(self) -> None:
         if self._head is not None:
@@ -298,54 +419,6 @@
             self._header_timer = None
 
 
-class TurnedAway(asyncio.Protocol):
-    """Refuses a connection over the bound, and leaves the caller a moment to read why.
-
-    Args:
-        lingering: Connections that are being refused now; past a bound they are cut at once.
-        most: How many they may be.
-        on_refused: Called with the reason.
-    """
-
-    __slots__ = ("_lingering", "_most", "_on_refused", "_timer", "_transport")
-
-    def __init__(self, lingering: set[TurnedAway], most: int, on_refused: RefusalCounter) -> None:
-        self._most = most
-        self._lingering = lingering
-        self._on_refused = on_refused
-        self._timer: asyncio.TimerHandle | None = None
-        self._transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Sends the refusal."""
-        assert isinstance(transport, asyncio.Transport)
-        self._on_refused(RefusalReason.TOO_MANY_CONNECTIONS)
-        if len(self._lingering) >= self._most:
-            transport.abort()
-            return
-        self._lingering.add(self)
-        self._transport = transport
-        refused = Refused(
-            RefusalReason.TOO_MANY_CONNECTIONS,
-            "this entry holds as many connections as it may",
-            retry_after=RETRY_CONNECTION_SECONDS,
-        )
-        transport.write(raw_refusal(refused))
-        transport.write_eof()
-        self._timer = asyncio.get_running_loop().call_later(LINGER_SECONDS, transport.abort)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Forgets the connection."""
-        self._lingering.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def close(self) -> None:
-        """Cuts the connection."""
-        if self._transport is not None:
-            self._transport.abort()
-
-
 def _bound_unread(transport: asyncio.BaseTransport) -> None:
     """Has the kernel give up what the caller does not take, which a closed connection waits for."""
     sock = transport.get_extra_info("socket")
--- a/packages/bilberryplank/bilberryplank/_caller_request.py
+++ b/packages/bilberryplank/bilberryplank/_caller_request.py
@@ -105,27 +105,23 @@
             room.interrupt(bound)
             body = await _read_body(request, settings, room)
     except TimeoutError as exc:
+        _end_after_response(request)
         if room.is_evicted:
-            _leave_body(request)
             message = "the body stopped coming while others waited for room"
         else:
             message = f"the body did not arrive within {settings.body_timeout:g} s"
         raise Refused(RefusalReason.SLOW_SENDER, message) from exc
-    except Refused as refused:
-        if refused.reason is RefusalReason.MEMORY_FULL:
-            _leave_body(request)
-        raise
     except web.RequestPayloadError as exc:
         raise Refused(RefusalReason.MALFORMED_REQUEST, f"broken body: {exc}") from exc
     headers = [[name, value] for name, value in request.headers.items()]
     return ReceivedRequest(request.method, request.raw_path, headers, body)
 
 
-def _leave_body(request: web.BaseRequest) -> None:
-    """Has the connection of a request read nothing more of its body."""
+def _end_after_response(request: web.BaseRequest) -> None:
+    """Has the connection of a request end with the response to it."""
     protocol = request.protocol
     if isinstance(protocol, CallerProtocol):
-        protocol.leave_body()
+        protocol.end_after_response()
 
 
 async def _continue(request: web.BaseRequest) -> None:
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -10,9 +10,10 @@
 
 from bilberryplank._caller_connections import ConnectionBounds
 from bilberryplank._caller_memory import CallerMemory
-from bilberryplank._caller_protocol import CallerProtocol, RefusalCounter, TurnedAway
+from bilberryplank._caller_protocol import CallerProtocol, RefusalCounter
 from bilberryplank._caller_request import check_text
 from bilberryplank._metrics import ProcessMetrics
+from bilberryplank._turned_away import TurnedAway
 from bilberryplank_core.direct import ReadPacer
 from bilberryplank_core.errors import RefusalReason
 from bilberryplank_core.settings import CallerSettings
@@ -60,7 +61,8 @@
         """Returns the protocol for a new connection."""
         if not self._bounds.admits_another():
             most = max(1, int(LINGERING_SHARE * self._settings.max_connections))
-            return TurnedAway(self._turned_away, min(MAX_LINGERING, most), self._on_refused)
+            most = min(MAX_LINGERING, most)
+            return TurnedAway(self._turned_away, most, self._settings, self._on_refused)
         return CallerProtocol(self, self._settings, self._on_refused, self._memory, self._pacer)
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
--- a/packages/bilberryplank/bilberryplank/_paced_reading.py
+++ b/packages/bilberryplank/bilberryplank/_paced_reading.py
@@ -32,9 +32,10 @@
             self._pace_timer = self._loop.call_later(seconds, self._end_pause)
 
     def stop_pacing(self) -> None:
-        """Ends the timer with the connection."""
+        """Ends the timer, as with the connection."""
         if self._pace_timer is not None:
             self._pace_timer.cancel()
+            self._pace_timer = None
 
     def _end_pause(self) -> None:
         self._pace_timer = None
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_turned_away.py
@@ -0,0 +1,99 @@
+"""Connections over the bound on connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bilberryplank._caller_protocol import LINGER_BODIES, LINGER_IDLE_SECONDS, RefusalCounter
+from bilberryplank._refusals import raw_refusal
+from bilberryplank_core.errors import RefusalReason, Refused
+from bilberryplank_core.memory import DiscardBound
+from bilberryplank_core.settings import CallerSettings
+
+RETRY_CONNECTION_SECONDS = 1.0
+
+
+class TurnedAway(asyncio.Protocol):
+    """Refuses a connection over the bound, and leaves the caller a moment to read why.
+
+    Args:
+        lingering: Connections that are being refused now; past a bound they are cut at once.
+        most: How many they may be.
+        settings: Bounds on what callers may send.
+        on_refused: Called with the reason.
+    """
+
+    __slots__ = (
+        "_bound",
+        "_lingering",
+        "_most",
+        "_on_refused",
+        "_settings",
+        "_timer",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        lingering: set[TurnedAway],
+        most: int,
+        settings: CallerSettings,
+        on_refused: RefusalCounter,
+    ) -> None:
+        self._bound: DiscardBound | None = None
+        self._most = most
+        self._lingering = lingering
+        self._on_refused = on_refused
+        self._settings = settings
+        self._timer: asyncio.TimerHandle | None = None
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the refusal."""
+        assert isinstance(transport, asyncio.Transport)
+        self._on_refused(RefusalReason.TOO_MANY_CONNECTIONS)
+        if len(self._lingering) >= self._most:
+            transport.abort()
+            return
+        self._lingering.add(self)
+        self._transport = transport
+        refused = Refused(
+            RefusalReason.TOO_MANY_CONNECTIONS,
+            "this entry holds as many connections as it may",
+            retry_after=RETRY_CONNECTION_SECONDS,
+        )
+        transport.write(raw_refusal(refused))
+        transport.write_eof()
+        settings = self._settings
+        self._bound = DiscardBound(
+            asyncio.get_running_loop().time(),
+            LINGER_BODIES * settings.max_body_bytes,
+            settings.body_timeout,
+            LINGER_IDLE_SECONDS,
+        )
+        self._wait(self._bound)
+
+    def data_received(self, data: bytes) -> None:
+        """Drops what the caller sends, within a bound."""
+        bound = self._bound
+        if bound is not None and not bound.record(len(data), asyncio.get_running_loop().time()):
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forgets the connection."""
+        self._lingering.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def close(self) -> None:
+        """Cuts the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _wait(self, bound: DiscardBound) -> None:
+        """Cuts the connection once no bytes come any more."""
+        loop = asyncio.get_running_loop()
+        if bound.ends_at <= loop.time():
+            self.close()
+        else:
+            self._timer = loop.call_at(bound.ends_at, self._wait, bound)
