Test early answers that end in a reset, and statuses that HTTP has not

Cause: on other systems a part of an answer to an upload that was still being written, and an answer of status 000, reached clients as whole ones. Checked here; nothing showed, and the project had no test of an answer that comes before the upload has ended.

--- a/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_upstream_call.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import json
 import socket
 import struct
@@ -135,6 +136,13 @@
         writer.transport.abort()
 
 
+class EarlyUpstream(ResettingUpstream):
+    """Does so before it has read the body of the request."""
+
+    async def _request(self, reader):
+        return (await reader.readuntil(b"\r\n\r\n")).decode()
+
+
 class HugeUpstream(RawUpstream):
     """Sends an answer of 50 MB and counts what it could send."""
 
@@ -190,6 +198,11 @@
     (answer("302 Found", [b"Location: /other"]), 302, 302),
     (b"", UpstreamBroke, UpstreamBroke),
     (b"nonsense\r\n\r\n", UpstreamBroke, UpstreamBroke),
+    # Clients of other systems got an answer of status 000.
+    (answer("000 Odd"), UpstreamBroke, UpstreamBroke),
+    (answer("099 Odd"), UpstreamBroke, UpstreamBroke),
+    (answer("600 Odd"), UpstreamBroke, UpstreamBroke),
+    (answer("999 Odd"), UpstreamBroke, UpstreamBroke),
     (answer(body=b"ok")[:-1], UpstreamBroke, UpstreamBroke),
     (STREAM_HEAD + EVENT, UpstreamBroke, 200),
     (STREAM_HEAD + EVENT + b"data: [DONE]\n\n", 200, 200),
@@ -287,6 +300,14 @@
             await self.raw(head + b"whole")
             await self.check(200, dispatch(idempotent=idempotent))
 
+    async def test_a_part_of_an_answer_before_the_upload_has_ended_is_not_whole(self):
+        """Clients of other systems got the part as a complete answer."""
+        for kind, size in itertools.product((ENGINE, SERVICE), (90_000, 3_900_000)):
+            for head in (b"HTTP/1.1 200 OK\r\n\r\n", STREAM_HEAD):
+                with self.subTest(kind=kind, size=size, head=head):
+                    await self.raw(head + b"part", kind, upstream=EarlyUpstream)
+                    await self.check(UpstreamBroke, dispatch(body=bytes(size)))
+
     async def test_a_head_that_cannot_be_passed_on_broke(self):
         odd = [answer(fields=[b"X-Odd: " + value]) for value in (b"\x01", b"a\x7f")]
         for sent in (*odd, answer("999 Odd")):
