--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -15,6 +15,7 @@
 
 from bilberryplank._answer_bounds import MAX_READ_BYTES, limit_read
 from bilberryplank._caller_memory import CallerMemory
+from bilberryplank._discards import body_bound, discard_body, linger_bound, log_discard
 from bilberryplank._logs import log_event
 from bilberryplank._paced_reading import PacedReading, pieces_of
 from bilberryplank._refusals import raw_refusal, refusal_response
@@ -25,12 +26,6 @@
 
 KEEPALIVE_SECONDS = 75.0
 MAX_HEADER_FIELDS = 100
-LINGER_IDLE_SECONDS = 2.0
-"""A half closed connection is read until its caller pauses for longer than this."""
-
-LINGER_BODIES = 4
-"""Bytes read after the last response, as a multiple of the longest body that is accepted."""
-
 TOO_MANY_FIELDS = "Too many headers"
 
 UNREAD_BODY_BYTES = 4 * 1024
@@ -72,17 +67,16 @@
         "_closes_after_requests",
         "_head",
         "_head_bytes",
-        "_header_timeout",
         "_header_timer",
         "_linger_bound",
         "_linger_task",
-        "_max_body_bytes",
         "_max_head_bytes",
         "_memory",
         "_on_refused",
         "_pace_timer",
         "_pacer",
         "_responds_last",
+        "_settings",
     )
 
     def __init__(
@@ -116,14 +110,13 @@
         self._max_head_bytes = HEAD_FIELDS * settings.max_header_bytes
         self._linger_bound: DiscardBound | None = None
         self._linger_task: asyncio.Task[None] | None = None
-        self._max_body_bytes = settings.max_body_bytes
         self._memory = memory
         self._pace_timer: asyncio.TimerHandle | None = None
         self._pacer = pacer
-        self._header_timeout = settings.body_timeout
         self._header_timer: asyncio.TimerHandle | None = None
         self._on_refused = on_refused
         self._responds_last = False
+        self._settings = settings
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Has the transport read little at a time, as a body may come in chunks of one byte."""
@@ -157,7 +150,7 @@
             return
         if self._header_timer is None and data.strip():
             loop = asyncio.get_running_loop()
-            self._header_timer = loop.call_later(self._header_timeout, self._header_late)
+            self._header_timer = loop.call_later(self._settings.body_timeout, self._header_late)
         self._take_head(len(data))
 
     def pause_writing(self) -> None:
@@ -313,35 +306,25 @@
             return True
         if body.is_eof():
             return False
-        if body.exception() is not None or (request.content_length or 0) > self._max_body_bytes:
+        most = self._settings.max_body_bytes
+        if body.exception() is not None or (request.content_length or 0) > most:
             return True
         # The caller may send its next request in place of a body that it wasn't told to send.
         waits = request.headers.get("Expect", "").lower() == "100-continue"
-        return body.total_bytes > self._max_body_bytes or (waits and not body.total_bytes)
+        return body.total_bytes > most or (waits and not body.total_bytes)
 
     async def _discard(self, body: StreamReader) -> bool:
-        """Drops the rest of a body; returns False where it doesn't end within its bounds."""
         if body.at_eof():
             return True
-        bound = self._discard_bound(self._max_body_bytes, self._header_timeout)
-        cause = ""
-        try:
-            async with asyncio.timeout_at(bound.ends_at):
-                while not body.at_eof():
-                    if not bound.record(len(await body.readany()), self._memory.now()):
-                        break
-        except (TimeoutError, web.RequestPayloadError) as exc:
-            cause = repr(exc)
-        if not body.at_eof():
-            self._log_discard("refused_body_unfinished", bound, cause)
-        return body.at_eof()
+        now = self._memory.now
+        return await discard_body(body, body_bound(self._settings, now()), now, self.address)
 
     def _half_close(self) -> DiscardBound:
         """Ends the responses of a connection whose caller may still be sending.
 
         Closed at once, unread bytes would have the connection reset, and the response lost.
         """
-        bound = self._discard_bound(LINGER_BODIES * self._max_body_bytes, LINGER_IDLE_SECONDS)
+        bound = linger_bound(self._settings, self._memory.now())
         self._linger_bound = bound
         self._parser = None
         self._release_head()
@@ -357,23 +340,17 @@
         """Waits until the caller has closed its side as well, or the bound has come."""
         while not self._closed.is_set():
             if bound.ends_at <= self._memory.now():
-                self._log_discard("caller_not_closing", bound)
+                log_discard("caller_not_closing", bound, self.address)
                 self.force_close()
                 return
             with suppress(TimeoutError):
                 async with asyncio.timeout_at(bound.ends_at):
                     await self._closed.wait()
 
-    def _discard_bound(self, most_bytes: int, idle_seconds: float) -> DiscardBound:
-        return DiscardBound(self._memory.now(), most_bytes, self._header_timeout, idle_seconds)
-
     def _drop(self, bound: DiscardBound, count: int) -> None:
         if not bound.record(count, self._memory.now()):
             self.cut()
 
-    def _log_discard(self, event: str, bound: DiscardBound, cause: str = "") -> None:
-        log_event(logger, event, owner=self.address, dropped=bound.bytes, cause=cause)
-
     def _take_head(self, count: int) -> None:
         """Bounds the bytes of a head that is not whole yet, and of all of them together."""
         self._head_bytes += count
@@ -388,7 +365,7 @@
 
     def _header_late(self) -> None:
         self._header_timer = None
-        message = f"the header did not arrive within {self._header_timeout:g} s"
+        message = f"the header did not arrive within {self._settings.body_timeout:g} s"
         self._refuse(RefusalReason.SLOW_SENDER, message)
 
     def _head_late(self) -> None:
--- a/packages/bilberryplank/bilberryplank/_turned_away.py
+++ b/packages/bilberryplank/bilberryplank/_turned_away.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from bilberryplank._caller_protocol import LINGER_BODIES, LINGER_IDLE_SECONDS, RefusalCounter
+from bilberryplank._caller_protocol import RefusalCounter
+from bilberryplank._discards import linger_bound
 from bilberryplank._refusals import raw_refusal
 from bilberryplank_core.errors import RefusalReason, Refused
 from bilberryplank_core.memory import DiscardBound
@@ -64,13 +65,7 @@
         )
         transport.write(raw_refusal(refused))
         transport.write_eof()
-        settings = self._settings
-        self._bound = DiscardBound(
-            asyncio.get_running_loop().time(),
-            LINGER_BODIES * settings.max_body_bytes,
-            settings.body_timeout,
-            LINGER_IDLE_SECONDS,
-        )
+        self._bound = linger_bound(self._settings, asyncio.get_running_loop().time())
         self._wait(self._bound)
 
     def data_received(self, data: bytes) -> None:
