Wait for the end of a half closed connection in one place

Change: Linger holds the bound and the wait for both. expects_continue serves the reading of a body and the end of a connection.

--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 from http import HTTPStatus
 
 from aiohttp import web
@@ -15,13 +14,13 @@
 
 from bilberryplank._answer_bounds import MAX_READ_BYTES, limit_read
 from bilberryplank._caller_memory import CallerMemory
-from bilberryplank._discards import body_bound, discard_body, linger_bound, log_discard
+from bilberryplank._discards import Linger, body_bound, discard_body
 from bilberryplank._logs import log_event
 from bilberryplank._paced_reading import PacedReading, pieces_of
 from bilberryplank._refusals import raw_refusal, refusal_response
 from bilberryplank_core.direct import ReadPacer, excess_pieces
 from bilberryplank_core.errors import RefusalReason, Refused
-from bilberryplank_core.memory import DiscardBound, Holding
+from bilberryplank_core.memory import Holding
 from bilberryplank_core.settings import CallerSettings
 
 KEEPALIVE_SECONDS = 75.0
@@ -63,12 +62,11 @@
         "idle_since",
         "_answer",
         "_body",
-        "_closed",
         "_closes_after_requests",
         "_head",
         "_head_bytes",
         "_header_timer",
-        "_linger_bound",
+        "_linger",
         "_linger_task",
         "_max_head_bytes",
         "_memory",
@@ -103,12 +101,11 @@
         self.idle_since = memory.now()
         self._answer: Holding | None = None
         self._body: StreamReader | None = None
-        self._closed = asyncio.Event()
         self._closes_after_requests = False
         self._head: Holding | None = None
         self._head_bytes = 0
         self._max_head_bytes = HEAD_FIELDS * settings.max_header_bytes
-        self._linger_bound: DiscardBound | None = None
+        self._linger: Linger | None = None
         self._linger_task: asyncio.Task[None] | None = None
         self._memory = memory
         self._pace_timer: asyncio.TimerHandle | None = None
@@ -128,8 +125,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes; a header that has begun must be whole in time."""
-        if self._linger_bound is not None:
-            self._drop(self._linger_bound, len(data))
+        if self._linger is not None:
+            if not self._linger.drop(len(data)):
+                self.cut()
             return
         before = pieces_of(self._body)
         super().data_received(data)
@@ -188,7 +186,7 @@
         else:
             may_be_reset = not await self._discard(body)
         if may_be_reset and self.transport is not None:
-            await self._drop_until_closed(self._half_close())
+            await self._wait_closed(self._half_close())
         return ended
 
     def end_after_response(self) -> None:
@@ -203,7 +201,7 @@
     @property
     def is_idle(self) -> bool:
         """True while no request is being answered or has been read whole."""
-        if self._linger_bound is not None:
+        if self._linger is not None:
             return True
         return self._is_idle() and not self._receives_body()
 
@@ -216,7 +214,7 @@
         request that a caller sends on it meanwhile would wait for nothing. It also drops the rest
         of a body that is still being received, and the request would wait for that.
         """
-        if self._linger_bound is not None:
+        if self._linger is not None:
             return
         if self._messages or self._receives_body():
             self._closes_after_requests = True
@@ -229,7 +227,7 @@
     @property
     def is_answering(self) -> bool:
         """True while a request was read and bytes of its answer are unsent."""
-        if self._linger_bound is not None:
+        if self._linger is not None:
             return True
         transport = self.transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
@@ -242,7 +240,8 @@
         self._release_answer()
         self._release_head()
         self._body = None
-        self._closed.set()
+        if self._linger is not None:
+            self._linger.note_closed()
         super().connection_lost(exc)
 
     def handle_error(
@@ -310,22 +309,21 @@
         if body.exception() is not None or (request.content_length or 0) > most:
             return True
         # The caller may send its next request in place of a body that it wasn't told to send.
-        waits = request.headers.get("Expect", "").lower() == "100-continue"
-        return body.total_bytes > most or (waits and not body.total_bytes)
+        return body.total_bytes > most or (expects_continue(request) and not body.total_bytes)
 
     async def _discard(self, body: StreamReader) -> bool:
         if body.at_eof():
             return True
-        now = self._memory.now
-        return await discard_body(body, body_bound(self._settings, now()), now, self.address)
+        return await discard_body(
+            body, body_bound(self._settings, self._memory.now()), self.address
+        )
 
-    def _half_close(self) -> DiscardBound:
+    def _half_close(self) -> Linger:
         """Ends the responses of a connection whose caller may still be sending.
 
         Closed at once, unread bytes would have the connection reset, and the response lost.
         """
-        bound = linger_bound(self._settings, self._memory.now())
-        self._linger_bound = bound
+        self._linger = linger = Linger(self._settings)
         self._parser = None
         self._release_head()
         self._stop_timer()
@@ -334,22 +332,14 @@
         self.transport.write_eof()
         self.stop_pacing()
         self._resume_transport_reading()
-        return bound
-
-    async def _drop_until_closed(self, bound: DiscardBound) -> None:
-        """Waits until the caller has closed its side as well, or the bound has come."""
-        while not self._closed.is_set():
-            if bound.ends_at <= self._memory.now():
-                log_discard("caller_not_closing", bound, self.address)
-                self.force_close()
-                return
-            with suppress(TimeoutError):
-                async with asyncio.timeout_at(bound.ends_at):
-                    await self._closed.wait()
-
-    def _drop(self, bound: DiscardBound, count: int) -> None:
-        if not bound.record(count, self._memory.now()):
-            self.cut()
+        return linger
+
+    async def _wait_closed(self, linger: Linger) -> None:
+        """Ends a half closed connection, where its caller doesn't in time."""
+        if not await linger.wait():
+            dropped = linger.dropped
+            log_event(logger, "caller_not_closing", owner=self.address, dropped=dropped)
+            self.force_close()
 
     def _take_head(self, count: int) -> None:
         """Bounds the bytes of a head that is not whole yet, and of all of them together."""
@@ -373,12 +363,12 @@
 
     def _refuse(self, reason: RefusalReason, message: str) -> None:
         """Refuses a head that is not whole, and ends the connection."""
-        if self._linger_bound is not None or not self._awaits_head() or self.transport is None:
+        if self._linger is not None or not self._awaits_head() or self.transport is None:
             return
         refused = Refused(reason, message)
         self._on_refused(reason)
         self.transport.write(raw_refusal(refused))
-        self._linger_task = asyncio.create_task(self._drop_until_closed(self._half_close()))
+        self._linger_task = asyncio.create_task(self._wait_closed(self._half_close()))
 
     def _release_head(self) -> None:
         if self._head is not None:
@@ -396,6 +386,11 @@
             self._header_timer = None
 
 
+def expects_continue(request: web.BaseRequest) -> bool:
+    """Returns True where a caller waits to be told to send its body (RFC 9110, 10.1.1)."""
+    return request.headers.get("Expect", "").lower() == "100-continue"
+
+
 def _bound_unread(transport: asyncio.BaseTransport) -> None:
     """Has the kernel give up what the caller does not take, which a closed connection waits for."""
     sock = transport.get_extra_info("socket")
--- a/packages/bilberryplank/bilberryplank/_caller_request.py
+++ b/packages/bilberryplank/bilberryplank/_caller_request.py
@@ -10,7 +10,7 @@
 from aiohttp import HttpVersion11, web
 
 from bilberryplank._caller_memory import BodyRoom
-from bilberryplank._caller_protocol import CallerProtocol
+from bilberryplank._caller_protocol import CallerProtocol, expects_continue
 from bilberryplank_core.errors import RefusalReason, Refused
 from bilberryplank_core.settings import CallerSettings
 
@@ -125,9 +125,8 @@
 
 
 async def _continue(request: web.BaseRequest) -> None:
-    """Tells a caller that waits for it (RFC 9110, 10.1.1) to send its body."""
-    expected = request.headers.get("Expect", "").lower() == "100-continue"
-    if expected and request.version >= HttpVersion11:
+    """Tells a caller that waits for it to send its body."""
+    if expects_continue(request) and request.version >= HttpVersion11:
         await request.writer.write(CONTINUE)
         # The answer itself has not begun by that.
         request.writer.output_size = 0
--- a/packages/bilberryplank/bilberryplank/_turned_away.py
+++ b/packages/bilberryplank/bilberryplank/_turned_away.py
@@ -5,10 +5,9 @@
 import asyncio
 
 from bilberryplank._caller_protocol import RefusalCounter
-from bilberryplank._discards import linger_bound
+from bilberryplank._discards import Linger
 from bilberryplank._refusals import raw_refusal
 from bilberryplank_core.errors import RefusalReason, Refused
-from bilberryplank_core.memory import DiscardBound
 from bilberryplank_core.settings import CallerSettings
 
 RETRY_CONNECTION_SECONDS = 1.0
@@ -25,12 +24,12 @@
     """
 
     __slots__ = (
-        "_bound",
+        "_linger",
         "_lingering",
         "_most",
         "_on_refused",
         "_settings",
-        "_timer",
+        "_task",
         "_transport",
     )
 
@@ -41,12 +40,12 @@
         settings: CallerSettings,
         on_refused: RefusalCounter,
     ) -> None:
-        self._bound: DiscardBound | None = None
+        self._linger: Linger | None = None
         self._most = most
         self._lingering = lingering
         self._on_refused = on_refused
         self._settings = settings
-        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -65,30 +64,25 @@
         )
         transport.write(raw_refusal(refused))
         transport.write_eof()
-        self._bound = linger_bound(self._settings, asyncio.get_running_loop().time())
-        self._wait(self._bound)
+        self._linger = Linger(self._settings)
+        self._task = asyncio.get_running_loop().create_task(self._wait_closed(self._linger))
 
     def data_received(self, data: bytes) -> None:
         """Drops what the caller sends, within a bound."""
-        bound = self._bound
-        if bound is not None and not bound.record(len(data), asyncio.get_running_loop().time()):
+        if self._linger is not None and not self._linger.drop(len(data)):
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forgets the connection."""
         self._lingering.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
+        if self._linger is not None:
+            self._linger.note_closed()
 
     def close(self) -> None:
         """Cuts the connection."""
         if self._transport is not None:
             self._transport.abort()
 
-    def _wait(self, bound: DiscardBound) -> None:
-        """Cuts the connection once no bytes come any more."""
-        loop = asyncio.get_running_loop()
-        if bound.ends_at <= loop.time():
+    async def _wait_closed(self, linger: Linger) -> None:
+        if not await linger.wait():
             self.close()
-        else:
-            self._timer = loop.call_at(bound.ends_at, self._wait, bound)
