Share the raw caller and the bytes of its requests among tests

Assertions are as before. The reads of test_refused_bodies have 10 s in place of 15 s, as those of the other.

--- a/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_server.py
@@ -12,10 +12,10 @@
 from bilberryplank._caller_request import CHAT_PATH, read_model_call, receive
 from bilberryplank._caller_server import CallerServer
 from bilberryplank._metrics import ProcessMetrics
+from bilberryplank.tests._raw_caller import TIMEOUT, Caller
 from bilberryplank_core.errors import REFUSAL_STATUS, RefusalReason, Refused
 from bilberryplank_core.settings import CallerSettings
 
-TIMEOUT = 10.0
 NEVER = 30.0
 SETTINGS = CallerSettings(max_body_bytes=2048, max_header_bytes=1024, body_timeout=NEVER)
 GOOD = b'{"model":"m","messages":[{"role":"user","content":"hi"}]}'
@@ -74,32 +74,6 @@
 ]
 
 
-class Caller:
-    """A caller on a raw socket."""
-
-    @classmethod
-    async def connect(cls, port):
-        caller = cls()
-        caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
-        return caller
-
-    async def head(self):
-        head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), TIMEOUT)
-        first, *lines = head.decode().rstrip().split("\r\n")
-        fields = dict(line.split(": ", 1) for line in lines)
-        return int(first.split()[1]), fields
-
-    async def answer(self):
-        status, fields = await self.head()
-        body = await asyncio.wait_for(
-            self.reader.readexactly(int(fields["Content-Length"])), TIMEOUT
-        )
-        return status, fields, body
-
-    async def rest(self):
-        return await asyncio.wait_for(self.reader.read(), TIMEOUT)
-
-
 class CallerServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.refused = Counter()
--- a/packages/bilberryplank/bilberryplank/tests/test_refused_bodies.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_refused_bodies.py
@@ -12,63 +12,17 @@
 from bilberryplank._caller_request import receive
 from bilberryplank._caller_server import CallerServer
 from bilberryplank._metrics import ProcessMetrics
+from bilberryplank.tests._raw_caller import FIELDS, TIMEOUT, Caller, request
 from bilberryplank_core.errors import RefusalReason, Refused
 from bilberryplank_core.memory import Pool
 from bilberryplank_core.settings import CallerSettings
 
 SETTINGS = CallerSettings(max_header_bytes=16 * 1024)
-TIMEOUT = 15.0
-HEAD_END = b"\r\n\r\n"
 SIZES = (1_000, 66_000, 400_000, 3_900_000)
 LONG = 3_900_000
-PARTS = 20
 NEXT = b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-def request(size, chunked=False, path="/refused", fields=b""):
-    """Returns head and body of a request, in pieces."""
-    framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: %d" % size
-    yield b"POST %s HTTP/1.1\r\nHost: h\r\n%s%s\r\n\r\n" % (path.encode(), fields, framing)
-    piece = b"x" * max(1, size // PARTS)
-    while size > 0:
-        data = piece[:size]
-        size -= len(data)
-        yield b"%x\r\n%s\r\n" % (len(data), data) if chunked else data
-    if chunked:
-        yield b"0\r\n\r\n"
-
-
-class Caller:
-    """A caller on a raw connection."""
-
-    def __init__(self, reader, writer):
-        self._reader, self._writer = reader, writer
-
-    async def send(self, pieces, pause=0.0):
-        """Writes all of a request before it reads, as blocking clients do."""
-        for piece in pieces:
-            self._writer.write(piece)
-            await self._writer.drain()
-            if pause:
-                await asyncio.sleep(pause)
-
-    async def answer(self):
-        """Returns status, fields and body of the next answer."""
-        head = await asyncio.wait_for(self._reader.readuntil(HEAD_END), TIMEOUT)
-        first, *lines = head.decode().rstrip().split("\r\n")
-        fields = dict(line.split(": ", 1) for line in lines)
-        length = int(fields.get("Content-Length", 0))
-        body = await asyncio.wait_for(self._reader.readexactly(length), TIMEOUT)
-        return int(first.split()[1]), fields, body
-
-    async def rest(self):
-        """Returns what comes until the connection ends."""
-        return await asyncio.wait_for(self._reader.read(), TIMEOUT)
-
-    def close(self):
-        self._writer.close()
-
-
 class RefusedBodyCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.callers = []
@@ -89,7 +43,7 @@
 
     async def asyncTearDown(self):
         for caller in self.callers:
-            caller.close()
+            caller.writer.close()
         await self.server.stop()
 
     async def handle(self, request):
@@ -104,7 +58,7 @@
         return web.Response(text=request.path)
 
     async def connect(self):
-        caller = Caller(*await asyncio.open_connection("127.0.0.1", self.server.port))
+        caller = await Caller.connect(self.server.port)
         self.callers.append(caller)
         return caller
 
@@ -230,7 +184,7 @@
     async def test_a_caller_that_was_not_told_to_continue_is_told_to_close(self):
         """It may send its next request where its body was due."""
         caller = await self.connect()
-        head, *_ = request(LONG, fields=b"Expect: 100-continue\r\n")
+        head, *_ = request(LONG, fields={**FIELDS, "Expect": "100-continue"})
         await caller.send([head])
         await self.check_closed(caller, 404, "Expect: 100-continue")
 
