Hold no ended request in a cycle between its run, its placement and the crash guard

Cause: DirectRun held its Placement and its GuardedRequest, and these held the run: the placement to ask how far the answer is, the guard by the bound method that ends an attempt. So each run, with the body that it holds, lived until the collector came by, which is every 20,000 objects.

Change: RunProgress holds what both sides act on (answer, attempts, deadline) and refers to neither; Interruption holds the task and why it was ended, not the run. Nothing refers to the run any more but the frame that carries it out.

Left: an attempt that broke, and callers that leave, whose bodies are held for two turns of the loop after their room is given back.

--- a/packages/bilberryplank/bilberryplank/_direct_placement.py
+++ b/packages/bilberryplank/bilberryplank/_direct_placement.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import Protocol
 
 from loguru import logger
 
@@ -12,6 +11,7 @@
 from bilberryplank._crash_guard import GuardedRequest
 from bilberryplank._logs import log_event
 from bilberryplank._run_parts import RunParts
+from bilberryplank._run_progress import RETURN_SECONDS, RunProgress
 from bilberryplank._single_call import UpstreamBroke
 from bilberryplank_core.direct import (
     ClassifiedRequest,
@@ -29,43 +29,16 @@
 from bilberryplank_core.engines import DEFERRED_URGENCY, may_defer
 from bilberryplank_core.errors import RefusalReason
 
-RETURN_SECONDS = 0.5
-"""When to come back if no upstream could take a request."""
-
-
-class PlacedRun(Protocol):
-    """The run whose request is placed."""
-
-    @property
-    def has_begun(self) -> bool:
-        """True once the caller has a part of the answer."""
-
-    @property
-    def attempt(self) -> int:
-        """Number of the next attempt, from 1."""
-
-    def may_begin(self, expected: float, now: float) -> bool:
-        """Returns False where the request should not end before this entry stops."""
-
-    def end_early(self, message: str) -> Exception:
-        """Returns the end of a request for which a stop leaves no time."""
-
-    def give_up(
-        self, reason: RefusalReason, message: str, retry_after: float | None = None
-    ) -> Exception:
-        """Returns what ends the request."""
-
 
 class Placement:
     """Places the attempts of one request.
 
     Args:
         parts: What all requests share.
-        run: The request's run.
+        progress: How far its answer is.
         call: What the request's head says.
         found: Its route and organisation.
         guarded: What is known of crashes by its prompt.
-        deadline: When its caller leaves, in seconds on the boot clock.
 
     Attributes:
         service: Name of the service that it goes to.
@@ -76,44 +49,41 @@
         "service",
         "urgency",
         "_call",
-        "_deadline",
         "_found",
         "_guarded",
         "_latency_objective",
         "_parts",
+        "_progress",
         "_routes",
-        "_run",
         "_tried",
     )
 
     def __init__(
         self,
         parts: RunParts,
-        run: PlacedRun,
+        progress: RunProgress,
         call: RequestHead,
         found: ClassifiedRequest,
         guarded: GuardedRequest,
-        deadline: float,
     ) -> None:
         assert parts.state.routes is not None
         self.service = choose_service(found.route, parts.state.rng)
         self.urgency = found.urgency
         self._call = call
-        self._deadline = deadline
         self._found = found
         self._guarded = guarded
         self._latency_objective = LatencyObjective(
             found.route.inter_event_objective, found.route.objective
         )
         self._parts = parts
+        self._progress = progress
         self._routes = parts.state.routes
-        self._run = run
         self._tried: set[str] = set()
 
     async def ask_loads(self) -> None:
         """Asks the engines that are likely to take the request for their loads."""
         board = self._parts.state.board(self.service)
-        if not isinstance(board, EngineSelector) or self._run.has_begun:
+        if not isinstance(board, EngineSelector) or self._progress.answer.begun:
             return
         urgency, upstreams = self._found.urgency, self._fresh_upstreams()
         asked = board.engines_to_query(
@@ -190,10 +160,10 @@
         if rest is None:
             barred = self._parts.state.describe_barred(self.service)
             message = f"no upstream can take the request: {barred}"
-            return self._run.give_up(RefusalReason.NO_UPSTREAM, message)
+            return self._progress.give_up(RefusalReason.NO_UPSTREAM, message)
         message = f"all upstreams asked to be left alone, the first for another {rest:.2f} s"
         spread = self._parts.state.rng.uniform(0, RETURN_SECONDS)
-        return self._run.give_up(RefusalReason.NO_UPSTREAM, message, rest + spread)
+        return self._progress.give_up(RefusalReason.NO_UPSTREAM, message, rest + spread)
 
     def _admit(
         self,
@@ -207,11 +177,11 @@
         Raises:
             Refused: No engine can serve it before its caller leaves.
         """
-        if self._run.has_begun:
+        if self._progress.answer.begun:
             return choice
         state, route = self._parts.state, self._found.route
         least_urgent = self._routes.is_least_urgent(self.service, self._found.urgency)
-        left = self._deadline - now
+        left = self._progress.deadline - now
         if should_admit(choice.delay, choice.wait, route.objective, left, least_urgent):
             return choice
         if least_urgent:
@@ -225,7 +195,7 @@
             f"{choice.delay:.2f} s of it behind others: too long for this request"
         )
         retry_after = retry_delay(choice.delay, route.objective, state.rng)
-        raise self._run.give_up(RefusalReason.DEADLINE_UNREACHABLE, message, retry_after)
+        raise self._progress.give_up(RefusalReason.DEADLINE_UNREACHABLE, message, retry_after)
 
     def _check_stop(self, expected: float, now: float) -> None:
         """Refuses a request that should not end while this entry stops, unless its answer began.
@@ -234,8 +204,8 @@
             expected: Seconds that the next attempt should take.
             now: The time.
         """
-        if not self._run.may_begin(expected, now):
-            raise self._run.end_early("this entry stops before the request would end")
+        if not self._progress.may_begin(expected, now):
+            raise self._progress.end_early("this entry stops before the request would end")
 
     def _output_seconds(self, board: EngineSelector) -> float:
         """Returns the seconds from the first token to the last; the longest where it runs once."""
@@ -252,7 +222,9 @@
             f"prompt part {quarantine.segment} crashed {len(quarantine.engines)} engines; "
             f"it may be tried again in {withheld.retry_after:.0f} s"
         )
-        return self._run.give_up(RefusalReason.PROMPT_QUARANTINED, message, withheld.retry_after)
+        return self._progress.give_up(
+            RefusalReason.PROMPT_QUARANTINED, message, withheld.retry_after
+        )
 
     def log_placed(self, upstream: DirectUpstream, note: dict[str, object], now: float) -> None:
         """Logs where an attempt goes, and what decided."""
@@ -266,7 +238,7 @@
             version=self._found.version,
             config_age=round(self._parts.state.freshness_tracker.age(now), 2),
             upstream=upstream.name,
-            attempt=self._run.attempt,
-            left=round(self._deadline - now, 3),
+            attempt=self._progress.next_attempt,
+            left=round(self._progress.deadline - now, 3),
             **note,
         )
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -14,12 +14,13 @@
 from bilberryplank._crash_guard import CrashGuard
 from bilberryplank._decisions import DecisionJournal, DecisionStep
 from bilberryplank._direct_client import DirectClient
-from bilberryplank._direct_run import STOP_RETURN_SECONDS, DirectRun
+from bilberryplank._direct_run import DirectRun
 from bilberryplank._direct_state import DirectState
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import NO_CLASS, ProcessMetrics, RequestOutcome
 from bilberryplank._refusals import refusal_body
 from bilberryplank._run_parts import RunParts
+from bilberryplank._run_progress import STOP_RETURN_SECONDS
 from bilberryplank_core.direct import (
     ClassifiedRequest,
     FleetClock,
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -14,9 +14,10 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._direct_client import UpstreamAnswer
 from bilberryplank._direct_delivery import Delivery
-from bilberryplank._direct_placement import RETURN_SECONDS, Placement
+from bilberryplank._direct_placement import Placement
 from bilberryplank._logs import log_event
 from bilberryplank._run_parts import RunParts
+from bilberryplank._run_progress import Interruption, RunProgress
 from bilberryplank._single_call import UpstreamBroke, UpstreamNotReached
 from bilberryplank_core.direct import (
     SETTLED_SECONDS,
@@ -27,11 +28,10 @@
     Outcome,
     RequestAttempts,
     RequestHead,
-    Withheld,
     classify_response,
     engine_rank,
 )
-from bilberryplank_core.errors import RefusalReason, Refused, RetryReason
+from bilberryplank_core.errors import RefusalReason, RetryReason
 from bilberryplank_core.events import MAX_EVENT_BYTES, EventSplitter, EventTail, last_event_id
 
 if TYPE_CHECKING:
@@ -52,16 +52,6 @@
 EVENT_END = b"\n\n"
 EVENT_STREAM = "text/event-stream"
 
-STOP_RETURN_SECONDS = 0.1
-"""When to come back where this entry stops: others take the request at once."""
-
-NOT_RUN_REASONS = (
-    RefusalReason.DEADLINE_UNREACHABLE,
-    RefusalReason.PROMPT_QUARANTINED,
-    RefusalReason.DRAINING,
-)
-"""Reasons with a status that tells a caller that its request was not executed."""
-
 RETRY_REASONS = {
     Outcome.NOT_REACHED: RetryReason.LINK_FAILED,
     Outcome.NOT_RUN: RetryReason.NOT_RUN,
@@ -107,12 +97,12 @@
         self._pieces = 0
         self._first_piece_at = arrived
         self._settled = False
-        self._task = asyncio.current_task()
         self._held = 0
-        self._withheld: Withheld | None = None
-        self._guarded = parts.crashes.guard(call, self._stop)
+        self._interruption = Interruption()
+        self._guarded = parts.crashes.guard(call, self._interruption.end_attempt)
         self._deadline = arrived + found.time_limit(call)
-        self._placement = Placement(parts, self, call, found, self._guarded, self._deadline)
+        self._progress = RunProgress(parts, self._answer, self._log, self._deadline)
+        self._placement = Placement(parts, self._progress, call, found, self._guarded)
         self._service = self._placement.service
 
     async def run(self) -> web.StreamResponse:
@@ -129,26 +119,20 @@
             async with asyncio.timeout(left):
                 return await self._attempts()
         except asyncio.CancelledError:
-            if self._withheld is None or self._task is None:
+            withheld = self._interruption.take_back_cancellation()
+            if withheld is None:
                 raise
-            self._task.uncancel()
-            raise self._placement.withhold(self._withheld) from None
+            raise self._placement.withhold(withheld) from None
         except TimeoutError:
             message = "no whole answer came before the time limit"
-            raise self.give_up(RefusalReason.DEADLINE_PASSED, message) from None
+            raise self._progress.give_up(RefusalReason.DEADLINE_PASSED, message) from None
         finally:
             # A trial also ends where its request was never sent.
             self._parts.crashes.end(self._guarded)
 
-    @property
-    def has_begun(self) -> bool:
-        """True once the caller has a part of the answer."""
-        return self._answer.begun
-
-    @property
-    def attempt(self) -> int:
-        """Number of the next attempt, from 1."""
-        return self._log.delivered + self._log.connect_failures + 1
+    def end_early(self, message: str) -> Exception:
+        """Returns the end of a request for which a stop leaves no time; raises as there."""
+        return self._progress.end_early(message)
 
     async def _attempts(self) -> web.StreamResponse:
         while True:
@@ -163,26 +147,6 @@
                 raise self._failure(outcome)
             self._parts.metrics.retried(RETRY_REASONS[outcome])
 
-    def _stop(self, withheld: Withheld) -> None:
-        """Ends the attempt, whose prompt was quarantined while it waited for an engine."""
-        self._withheld = withheld
-        if self._task is not None:
-            self._task.cancel()
-
-    def may_begin(self, expected: float, now: float) -> bool:
-        if self._answer.begun:
-            return True
-        limit = self._deadline - now
-        return self._parts.stop_schedule.may_begin(now, expected, limit, self._log.not_run)
-
-    def end_early(self, message: str) -> Exception:
-        """Returns the end of a request for which a stop leaves no time.
-
-        Raises:
-            CallerGone: Its answer had begun, and was cut off.
-        """
-        return self.give_up(RefusalReason.DRAINING, message, STOP_RETURN_SECONDS)
-
     async def _attempt(
         self, upstream: DirectUpstream, note: dict[str, object]
     ) -> tuple[Outcome, web.StreamResponse | None]:
@@ -380,7 +344,7 @@
             return False
         # Another attempt may well take as long as this one did.
         expected = max(self._found.route.objective, now - self._attempt_began)
-        if not self.may_begin(expected, now):
+        if not self._progress.may_begin(expected, now):
             return False
         if self._log.next_action(outcome, True) is not NextAction.RETRY:
             return False
@@ -392,26 +356,9 @@
 
     def _failure(self, outcome: Outcome) -> Exception:
         if outcome is Outcome.NOT_RUN:
-            return self.give_up(RefusalReason.QUEUE_FULL, "upstreams are full")
-        return self.give_up(RefusalReason.UPSTREAM_FAILED, "no upstream gave a whole answer")
-
-    def give_up(
-        self, reason: RefusalReason, message: str, retry_after: float | None = None
-    ) -> Exception:
-        """Returns what ends the request: a refusal, or the cut of an answer that has begun."""
-        if self._answer.begun:
-            self._answer.cut_off(reason, message)
-        if self._log.not_run and reason is not RefusalReason.DEADLINE_PASSED:
-            if reason is RefusalReason.UPSTREAM_FAILED:
-                reason = RefusalReason.NO_UPSTREAM
-            if retry_after is None:
-                retry_after = RETURN_SECONDS * self._parts.state.rng.uniform(0.6, 1.4)
-            return Refused(reason, message, retry_after=retry_after)
-        if reason is RefusalReason.DRAINING:
-            reason = RefusalReason.OUTCOME_UNKNOWN
-        elif reason in NOT_RUN_REASONS:
-            reason = RefusalReason.UPSTREAM_FAILED
-        return Refused(reason, message, not_run=self._log.not_run)
+            return self._progress.give_up(RefusalReason.QUEUE_FULL, "upstreams are full")
+        message = "no upstream gave a whole answer"
+        return self._progress.give_up(RefusalReason.UPSTREAM_FAILED, message)
 
     def _log_failed(self, upstream: DirectUpstream, outcome: Outcome, cause: object) -> None:
         log_event(
