Keep the text of a failed call, not its exception

Callers saw: memory that grew with each request that was sent again after a broken connection.

Cause: SendOnce kept the exception of the first try for a message that it may never need. The traceback refers to its own frame, which refers back to it, and to the request with its body.

Evidence: with the collector off, 3 of 4 bodies stay in test_sent_again_after_a_broken_connection, for good; no run is alive by then.

Change: it keeps the text. Result: the test passes; its entry leaves KNOWN-RED.txt.

--- a/packages/bilberryplank/bilberryplank/_single_call.py
+++ b/packages/bilberryplank/bilberryplank/_single_call.py
@@ -52,17 +52,18 @@
     __slots__ = ("_failure",)
 
     def __init__(self) -> None:
-        self._failure: Exception | None = None
+        self._failure: str | None = None
 
     async def __call__(
         self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
     ) -> aiohttp.ClientResponse:
         if self._failure is not None:
-            raise UpstreamBroke(str(self._failure)) from self._failure
+            raise UpstreamBroke(self._failure)
         try:
             return await handler(req)
         except Exception as exc:
-            self._failure = exc
+            # Its traceback refers to this frame, and to the body that it sent.
+            self._failure = str(exc)
             raise
 
 
