Give the room of a body back when its bytes are freed

Callers saw: memory beyond the budget where many callers leave midway.

Cause: the room was given back as the request ended, while the exception that ended it, and with it each frame that holds the body, still went through two tasks of the HTTP server.

Change: the buffer of a body is an object whose end can be watched; the room is given back once the request has ended and the buffer is freed, whatever still refers to it. The entry beside sidecars does the same.

--- a/packages/bilberryplank/bilberryplank/_caller_memory.py
+++ b/packages/bilberryplank/bilberryplank/_caller_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -24,18 +25,26 @@
 """Buffers of an answer that waits for its caller: the caller's socket's and the upstream's."""
 
 
+class BodyBuffer(bytearray):
+    """Bytes of a body, whose end can be watched."""
+
+    __slots__ = ("__weakref__",)
+
+
 class BodyRoom:
-    """Room for one body.
+    """Room for one body; it is given back once the request has ended and the bytes are freed.
 
     Attributes:
         is_evicted: True once the body has to give way.
     """
 
-    __slots__ = ("_bound", "_granted", "_holding", "_memory")
+    __slots__ = ("_bound", "_buffer", "_granted", "_holding", "_is_closed", "_memory")
 
     def __init__(self, memory: CallerMemory, owner: str) -> None:
         self._bound: asyncio.Timeout | None = None
+        self._buffer: weakref.ref[BodyBuffer] | None = None
         self._granted = asyncio.Event()
+        self._is_closed = False
         self._memory = memory
         self._holding = Holding(owner, memory.now(), self._give_way, self._granted.set)
 
@@ -69,6 +78,19 @@
             message = f"no room for a body of {size} bytes"
             raise Refused(RefusalReason.MEMORY_FULL, message, retry_after=RETURN_SECONDS)
 
+    def open_buffer(self, size: int) -> BodyBuffer:
+        """Returns the buffer of the body, of `size` zero bytes."""
+        loop = asyncio.get_running_loop()
+
+        def freed(_: weakref.ref[BodyBuffer]) -> None:
+            # An object may end within any other code, or after the loop.
+            if not loop.is_closed():
+                loop.call_soon(self._buffer_freed)
+
+        buffer = BodyBuffer(size)
+        self._buffer = weakref.ref(buffer, freed)
+        return buffer
+
     def received(self, count: int) -> None:
         """Records that bytes of the body came."""
         self._holding.record_progress(count, self._memory.now())
@@ -77,10 +99,23 @@
         """Records that the body is whole."""
         self._holding.complete()
 
+    def close(self) -> None:
+        """Takes in the end of the request; bytes that something still holds keep their room."""
+        self._is_closed = True
+        self._bound = None
+        if self._buffer is None or self._buffer() is None:
+            self.release()
+        else:
+            self.complete()
+
     def release(self) -> None:
         """Gives the room back."""
         self._memory.release(self._holding)
 
+    def _buffer_freed(self) -> None:
+        if self._is_closed:
+            self.release()
+
     def _give_way(self) -> None:
         self._memory.cut(CutCause.STALLED_BODY, self._holding)
         self._granted.set()
--- a/packages/bilberryplank/bilberryplank/_caller_request.py
+++ b/packages/bilberryplank/bilberryplank/_caller_request.py
@@ -137,7 +137,7 @@
 ) -> bytes | bytearray:
     taken = request.content_length or 0
     # A body that grows piece by piece is moved, and held twice meanwhile.
-    body, size = bytearray(taken), 0
+    body, size = room.open_buffer(taken), 0
     async for data in request.content.iter_any():
         begin, size = size, size + len(data)
         if size > settings.max_body_bytes:
--- a/packages/bilberryplank/bilberryplank/_direct_requests.py
+++ b/packages/bilberryplank/bilberryplank/_direct_requests.py
@@ -153,7 +153,7 @@
                 raise run.end_early("this entry stops, and no whole answer came") from None
             raise self._stopped("this entry stops, and the body is not whole") from None
         finally:
-            room.release()
+            room.close()
             self._bounds.discard(bound)
 
     def _loop_time_due(self) -> float | None:
--- a/packages/bilberryplank/bilberryplank/_entry_requests.py
+++ b/packages/bilberryplank/bilberryplank/_entry_requests.py
@@ -86,7 +86,7 @@
             )
             return await self._answer(request, call, key)
         finally:
-            room.release()
+            room.close()
 
     async def _answer(self, request: web.BaseRequest, call: Call, key: Key) -> web.StreamResponse:
         class_name = call.classified.request_class.name
