Tell each connection over the bounds why, and let the next one wait for its turn

Cause: three. Refused connections may linger in a bounded number, and one more was cut at once; one over the bound of its address always was. And the bounds counted a connection once it had its transport: the loop accepts a whole backlog in one turn, so a burst passed the bound unseen.

Change: the entry accepts by itself. A connection counts from its accept, with its address; over a bound it is refused; where as many refused ones linger as may, the oldest gives way after half a second, and until then the next one waits unaccepted, with those behind it in the backlog. Without descriptors (EMFILE) it rests for a second, as asyncio did.

--- a/packages/bilberryplank/bilberryplank/_caller_connections.py
+++ b/packages/bilberryplank/bilberryplank/_caller_connections.py
@@ -32,22 +32,19 @@
         self._memory = memory
         self._settings = settings
 
-    def admits_another(self) -> bool:
-        """Returns True if there is room for a connection, or an idle one was closed for it."""
+    def admits_another(self, address: str) -> bool:
+        """Returns True if there is room for a connection, or idle ones were closed for it."""
+        if self._by_address[address] >= self._settings.max_connections_per_address:
+            connections = [each for each in self._connections if each.address == address]
+            return self._close_idle(connections)
         if len(self._connections) < self._settings.max_connections:
             return True
         return self._close_idle(self._connections)
 
-    def admit(self, conn: CallerProtocol) -> bool:
-        """Takes in a connection; returns False if its address has too many busy ones."""
-        address = conn.address
-        most = self._settings.max_connections_per_address
-        admitted = self._by_address[address] < most or self._close_idle(
-            each for each in self._connections if each.address == address
-        )
-        self._by_address[address] += 1
+    def add(self, conn: CallerProtocol) -> None:
+        """Takes in a connection."""
+        self._by_address[conn.address] += 1
         self._connections.add(conn)
-        return admitted
 
     def remove(self, conn: CallerProtocol) -> None:
         """Takes in the end of a connection."""
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_caller_listener.py
@@ -0,0 +1,145 @@
+"""Accepts callers' connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from loguru import logger
+
+from bilberryplank._logs import log_event
+
+BACKLOG = 1024
+
+MAX_ACCEPTED = 64
+"""Connections accepted in one turn of the loop, so that requests get their turn as well."""
+
+NO_PLACE_SECONDS = 0.05
+"""After this long a connection without a place is tried again."""
+
+EXHAUSTED_SECONDS = 1.0
+"""Pause where the process or the host has no descriptor or memory for a connection."""
+
+ProtocolFactory = Callable[[str], asyncio.Protocol | None]
+
+
+def open_listening_socket(host: str, port: int) -> socket.socket:
+    """Returns a listening socket.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+class CallerListener:
+    """Gives each connection a protocol; while one has no place, those behind it wait unaccepted.
+
+    Args:
+        sock: A listening socket.
+        new_protocol: Returns the protocol for a connection from an address, None if there is no
+            place for it.
+    """
+
+    __slots__ = ("_loop", "_new_protocol", "_opening", "_placeless", "_sock", "_timer")
+
+    def __init__(self, sock: socket.socket, new_protocol: ProtocolFactory) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._new_protocol = new_protocol
+        self._opening: set[asyncio.Task[object]] = set()
+        self._placeless: tuple[socket.socket, str] | None = None
+        self._sock = sock
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop.add_reader(sock, self._accept_ready)
+
+    @property
+    def port(self) -> int:
+        """The TCP port."""
+        return self._sock.getsockname()[1]
+
+    async def drain(self) -> None:
+        """Accepts what waits, closes the socket, and waits until each connection has its protocol.
+
+        Connections that are unaccepted when a listening socket is closed are reset.
+        """
+        if self._sock.fileno() < 0:
+            return
+        if self._timer is None:
+            for _ in range(BACKLOG):
+                if not self._accept_next():
+                    break
+        self.close()
+        if self._opening:
+            await asyncio.wait(self._opening)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._placeless is not None:
+            self._placeless[0].close()
+            self._placeless = None
+        if self._sock.fileno() >= 0:
+            self._loop.remove_reader(self._sock)
+            self._sock.close()
+
+    def _accept_ready(self) -> None:
+        for _ in range(MAX_ACCEPTED):
+            if not self._accept_next():
+                return
+
+    def _accept_next(self) -> bool:
+        """Accepts a connection; returns False if none waits, or none can be taken now."""
+        try:
+            sock, address = self._sock.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False
+        except OSError as exc:
+            log_event(logger, "accept_failed", level="WARNING", cause=exc)
+            self._pause(EXHAUSTED_SECONDS)
+            return False
+        sock.setblocking(False)
+        return self._open(sock, str(address[0]))
+
+    def _open(self, sock: socket.socket, address: str) -> bool:
+        protocol = self._new_protocol(address)
+        if protocol is None:
+            self._placeless = sock, address
+            self._pause(NO_PLACE_SECONDS)
+            return False
+        task = self._loop.create_task(self._connect(protocol, sock))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+        return True
+
+    async def _connect(self, protocol: asyncio.Protocol, sock: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(lambda: protocol, sock)
+        except OSError as exc:
+            log_event(logger, "accept_failed", level="WARNING", cause=exc)
+            sock.close()
+            protocol.connection_lost(exc)
+
+    def _pause(self, seconds: float) -> None:
+        self._loop.remove_reader(self._sock)
+        self._timer = self._loop.call_later(seconds, self._resume)
+
+    def _resume(self) -> None:
+        self._timer = None
+        placeless, self._placeless = self._placeless, None
+        if placeless is None or self._open(*placeless):
+            self._loop.add_reader(self._sock, self._accept_ready)
--- a/packages/bilberryplank/bilberryplank/_caller_protocol.py
+++ b/packages/bilberryplank/bilberryplank/_caller_protocol.py
@@ -51,9 +51,10 @@
         on_refused: Called with the reason of each refusal that is made here.
         memory: What is held for callers.
         pacer: Paces small pieces of bodies of all connections.
+        address: The caller's IP number.
 
     Attributes:
-        address: The caller's IP number; empty before the connection stands.
+        address: The caller's IP number.
         idle_since: When its last request ended, or the connection was made, in loop time.
     """
 
@@ -84,6 +85,7 @@
         on_refused: RefusalCounter,
         memory: CallerMemory,
         pacer: ReadPacer,
+        address: str,
     ) -> None:
         super().__init__(
             manager,
@@ -97,7 +99,7 @@
             lingering_time=0.0,
             read_bufsize=UNREAD_BODY_BYTES,
         )
-        self.address = ""
+        self.address = address
         self.idle_since = memory.now()
         self._answer: Holding | None = None
         self._body: StreamReader | None = None
@@ -117,8 +119,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Has the transport read little at a time, as a body may come in chunks of one byte."""
-        peer = transport.get_extra_info("peername")
-        self.address = str(peer[0]) if peer else ""
         super().connection_made(transport)
         limit_read(transport, MAX_READ_BYTES)
         _bound_unread(transport)
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -9,33 +9,25 @@
 from mode import Service
 
 from bilberryplank._caller_connections import ConnectionBounds
+from bilberryplank._caller_listener import CallerListener, open_listening_socket
 from bilberryplank._caller_memory import CallerMemory
 from bilberryplank._caller_protocol import CallerProtocol, RefusalCounter
 from bilberryplank._caller_request import check_text
 from bilberryplank._metrics import ProcessMetrics
-from bilberryplank._turned_away import TurnedAway
+from bilberryplank._turned_away import TurnedAwayConnections
 from bilberryplank_core.direct import ReadPacer
 from bilberryplank_core.errors import RefusalReason
 from bilberryplank_core.settings import CallerSettings
 
-BACKLOG = 1024
-
 LAST_REQUESTS_SECONDS = 0.3
 """Time from the close of the listening socket in which requests on open connections are read: some
 round trips to a caller."""
 
-TURNS_TO_CONNECT = 4
-"""Turns of the loop until an accepted socket has its protocol: a task, and two callbacks."""
-
 LAST_HANDLERS_SECONDS = 1.0
 """Time that requests get that still run as the server is stopped."""
 
 SENT_POLL_SECONDS = 0.01
 
-MAX_LINGERING = 64
-LINGERING_SHARE = 0.25
-"""Refused connections that may linger, as a share of those that are taken, and at most."""
-
 CallerHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -55,23 +47,17 @@
         self._memory = memory
         self._settings = settings
         self._on_refused = on_refused
-        self._turned_away: set[TurnedAway] = set()
-
-    def __call__(self) -> asyncio.Protocol:
-        """Returns the protocol for a new connection."""
-        if not self._bounds.admits_another():
-            most = max(1, int(LINGERING_SHARE * self._settings.max_connections))
-            most = min(MAX_LINGERING, most)
-            return TurnedAway(self._turned_away, most, self._settings, self._on_refused)
-        return CallerProtocol(self, self._settings, self._on_refused, self._memory, self._pacer)
-
-    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
-        """Takes in a new connection."""
-        super().connection_made(handler, transport)
-        assert isinstance(handler, CallerProtocol)
-        if not self._bounds.admit(handler):
-            self._on_refused(RefusalReason.TOO_MANY_CONNECTIONS)
-            handler.cut()
+        self._turned_away = TurnedAwayConnections(settings, on_refused)
+
+    def new_protocol(self, address: str) -> asyncio.Protocol | None:
+        """Returns the protocol for a new connection; None if it has to wait for a place."""
+        if not self._bounds.admits_another(address):
+            return self._turned_away.open()
+        conn = CallerProtocol(
+            self, self._settings, self._on_refused, self._memory, self._pacer, address
+        )
+        self._bounds.add(conn)
+        return conn
 
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
@@ -90,8 +76,7 @@
 
     def cut_turned_away(self) -> None:
         """Ends what is left of refused connections."""
-        for protocol in list(self._turned_away):
-            protocol.close()
+        self._turned_away.close()
 
 
 class CallerServer(Service):
@@ -121,13 +106,13 @@
         self._factory: _CallerProtocolFactory | None = None
         self._handler = handler
         self._on_refused = on_refused or _count_nothing
-        self._server: asyncio.Server | None = None
+        self._listener: CallerListener | None = None
 
     @property
     def port(self) -> int:
         """The port on which it listens."""
-        assert self._server is not None
-        return self._server.sockets[0].getsockname()[1]
+        assert self._listener is not None
+        return self._listener.port
 
     async def on_start(self) -> None:
         """Begins to listen."""
@@ -135,9 +120,8 @@
         self._factory = _CallerProtocolFactory(
             self._handle, self._settings, self._on_refused, self._memory
         )
-        self._server = await asyncio.get_running_loop().create_server(
-            self._factory, host.strip("[]"), int(port), backlog=BACKLOG
-        )
+        sock = open_listening_socket(host.strip("[]"), int(port))
+        self._listener = CallerListener(sock, self._factory.new_protocol)
 
     async def stop_listening(self) -> None:
         """Closes the listening socket, and connections once they are idle; running requests go on.
@@ -146,25 +130,12 @@
         connection, still gets an answer: the bytes of a request that are unread when a socket is
         closed are lost, and the caller cannot tell whether it ran.
         """
-        if self._server is None:
+        if self._listener is None:
             return
-        await self._close_listener(self._server)
+        await self._listener.drain()
         await asyncio.sleep(LAST_REQUESTS_SECONDS)
         self._close_idle()
 
-    @staticmethod
-    async def _close_listener(server: asyncio.Server) -> None:
-        """Closes the listening sockets once all that was accepted has its protocol."""
-        loop = asyncio.get_running_loop()
-        # The loop accepts all that wait in the backlog in one turn, and closing a server fails
-        # connections whose protocol is made in one of the next turns.
-        await asyncio.sleep(0)
-        for sock in server.sockets:
-            loop.remove_reader(sock.fileno())
-        for _ in range(TURNS_TO_CONNECT):
-            await asyncio.sleep(0)
-        server.close()
-
     def _close_idle(self) -> None:
         if self._factory is not None:
             self._factory.pre_shutdown()
@@ -191,8 +162,8 @@
         Args:
             timeout: Seconds that running requests have.
         """
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         self._close_idle()
         if self._factory is not None:
             self._factory.cut_turned_away()
