Bound the bytes that callers' sockets hold unread by the memory of the host

Callers saw: a process that the platform ends, as bytes received and not yet read count toward the memory of the machine: 110 and 193 MB of them at 1,200 and 800 callers on a host of 160 MB.

Cause: the budget counts what the process has read. The kernel takes as much as it likes for each connection, some 128 KB before anything is read.

Change: setting callers.receive_buffer, set on the listening socket, since the window of a connection is agreed on before it is accepted. On the platform three tenths of the memory, divided by the most connections and 512 that wait or linger. Without a memory limit in the settings nothing is set.

--- a/packages/bilberryplank-core/bilberryplank_core/_settings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_settings.py
@@ -54,6 +54,8 @@
         held_bytes: Memory for bodies, heads and unread responses of all callers together.
         max_connections: Connections in all.
         max_connections_per_address: Connections from one address.
+        receive_buffer: Bytes that one connection may have received before they are read; None
+            leaves it to the kernel.
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
@@ -63,6 +65,7 @@
     held_bytes: int = 160 * 1024 * 1024
     max_connections: int = 2000
     max_connections_per_address: int = 1500
+    receive_buffer: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/bilberryplank-core/bilberryplank_core/memory/_host_limits.py
+++ b/packages/bilberryplank-core/bilberryplank_core/memory/_host_limits.py
@@ -24,6 +24,16 @@
 
 MOST_CONNECTIONS = 2000
 
+UNACCEPTED_CONNECTIONS = 512
+"""Connections that wait in the backlog or linger once they are refused, beside those that are
+taken."""
+
+UNREAD_SHARE = 0.3
+"""Share of the memory for bytes that sockets of callers received and the process has not read."""
+
+LEAST_RECEIVE_BUFFER_BYTES = 8 * 1024
+MOST_RECEIVE_BUFFER_BYTES = 128 * 1024
+
 
 def budget_bytes(memory: int | None) -> int:
     """Returns the bytes that an entry may hold for callers.
@@ -47,3 +57,16 @@
     if descriptors is not None:
         most = max(1, min(most, int(descriptors * CONNECTION_SHARE)))
     return most, max(1, int(most * ADDRESS_SHARE))
+
+
+def receive_buffer_bytes(memory: int | None, connections: int) -> int | None:
+    """Returns the received bytes that the socket of a caller may hold; None for no bound.
+
+    Args:
+        memory: Memory of the host in bytes; None if unknown.
+        connections: Most connections of callers.
+    """
+    if memory is None:
+        return None
+    size = int(UNREAD_SHARE * memory / (connections + UNACCEPTED_CONNECTIONS))
+    return min(max(size, LEAST_RECEIVE_BUFFER_BYTES), MOST_RECEIVE_BUFFER_BYTES)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_caller_budget.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_caller_budget.py
@@ -9,6 +9,7 @@
     Pool,
     budget_bytes,
     connection_limits,
+    receive_buffer_bytes,
 )
 from bilberryplank_core.memory._budget import POOL_SHARES, STALL_SECONDS
 
@@ -162,3 +163,10 @@
             self.assertLess(2 * most, descriptors)
             self.assertLess(most_per_address, most)
         self.assertEqual(connection_limits(None), (2000, 1500))
+
+    def test_unread_bytes_of_all_connections_leave_the_process_what_it_needs(self):
+        for megabytes, descriptors in ((160, 3075), (160, 4100), (300, 4100), (552, 10250)):
+            most, _ = connection_limits(descriptors)
+            size = receive_buffer_bytes(megabytes * MIB, most)
+            self.assertLess((most + 512) * size + 80 * MIB, megabytes * MIB)
+        self.assertIsNone(receive_buffer_bytes(None, 2000))
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -120,7 +120,7 @@
         self._factory = _CallerProtocolFactory(
             self._handle, self._settings, self._on_refused, self._memory
         )
-        sock = open_listening_socket(host.strip("[]"), int(port))
+        sock = open_listening_socket(host.strip("[]"), int(port), self._settings.receive_buffer)
         self._listener = CallerListener(sock, self._factory.new_protocol)
 
     async def stop_listening(self) -> None:
--- a/packages/bilberryplank/bilberryplank/tests/test_caller_listener.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_listener.py
@@ -1,6 +1,11 @@
 import asyncio
 import errno
+import fcntl
+import socket
+import struct
+import termios
 import unittest
+from contextlib import suppress
 from unittest import mock
 
 from bilberryplank import _caller_listener
@@ -66,3 +71,26 @@
         await self.listener.drain()
         self.assertEqual(self.sock.fileno(), -1)
         self.assertTrue(all([await self.hears(each) for each in self.callers]))
+
+
+class ReceiveBufferTest(unittest.TestCase):
+    """Each connection that nobody read held some 128 KB in the kernel."""
+
+    def unread_bytes(self, limit):
+        """Returns what a connection takes before it is read, also before it is accepted."""
+        listener = open_listening_socket("127.0.0.1", 0, limit)
+        with listener, socket.create_connection(listener.getsockname()) as caller:
+            caller.settimeout(0.3)
+            with suppress(TimeoutError):
+                for _ in range(64):
+                    caller.sendall(bytes(64 * 1024))
+            accepted, _ = listener.accept()
+            with accepted:
+                unread = fcntl.ioctl(accepted, termios.FIONREAD, bytes(4))
+        return struct.unpack("i", unread)[0]
+
+    def test_unread_bytes_of_a_connection_are_bounded(self):
+        for limit in (8 * 1024, 24 * 1024, 64 * 1024):
+            with self.subTest(limit):
+                self.assertGreater(self.unread_bytes(limit), limit // 4)
+                self.assertLessEqual(self.unread_bytes(limit), limit)
