Bound the bytes that sockets of the operators' port hold unread

Callers saw: nothing by this alone; a crowd on the port that answers the balancer adds to the memory of the machine.

Cause: the port has 64 connections, but each took what the kernel allows, and the process read up to 128 KB of bodies that no page of it asks for.

Change: open_listening_socket has a module of its own; a direct entry's operators' port has the same receive_buffer as its callers, and leaves unasked bodies to the socket after 4 KiB.

--- a/packages/bilberryplank/bilberryplank/_caller_listener.py
+++ b/packages/bilberryplank/bilberryplank/_caller_listener.py
@@ -8,10 +8,9 @@
 
 from loguru import logger
 
+from bilberryplank._listening_socket import BACKLOG
 from bilberryplank._logs import log_event
 
-BACKLOG = 512
-
 MAX_ACCEPTED = 64
 """Connections accepted in one turn of the loop, so that requests get their turn as well."""
 
@@ -21,43 +20,9 @@
 EXHAUSTED_SECONDS = 1.0
 """Pause where the process or the host has no descriptor or memory for a connection."""
 
-RECEIVED_SHARE = 1.5
-"""Bytes that a socket takes for each one of its receive buffer as it is set: the kernel doubles
-that, and leaves a quarter or more for what packets cost beside their data."""
-
 ProtocolFactory = Callable[[str], asyncio.Protocol | None]
 
 
-def open_listening_socket(host: str, port: int, receive_buffer: int | None = None) -> socket.socket:
-    """Returns a listening socket.
-
-    Args:
-        host: IP number.
-        port: TCP port; 0 for any.
-        receive_buffer: Bytes that each connection may have received before they are read.
-
-    Raises:
-        OSError: The address cannot be bound.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if family == socket.AF_INET6:
-            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
-        if receive_buffer is not None:
-            # Connections inherit it, as their windows are agreed on before they are accepted.
-            size = int(receive_buffer / RECEIVED_SHARE)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-        sock.bind((host, port))
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    sock.setblocking(False)
-    return sock
-
-
 class CallerListener:
     """Gives each connection a protocol; while one has no place, those behind it wait unaccepted.
 
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -9,10 +9,11 @@
 from mode import Service
 
 from bilberryplank._caller_connections import ConnectionBounds
-from bilberryplank._caller_listener import CallerListener, open_listening_socket
+from bilberryplank._caller_listener import CallerListener
 from bilberryplank._caller_memory import CallerMemory
 from bilberryplank._caller_protocol import CallerProtocol, RefusalCounter
 from bilberryplank._caller_request import check_text
+from bilberryplank._listening_socket import open_listening_socket
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank._turned_away import TurnedAwayConnections
 from bilberryplank_core.direct import ReadPacer
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -176,6 +176,7 @@
             journal,
             self.status,
             further_addresses=(cfg.metrics_listen,),
+            receive_buffer=cfg.callers.receive_buffer,
         )
         keeper = TrueTimeKeeper(table, fleet_clock)
         restorer = StoreRestorer(eras, table, self._state.members, self.metrics, self._rng)
--- a/packages/bilberryplank/bilberryplank/_operations_server.py
+++ b/packages/bilberryplank/bilberryplank/_operations_server.py
@@ -18,6 +18,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from bilberryplank._decisions import DecisionJournal
+from bilberryplank._listening_socket import open_listening_socket
 from bilberryplank._metrics import ProcessMetrics
 
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
@@ -25,6 +26,9 @@
 MAX_CONNECTIONS = 64
 """Connections of operators, balancer and scrapers; for one more the oldest idle one is closed."""
 
+UNREAD_BODY_BYTES = 4 * 1024
+"""A body that nobody reads is left to the socket once it is this long."""
+
 PUSH_PATH = "/configuration"
 
 
@@ -97,6 +101,16 @@
 class OperationsServer(Service):
     """Serves the operators' port.
 
+    Args:
+        address: `ip:port` to listen on.
+        metrics: What `/metrics` shows.
+        journal: What `/decisions` shows.
+        status: Returns what `/status` shows.
+        push: Takes a pushed configuration; None where nobody may push.
+        further_addresses: Further addresses to listen on.
+        receive_buffer: Bytes that one connection may have received before they are read; None
+            leaves it to the kernel.
+
     Attributes:
         readiness: What `/readyz` tells the balancer; the owner sets it.
     """
@@ -111,6 +125,7 @@
         status: StatusProvider,
         push: PushHandler | None = None,
         further_addresses: tuple[str, ...] = (),
+        receive_buffer: int | None = None,
         **kwargs: Any,
     ) -> None:
         self.readiness = Readiness.STARTING
@@ -119,6 +134,7 @@
         self._journal = journal
         self._status = status
         self._push = push
+        self._receive_buffer = receive_buffer
         self._listeners: list[asyncio.Server] = []
         self._runner: web.AppRunner | None = None
         super().__init__(**kwargs)
@@ -135,13 +151,17 @@
             OSError: The address cannot be bound.
         """
         self._runner = web.AppRunner(
-            self._application(), access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS
+            self._application(),
+            access_log=None,
+            read_bufsize=UNREAD_BODY_BYTES,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
         )
         await self._runner.setup()
         for address in self._addresses:
             host, _, port = address.rpartition(":")
+            sock = open_listening_socket(host.strip("[]"), int(port), self._receive_buffer)
             listener = await asyncio.get_running_loop().create_server(
-                self._new_connection, host.strip("[]"), int(port)
+                self._new_connection, sock=sock
             )
             self._listeners.append(listener)
 
--- a/packages/bilberryplank/bilberryplank/tests/test_caller_listener.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_caller_listener.py
@@ -9,7 +9,8 @@
 from unittest import mock
 
 from bilberryplank import _caller_listener
-from bilberryplank._caller_listener import CallerListener, open_listening_socket
+from bilberryplank._caller_listener import CallerListener
+from bilberryplank._listening_socket import open_listening_socket
 
 
 class Echo(asyncio.Protocol):
