Name the parts of the listener and of a body's room by the terms of the field

Cause: read as a newcomer; "placeless" and "whose end can be watched" are words of our own. Change: names and comments only: a deferred connection, uncancel, what a weak reference is for.

--- a/packages/bilberryplank/bilberryplank/_caller_listener.py
+++ b/packages/bilberryplank/bilberryplank/_caller_listener.py
@@ -14,8 +14,8 @@
 MAX_ACCEPTED = 64
 """Connections accepted in one turn of the loop, so that requests get their turn as well."""
 
-NO_PLACE_SECONDS = 0.05
-"""After this long a connection without a place is tried again."""
+RETRY_SECONDS = 0.05
+"""An accepted connection over the bounds is offered again after this interval."""
 
 EXHAUSTED_SECONDS = 1.0
 """Pause where the process or the host has no descriptor or memory for a connection."""
@@ -24,21 +24,23 @@
 
 
 class CallerListener:
-    """Gives each connection a protocol; while one has no place, those behind it wait unaccepted.
+    """Accepts connections; pauses while there is no protocol for the last one.
+
+    Connections that come meanwhile stay in the kernel's backlog.
 
     Args:
         sock: A listening socket.
-        new_protocol: Returns the protocol for a connection from an address, None if there is no
-            place for it.
+        new_protocol: Returns the protocol for a connection from an address; None if the connection
+            can be neither served nor refused yet.
     """
 
-    __slots__ = ("_loop", "_new_protocol", "_opening", "_placeless", "_sock", "_timer")
+    __slots__ = ("_deferred", "_loop", "_new_protocol", "_opening", "_sock", "_timer")
 
     def __init__(self, sock: socket.socket, new_protocol: ProtocolFactory) -> None:
         self._loop = asyncio.get_running_loop()
         self._new_protocol = new_protocol
         self._opening: set[asyncio.Task[object]] = set()
-        self._placeless: tuple[socket.socket, str] | None = None
+        self._deferred: tuple[socket.socket, str] | None = None
         self._sock = sock
         self._timer: asyncio.TimerHandle | None = None
         self._loop.add_reader(sock, self._accept_ready)
@@ -68,9 +70,9 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._placeless is not None:
-            self._placeless[0].close()
-            self._placeless = None
+        if self._deferred is not None:
+            self._deferred[0].close()
+            self._deferred = None
         if self._sock.fileno() >= 0:
             self._loop.remove_reader(self._sock)
             self._sock.close()
@@ -96,8 +98,8 @@
     def _open(self, sock: socket.socket, address: str) -> bool:
         protocol = self._new_protocol(address)
         if protocol is None:
-            self._placeless = sock, address
-            self._pause(NO_PLACE_SECONDS)
+            self._deferred = sock, address
+            self._pause(RETRY_SECONDS)
             return False
         task = self._loop.create_task(self._connect(protocol, sock))
         self._opening.add(task)
@@ -118,6 +120,6 @@
 
     def _resume(self) -> None:
         self._timer = None
-        placeless, self._placeless = self._placeless, None
-        if placeless is None or self._open(*placeless):
+        deferred, self._deferred = self._deferred, None
+        if deferred is None or self._open(*deferred):
             self._loop.add_reader(self._sock, self._accept_ready)
--- a/packages/bilberryplank/bilberryplank/_caller_memory.py
+++ b/packages/bilberryplank/bilberryplank/_caller_memory.py
@@ -26,7 +26,7 @@
 
 
 class BodyBuffer(bytearray):
-    """Bytes of a body, whose end can be watched."""
+    """A bytearray that can be weakly referenced, so that its deallocation is noticed."""
 
     __slots__ = ("__weakref__",)
 
@@ -83,7 +83,7 @@
         loop = asyncio.get_running_loop()
 
         def freed(_: weakref.ref[BodyBuffer]) -> None:
-            # An object may end within any other code, or after the loop.
+            # Runs wherever the last reference is dropped, also after the loop has ended.
             if not loop.is_closed():
                 loop.call_soon(self._buffer_freed)
 
@@ -100,7 +100,7 @@
         self._holding.complete()
 
     def close(self) -> None:
-        """Takes in the end of the request; bytes that something still holds keep their room."""
+        """Releases the room once the buffer is freed as well; called when the request has ended."""
         self._is_closed = True
         self._bound = None
         if self._buffer is None or self._buffer() is None:
--- a/packages/bilberryplank/bilberryplank/_caller_server.py
+++ b/packages/bilberryplank/bilberryplank/_caller_server.py
@@ -51,7 +51,7 @@
         self._turned_away = TurnedAwayConnections(settings, on_refused)
 
     def new_protocol(self, address: str) -> asyncio.Protocol | None:
-        """Returns the protocol for a new connection; None if it has to wait for a place."""
+        """Returns the protocol for a new connection; None if it can't be served or refused yet."""
         if not self._bounds.admits_another(address):
             return self._turned_away.open()
         conn = CallerProtocol(
--- a/packages/bilberryplank/bilberryplank/_direct_run.py
+++ b/packages/bilberryplank/bilberryplank/_direct_run.py
@@ -119,7 +119,7 @@
             async with asyncio.timeout(left):
                 return await self._attempts()
         except asyncio.CancelledError:
-            withheld = self._interruption.take_back_cancellation()
+            withheld = self._interruption.uncancel()
             if withheld is None:
                 raise
             raise self._placement.withhold(withheld) from None
--- a/packages/bilberryplank/bilberryplank/_run_progress.py
+++ b/packages/bilberryplank/bilberryplank/_run_progress.py
@@ -112,7 +112,7 @@
         if self._task is not None:
             self._task.cancel()
 
-    def take_back_cancellation(self) -> Withheld | None:
+    def uncancel(self) -> Withheld | None:
         """Returns why the attempt was ended; None if something else cancelled the task."""
         if self.withheld is not None and self._task is not None:
             self._task.uncancel()
