--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -16,7 +16,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "build" / "results"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-STEP_TIMEOUT_SECONDS = 1200
+STEP_TIMEOUT_SECONDS = 1800
 PACKAGES = {
     "bilberryplank-core": "bilberryplank_core",
     "bilberryplank": "bilberryplank",
