Have ordinary requests beside the stops of case 12, and state limits and checks

Looked for: limits that the claims left open. Case 12 lost one of some ten packets of a link that carried reports only; each entry now passes on two requests a second beside, and a reset by the entry drops what its link holds.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,6 +15,7 @@
     Entry,
     Server,
     StandInStore,
+    call,
     desired_state,
     read_message,
     route,
@@ -37,6 +38,9 @@
 RETRANSMITTED_AFTER = 0.21
 """A lost packet is sent again after 200 ms at the least (RTO_MIN of Linux) and two round trips."""
 
+BETWEEN_REQUESTS = 0.5
+"""Seconds between the requests to one entry; the site brings an entry more."""
+
 STOPPED_AFTER = 0.01
 """Seconds from the loss to the SIGTERM."""
 
@@ -99,6 +103,9 @@
                 sent += data
                 if is_whole(sent):
                     await self._last_packet()
+                if reader.exception() is not None:
+                    # A reset by the entry drops what it has not delivered yet.
+                    break
                 back.write(data)
         except ConnectionError:
             pass
@@ -166,6 +173,16 @@
         await entry.start()
 
 
+async def send_steadily(entry, record):
+    """Sends ordinary requests to an entry, so that its links carry more than reports."""
+    number = 0
+    while True:
+        number += 1
+        if entry.is_running:
+            await call(entry, "/book/1", f"{entry.name}-{number}", "key-acme", record)
+        await asyncio.sleep(BETWEEN_REQUESTS)
+
+
 async def play(record, folder, started):
     """Plays the case; returns True where the rule was broken."""
     began = time.monotonic()
@@ -187,11 +204,14 @@
     for entry in stops.entries:
         if not await entry.wait_ready(30):
             raise CannotRun(f"{entry.name} did not become ready")
+    traffic = [asyncio.create_task(send_steadily(each, record)) for each in stops.entries]
     for _ in range(int((began + LAST_STOP - time.monotonic()) / POLL)):
         if stops.is_done or cloud.lower:
             break
         await asyncio.sleep(POLL)
     await asyncio.sleep(1.5)
+    for each in traffic:
+        each.cancel()
     if not cloud.lower and stops.count < LEAST_STOPS:
         raise CannotRun("too few reports were sent")
     record.note(f"{stops.count} stops, {len(cloud.calls)} calls, {cloud.lower} with a lower number")
