Tell the newest version of the configuration to entries that start after a restore

Cause: the running entry knew that the store was behind, but told nobody. One that starts has only the copy's version to compare with, and the doubt about a restored store ends after 2 s. An entry that runs but had missed the version is in the same position, and so are entries that are restarted in turn.

Change: after a restore each entry writes the newest version that it knows into a row of configuration-marks. A fleet's first era reads nothing.

--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_freshness.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_freshness.py
@@ -79,6 +79,10 @@
         """Records whether the store's configuration is older than the active one."""
         self._is_behind = is_behind
 
+    def forget_confirmation(self) -> None:
+        """Records that a newer configuration than the active one is known to have been in force."""
+        self._confirmed_at = None
+
     def age(self, now: float) -> float:
         """Returns the seconds since the last confirmation; infinity before the first."""
         return float("inf") if self._confirmed_at is None else now - self._confirmed_at
--- a/packages/bilberryplank-core/bilberryplank_core/_store_era.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_store_era.py
@@ -40,11 +40,13 @@
         era: Number of the era.
         revision: Revision of the row.
         opened_at: Time of the write in seconds on the store's clock. The restore was before it.
+        is_first: True if no earlier era was known, so that nothing can be missing.
     """
 
     era: int
     revision: int
     opened_at: float
+    is_first: bool = False
 
     @property
     def condition(self) -> Condition:
@@ -57,12 +59,14 @@
 
     Attributes:
         current: The latest era; None before the first answer, and for a store without eras.
+        has_changed: True once an era has replaced another.
     """
 
-    __slots__ = ("_listeners", "current")
+    __slots__ = ("_listeners", "current", "has_changed")
 
     def __init__(self) -> None:
         self.current: int | None = None
+        self.has_changed = False
         self._listeners: list[Callable[[int], None]] = []
 
     def subscribe(self, listener: Callable[[int], None]) -> None:
@@ -85,6 +89,7 @@
             raise EraChanged(f"an answer of era {era} arrived in era {self.current}")
         previous, self.current = self.current, era
         if previous is not None and era != previous:
+            self.has_changed = True
             for listener in self._listeners:
                 listener(era)
         if sent_in is not None and era != sent_in:
--- a/packages/bilberryplank-core/bilberryplank_core/direct.py
+++ b/packages/bilberryplank-core/bilberryplank_core/direct.py
@@ -1,6 +1,13 @@
 """Decisions of an entry that calls its upstreams directly, without sidecars."""
 
 from bilberryplank_core._configuration_freshness import Freshness, FreshnessTracker
+from bilberryplank_core._configuration_mark import (
+    MARK_KEY,
+    MARK_TABLE,
+    MarkChecks,
+    mark_value,
+    read_mark,
+)
 from bilberryplank_core._crash_evidence import CrashRecord
 from bilberryplank_core._crash_notices import (
     CRASH_FORMAT,
@@ -160,7 +167,10 @@
     "ReadPacer",
     "ReadTimes",
     "PATIENCE_SECONDS",
+    "MARK_KEY",
+    "MARK_TABLE",
     "MAX_PATIENCE_SECONDS",
+    "MarkChecks",
     "excess_pieces",
     "heartbeat_notice",
     "check_heartbeat",
@@ -225,7 +235,9 @@
     "is_significant_change",
     "classify_response",
     "should_admit",
+    "mark_value",
     "may_seal",
+    "read_mark",
     "notice_interval",
     "read_seal",
     "retry_delay",
--- a/packages/bilberryplank/bilberryplank/_direct_entry.py
+++ b/packages/bilberryplank/bilberryplank/_direct_entry.py
@@ -180,7 +180,7 @@
         )
         keeper = TrueTimeKeeper(table, fleet_clock)
         restorer = StoreRestorer(eras, table, self._state.members, self.metrics, self._rng)
-        restorer.add(keeper, self._members, self._crash_relay, self._usage)
+        restorer.add(self._watch.mark, keeper, self._members, self._crash_relay, self._usage)
         for part in (
             self._operations,
             self._relay,
--- a/packages/bilberryplank/bilberryplank/_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/_direct_feeds.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from bilberryplank._clocks import boot_time
+from bilberryplank._configuration_mark import ConfigurationMark
 from bilberryplank._logs import log_event
 from bilberryplank._stepwise import run_in_steps
 from bilberryplank._table_relay import TableRelay
@@ -63,6 +64,7 @@
     Attributes:
         freshness_tracker: Age of what is in force.
         configuration: The configuration in force; None before the first.
+        mark: The newest version known to any entry.
     """
 
     abstract = False
@@ -89,31 +91,43 @@
         )
         self.freshness_tracker = freshness_tracker
         self.configuration: DirectConfiguration | None = None
+        self.mark = ConfigurationMark(table)
         self._rows = rows
         self._apply = apply
         self._evacuations = evacuations
         self._evacuated = evacuated
         self._fleet_clock = fleet_clock
         self._told_behind = 0
+        self._stored_version = 0
         self._row: Row | None = None
         self._edits: dict[int, RowEdit] = {}
         relay.hear(EDIT_FORMAT, self._hear_edit)
 
     async def prepare(self) -> None:
-        """Learns whether the store was restored right before this process started."""
+        """Learns whether the store was restored, and which version other entries know since."""
         opening = await self._table.opening()
-        if self.configuration is None and opening is not None:
-            left = opening.opened_at + DOUBT_SECONDS - self._fleet_clock.store_time()
+        if opening is None:
+            return
+        left = opening.opened_at + DOUBT_SECONDS - self._fleet_clock.store_time()
+        if self.configuration is None:
             self.freshness_tracker.doubt_until(boot_time() + left)
+        if not opening.is_first:
+            self.mark.checks.begin(boot_time() + left)
+            await self.mark.check()
 
     def restored(self) -> None:
         """Has the store confirm nothing until the operator had time to write again."""
         self._row = None
         self._edits.clear()
         self.freshness_tracker.doubt_until(boot_time() + DOUBT_SECONDS)
+        self.mark.checks.begin(boot_time() + DOUBT_SECONDS)
         self._evacuations.restored(boot_time())
         self._end_doubt_in_time()
 
+    def must_read(self) -> bool:
+        """Returns True where the newest version known to any entry must be read first."""
+        return self.mark.checks.is_due(boot_time())
+
     def longest_wait(self) -> float:
         """Returns the seconds that a read may wait for a change."""
         doubt_left = self.freshness_tracker.doubt_left(boot_time())
@@ -160,13 +174,16 @@
 
     def take_quiet(self, as_of: float) -> None:
         """Confirms the configuration in force."""
-        if self.configuration is not None:
+        if self.configuration is not None and not self.must_read():
             self.freshness_tracker.confirm(as_of)
 
     async def _take(self, changes: TableChanges) -> None:
         for row in changes.rows:
             if row.key == self._rows.configuration_key and not await self._take_row(row):
                 return
+        if self.must_read():
+            await self.mark.check()
+            self._compare(self._stored_version)
         if self.configuration is not None:
             self.freshness_tracker.confirm(changes.as_of)
 
@@ -220,21 +237,27 @@
             organisations=len({each.name for each in (cfg.organisations or {}).values()}),
         )
         self.configuration = cfg
+        self.mark.raise_to(cfg.version)
         self._apply(routes)
         return True
 
     def _compare(self, version: int) -> None:
-        """Takes in the version that the store has; an older one than here confirms nothing."""
-        is_behind = version < self._version()
+        """Takes in the version that the store has; an older one than is known confirms nothing."""
+        self._stored_version = version
+        newest = self.mark.version
+        is_behind = version < newest
         self.freshness_tracker.set_behind(is_behind)
-        if is_behind and self._told_behind != self._version():
-            self._told_behind = self._version()
+        if is_behind and self._version() < newest:
+            self.freshness_tracker.forget_confirmation()
+        if is_behind and self._told_behind != newest:
+            self._told_behind = newest
             log_event(
                 logger,
                 "store_behind",
                 level="ERROR",
                 version=version,
                 in_force=self._version(),
+                newest=newest,
                 era=self._eras.current,
             )
 
--- a/packages/bilberryplank/bilberryplank/_era_table.py
+++ b/packages/bilberryplank/bilberryplank/_era_table.py
@@ -62,7 +62,8 @@
 
     async def _open(self, era: int, earlier: list[Row]) -> EraOpening:
         key, opened_at = era_key(era), self._fleet_clock.store_time()
-        writes: list[Write] = [Put(ERA_TABLE, key, {"at": opened_at})]
+        is_first = not earlier and not self._eras.has_changed
+        writes: list[Write] = [Put(ERA_TABLE, key, {"at": opened_at, "first": is_first})]
         writes += [Delete(ERA_TABLE, row.key) for row in earlier]
         try:
             revision = await self._table.commit([Condition(ERA_TABLE, key, 0)], writes)
@@ -71,12 +72,14 @@
             if row is None:
                 raise
             return self._read(era, row)
-        return EraOpening(era, revision, opened_at)
+        return EraOpening(era, revision, opened_at, is_first)
 
     def _read(self, era: int, row: Row) -> EraOpening:
         match row.value:
-            case {"at": float(opened_at)} if math.isfinite(opened_at):
-                return EraOpening(era, row.revision, opened_at)
+            case {"at": float(opened_at), **others} if math.isfinite(opened_at):
+                # Older releases don't tell whether the era is the first.
+                is_first = others.get("first") is True and not self._eras.has_changed
+                return EraOpening(era, row.revision, opened_at, is_first)
         # The latest time that the era can have begun is the safe one.
         opened_at = self._fleet_clock.store_time()
         log_event(logger, "era_row_unreadable", level="WARNING", era=era, revision=row.revision)
--- a/packages/bilberryplank/bilberryplank/_table_watch.py
+++ b/packages/bilberryplank/bilberryplank/_table_watch.py
@@ -114,6 +114,10 @@
             PlatformError: The table did not answer.
         """
 
+    def must_read(self) -> bool:
+        """Returns True where another entry's word that nothing changed is not enough."""
+        return False
+
     def longest_wait(self) -> float:
         """Returns the seconds that a read may wait for a change."""
         return self._times.wait
@@ -148,7 +152,7 @@
 
     async def _hear(self) -> bool:
         """Takes other entries' word that nothing changed; returns False where a read is due."""
-        if self._revision is None or not self._relay.listens:
+        if self._revision is None or not self._relay.listens or self.must_read():
             return False
         silence = self._times.silence * self._rng.uniform(EARLIEST_SHARE, 1)
         due_in = self._known_at + silence - boot_time()
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_feeds.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_feeds.py
@@ -9,11 +9,13 @@
 from bilberryplank_core.direct import (
     EDIT_FORMAT,
     DirectConfiguration,
+    Freshness,
     FreshnessTracker,
     RowEdit,
     TableChanges,
+    mark_value,
 )
-from bilberryplank_core.eligibility import ZoneEvacuations
+from bilberryplank_core.eligibility import DOUBT_SECONDS, ZoneEvacuations
 from bilberryplank_core.errors import ConfigurationInvalid, Fault, PlatformUnavailable
 
 
@@ -36,11 +38,14 @@
 class ConfigurationTable(Table):
     """A table with one row, which the test sets."""
 
-    value, slow = None, 0.0
+    value, slow, newest = None, 0.0, None
 
     async def opening(self):
         return None
 
+    async def read(self, table, key):
+        return None if self.newest is None else Row(table, key, mark_value(self.newest), 1)
+
     async def changes(self, table, after, wait):
         answer = await super().changes(table, after, wait)
         if answer.rows:
@@ -181,3 +186,18 @@
         self.watches[told]._hear_edit("", edit.encode())
         self.put(10, {"r1": 10})
         await self.reach(10)
+
+    # Word from table pollers that nothing changed confirmed the copy's version at all listeners.
+    async def test_listeners_learn_that_a_restored_store_lacks_a_version(self):
+        for table in self.tables:
+            table.era, table.newest = 2, 2
+        await asyncio.sleep(DOUBT_SECONDS + 2.0)
+        now = self.clock()
+        states = [watch.freshness_tracker.freshness(now) for watch in self.watches]
+        self.assertEqual(states, [Freshness.STALE] * ENTRIES)
+        self.put(2, {"r1": 2})
+        await self.reach(2)
+        await asyncio.sleep(1.0)
+        now = self.clock()
+        states = [watch.freshness_tracker.freshness(now) for watch in self.watches]
+        self.assertEqual(states, [Freshness.CONFIRMED] * ENTRIES)
