Give a lease up only once the calls under it are answered

Cause: the guard bounds a call by the end of the lease, and a planned stop ended the lease early without a look at the calls under it. So did the last holder, which takes its own expired lease, or that of an earlier era, at once: its next call may overtake the one before.

Change: Guard.begin_call records that a whole call may arrive, until its answer or until the lease could be taken over by expiry. Until then relinquish names no grant, release writes nothing, and the same holder writes no new grant. A stop acts no more at once and waits while a call waits for its answer; where none came, the lease is left to expire. Nothing waits where no call is on its way. Usage reports, orders for upstreams and orders to engines pass there.

--- a/packages/bilberryplank-core/bilberryplank_core/_contracts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_contracts.py
@@ -136,6 +136,15 @@
         """
 
 
+class SentCall:
+    """A call whose last byte was handed to the kernel, under a lease that nobody tracks."""
+
+    __slots__ = ()
+
+    def end(self, answered: bool) -> None:
+        """Records that the call was answered, or that nobody waits for its answer any more."""
+
+
 class Guard(ABC):
     """Checks, right before an order or report is sent, that the sender still holds the lease."""
 
@@ -147,6 +156,17 @@
     def remaining(self) -> float:
         """Returns the remaining time of the lease in seconds."""
 
+    def begin_call(self) -> SentCall:
+        """Checks the lease, and records that a whole call may arrive from now on.
+
+        To be called with no await before the write that completes the call.
+
+        Raises:
+            LeaseLost: The sender no longer holds the lease.
+        """
+        self.check()
+        return SentCall()
+
 
 @dataclass(slots=True, frozen=True)
 class UsageLine:
--- a/packages/bilberryplank-core/bilberryplank_core/_lease_guard.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_lease_guard.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from bilberryplank_core._contracts import Guard
+from bilberryplank_core._contracts import Guard, SentCall
 from bilberryplank_core._errors import LeaseLost
 
 if TYPE_CHECKING:
@@ -37,3 +37,8 @@
         if self._lease.fence != self._fence:
             return 0.0
         return self._lease.remaining(self._clock())
+
+    def begin_call(self) -> SentCall:
+        """Records that a whole call may arrive, until it is answered or the lease has expired."""
+        self.check()
+        return self._lease.begin_call()
--- a/packages/bilberryplank-core/bilberryplank_core/_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_leases.py
@@ -7,7 +7,8 @@
 as long as the clocks run at the same rate to within the margin.
 
 No wait is needed for a grant that its holder no longer uses: the contender's own expired grant, or
-one whose holder announced that it relinquished it.
+one whose holder announced that it relinquished it. A grant is not given up early, nor followed by
+another one of the same holder, while a call under it may still arrive.
 
 A store may come back from an older copy, which begins a new era. Then a lease row of an earlier
 era, or none, does not tell who holds the lease: the grant in force may be gone. Contenders wait
@@ -24,6 +25,7 @@
 
 from bilberryplank_core._contracts import Condition, Put, Row, Table
 from bilberryplank_core._errors import Conflict, PlatformUnavailable
+from bilberryplank_core._lease_calls import LeaseCall, LeaseCalls
 from bilberryplank_core._lease_guard import LeaseGuard
 from bilberryplank_core._lease_rows import (
     TABLE,
@@ -59,6 +61,7 @@
     """
 
     __slots__ = (
+        "_calls",
         "_clock",
         "_duration",
         "_era",
@@ -124,6 +127,7 @@
         self._unreleased_grant: _Grant | None = None
         self._sole_since = float("inf")
         self._is_last_holder = False
+        self._calls = LeaseCalls()
         self._eras = eras or EraTracker()
         self._era: int | None = None
         self._era_known_at = float("-inf")
@@ -181,6 +185,14 @@
         guard.check()
         return guard
 
+    def begin_call(self) -> LeaseCall:
+        """Records that a whole call under the present grant may arrive from now on."""
+        return self._calls.begin(self._expires_at + 2 * self._margin)
+
+    def awaits_answer(self) -> bool:
+        """Returns whether a call waits for its answer and may still arrive."""
+        return self._calls.await_answer(self._clock())
+
     def fence_condition(self) -> Condition:
         """Returns a write condition that fails once another process has acquired the lease.
 
@@ -240,16 +252,24 @@
         `release` then marks the row as released.
 
         Returns:
-            The id of the relinquished grant; empty if there is none.
+            The id of the relinquished grant, for others; empty if there is none, or while a call
+            under it may still arrive.
         """
         self._pending_grants.clear()
         self._is_last_holder = False
         self._unreleased_grant, self._grant = self._grant or self._unreleased_grant, None
-        return self._unreleased_grant.row.grant if self._unreleased_grant else ""
+        if self._unreleased_grant is None or self._calls.may_arrive(self._clock()):
+            return ""
+        return self._unreleased_grant.row.grant
 
     async def release(self) -> None:
-        """Relinquishes the lease and marks its row, so that others need not wait for expiry."""
+        """Relinquishes the lease and marks its row, so that others need not wait for expiry.
+
+        The row is left to expire while a call may still arrive.
+        """
         self.relinquish()
+        if self._calls.may_arrive(self._clock()):
+            return
         grant, self._unreleased_grant = self._unreleased_grant, None
         if grant is None or self._clock() >= self._expires_at:
             return
@@ -308,6 +328,9 @@
         return self._grant is not None and current.grant == self._grant.row.grant
 
     async def _write_grant(self, revision: int, last: LeaseRow | None) -> bool:
+        if self._calls.may_arrive(self._clock()):
+            # A call with the next fencing token could overtake it.
+            return False
         fence = next_fence(self._era, last.fence if last else 0)
         new = LeaseRow(self._owner, self._make_id(), fence, self._duration)
         is_own = self._is_last_holder or (last is not None and self._is_own_grant(last))
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_eras.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_eras.py
@@ -101,6 +101,15 @@
         self.assertEqual(self.first.sole_since, since)
         self.assertFalse(await self.attempt(self.second))
 
+    # A call under its fencing token of the new era could overtake one of the era before.
+    async def test_the_last_holder_waits_for_its_own_call_of_the_era_before(self):
+        await self.acquire(self.first)
+        call = self.first.guard().begin_call()
+        self.store.restore(self.empty)
+        self.assertFalse(await self.attempt(self.first))
+        call.end(answered=True)
+        self.assertTrue(await self.attempt(self.first))
+
     async def test_a_holder_that_was_away_for_a_lease_waits_like_any_other(self):
         await self.acquire(self.first)
         self.now += WAIT
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_interleavings.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_lease_interleavings.py
@@ -118,9 +118,87 @@
         return repr((super().state(), self.announced_grant, relinquished))
 
 
+class StoppedHolderModel(LeaseModel):
+    """The first process is stopped at any moment, also while its order is on the way.
+
+    The order arrives at any moment until the lease that its guard saw has expired. Its sender has
+    its answer later than that, or never.
+    """
+
+    remaining_faults = 0
+    in_transit = None
+    arrived = False
+    stopped = False
+    announced_grant = ""
+
+    def __init__(self):
+        super().__init__()
+        lease, _ = self.leases[0]
+        self.processes.append(Process(partial(self.stop_holder, lease)))
+        self.processes.append(Process(self.deliver))
+
+    async def send_orders(self, lease, owner, process):
+        while not (self.stopped and owner == "p0"):
+            process.trace.clear()
+            if self.announced_grant and owner != "p0":
+                lease.record_relinquished(self.announced_grant)
+            try:
+                await lease.try_acquire()
+                guard = lease.guard()
+                await lease._table.read("orders", "any")
+                call = guard.begin_call()
+            except (LeaseLost, PlatformUnavailable):
+                continue
+            if owner != "p0":
+                self.orders.append((guard.fence, owner))
+                call.end(answered=True)
+                continue
+            self.arrived = False
+            self.in_transit = guard.fence, self.now + guard.remaining()
+            await lease._table.read("orders", "answer")
+            call.end(answered=self.arrived)
+
+    async def deliver(self, process):
+        while True:
+            process.trace.clear()
+            await StepTable().read("orders", "arrival")
+            if self.in_transit is not None:
+                (fence, until), self.in_transit = self.in_transit, None
+                if self.now < until:
+                    self.arrived = True
+                    self.orders.append((fence, "p0"))
+
+    async def stop_holder(self, lease, process):
+        await lease._table.read("orders", "stop")
+        self.stopped = True
+        lease.relinquish()
+        while lease.awaits_answer():
+            process.trace.clear()
+            await lease._table.read("orders", "wait")
+        self.announced_grant = lease.relinquish()
+        await lease.release()
+
+    def state(self):
+        calls = [
+            (
+                lease._calls.await_answer(self.now + offset),
+                lease._calls.may_arrive(self.now + offset),
+            )
+            for lease, offset in self.leases
+        ]
+        until = self.in_transit and (self.in_transit[0], self.in_transit[1] - self.now)
+        relinquished = [lease._relinquished_grant for lease, _ in self.leases]
+        own = until, self.arrived, self.stopped, self.announced_grant, relinquished, calls
+        return repr((super().state(), own))
+
+
 class LeaseInterleavingsTest(unittest.TestCase):
     def test_a_relinquished_lease_never_has_two_holders(self):
         self.assertGreater(explore(RelinquishedLeaseModel, 9), 1000)
 
+    # An order of a stopped holder arrived after one of its successor.
+    def test_a_stopped_holder_never_has_an_order_arrive_after_its_successor_s(self):
+        self.assertGreater(explore(StoppedHolderModel, 11), 10000)
+
     def test_no_interleaving_gives_the_lease_two_holders(self):
         self.assertGreater(explore(LeaseModel, 9), 10000)
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_leases.py
@@ -166,6 +166,66 @@
         self.assertFalse(await self.second.try_acquire())
         self.assertFalse(self.second.may_be_free())
 
+    # A holder that stopped gave its lease up while its last call could still arrive.
+    async def test_a_lease_is_not_given_up_before_a_call_under_it_is_answered(self):
+        await self.first.try_acquire()
+        call = self.first.guard().begin_call()
+        self.assertEqual(self.first.relinquish(), "")
+        await self.first.release()
+        self.assertFalse(await self.second.try_acquire())
+        self.assertTrue(self.first.awaits_answer())
+        call.end(answered=True)
+        self.assertFalse(self.first.awaits_answer())
+        grant = self.first.relinquish()
+        self.second.record_relinquished(grant)
+        self.assertTrue(grant)
+        await self.first.release()
+        self.assertTrue(await self.second.try_acquire())
+
+    async def test_a_lease_is_left_to_expire_where_a_call_under_it_got_no_answer(self):
+        await self.first.try_acquire()
+        answered, failed = (self.first.guard().begin_call() for _ in range(2))
+        failed.end(answered=False)
+        answered.end(answered=True)
+        failed.end(answered=True)
+        self.assertFalse(self.first.awaits_answer())
+        self.assertEqual(self.first.relinquish(), "")
+        await self.first.release()
+        self.assertFalse(await self.second.try_acquire())
+        self.now += DURATION + MARGIN
+        self.assertTrue(await self.second.try_acquire())
+
+    async def test_a_call_that_the_lease_refused_holds_nothing_up(self):
+        await self.first.try_acquire()
+        guard = self.first.guard()
+        self.now += DURATION
+        with self.assertRaises(LeaseLost):
+            guard.begin_call()
+        self.assertFalse(self.first.awaits_answer())
+        self.assertTrue(await self.first.try_acquire())
+
+    # It took its own expired lease at once, and its next call could overtake the one before.
+    async def test_the_last_holder_waits_for_its_own_call_before_it_reacquires(self):
+        for answered in (True, False):
+            with self.subTest(answered=answered):
+                self.setUp()
+                await self.first.try_acquire()
+                call = self.first.guard().begin_call()
+                self.now += DURATION - MARGIN
+                self.assertFalse(await self.first.try_acquire())
+                call.end(answered)
+                self.assertEqual(await self.first.try_acquire(), answered)
+                self.now += 2 * MARGIN
+                self.assertTrue(await self.first.try_acquire())
+
+    async def test_a_renewal_does_not_lengthen_the_wait_for_an_earlier_call(self):
+        await self.first.try_acquire()
+        self.first.guard().begin_call().end(answered=False)
+        for _ in range(2):
+            self.now += 0.5 * (DURATION + MARGIN)
+            self.assertTrue(await self.first.renew())
+        self.assertTrue(self.first.relinquish())
+
     async def test_the_fence_condition_holds_through_renewals_only(self):
         await self.first.try_acquire()
         condition = self.first.fence_condition()
--- a/packages/bilberryplank/bilberryplank/_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/_direct_usage.py
@@ -12,6 +12,7 @@
 from bilberryplank._clocks import boot_time
 from bilberryplank._dependency import Dependency
 from bilberryplank._events import set_within
+from bilberryplank._lease_calls import wait_answered
 from bilberryplank._logs import log_event
 from bilberryplank._store_restorer import RESTORES_PER_SECOND, RestoredPart
 from bilberryplank._usage_seals import SEALS_TABLE, StoredSeal, WindowSeals
@@ -132,16 +133,21 @@
     async def retire(self) -> None:
         """Gives the lease up at the start of a planned stop, and contends no more.
 
+        A report that is on its way is waited for: others would else report before it arrives. One
+        that got no answer may still arrive, so the lease then expires as that of a killed process.
         A stop takes longer than a lease, so this process acts again only after that long.
         """
         self._retired = True
-        held = self.lease.held(self._clock())
+        held, fence = self.lease.held(self._clock()), self.lease.fence
+        self.lease.relinquish()
+        await wait_answered(self.lease)
         grant = self.lease.relinquish()
         if grant:
             self._give_up(LEASE, grant)
         await self.lease.release()
         if held:
-            log_event(logger, "lease_released", lease=LEASE, fence=self.lease.fence)
+            event = "lease_released" if grant else "lease_left_to_expire"
+            log_event(logger, event, lease=LEASE, fence=fence)
 
     def take_given_up(self, lease: str, grant: str) -> None:
         """Takes in that another entry acts on a grant no more."""
--- a/packages/bilberryplank/bilberryplank/_engine_order_job.py
+++ b/packages/bilberryplank/bilberryplank/_engine_order_job.py
@@ -27,7 +27,7 @@
     LeaseLost,
     LinkClosed,
 )
-from bilberryplank_core.fleet import ConfigurationStore
+from bilberryplank_core.fleet import ConfigurationStore, LeaseGuard
 from bilberryplank_core.messages import EngineOrdered, Message, OrderEngine
 from bilberryplank_core.settings import EntrySettings
 from bilberryplank_core.world import Role
@@ -137,12 +137,22 @@
         asked = AskedOrder(**{**row.value, "fence": guard.fence})
         conditions = [self.lease.fence_condition(), Condition(TABLE, row.key, row.revision)]
         revision = await self._table.commit(conditions, [Put(TABLE, row.key, asdict(asked))])
-        guard.check()
-        outcome = await self._send(order_id, asked)
+        outcome = await self._send_under(guard, order_id, asked)
         log_event(logger, "engine_order_sent", order=asked, outcome=outcome.value)
         if outcome in FINAL:
             await self._finish(row.key, revision, {**asdict(asked), "outcome": outcome.value})
 
+    async def _send_under(
+        self, guard: LeaseGuard, order_id: str, asked: AskedOrder
+    ) -> EngineOutcome:
+        outcome = EngineOutcome.UNKNOWN
+        call = guard.begin_call()
+        try:
+            outcome = await self._send(order_id, asked)
+        finally:
+            call.end(answered=outcome is not EngineOutcome.UNKNOWN)
+        return outcome
+
     async def _send(self, order_id: str, asked: AskedOrder) -> EngineOutcome:
         upstream = self._feed.configuration.upstreams.get(asked.upstream)
         if upstream is None:
--- a/packages/bilberryplank/bilberryplank/_guarded_http.py
+++ b/packages/bilberryplank/bilberryplank/_guarded_http.py
@@ -5,7 +5,9 @@
 kernel. Then the guard is asked, and the last byte is handed to the kernel with no await between.
 Where the guard refuses, the connection is closed and the server never holds a whole call. The
 kernel gives the bytes up after what is left of the lease (`TCP_USER_TIMEOUT`, RFC 5482), so that
-a host that was frozen or cut off does not deliver them later.
+a host that was frozen or cut off does not deliver them later. The guard is told whether the call
+was answered: what left may arrive however the connection is ended, so the lease must not be given
+up early before that.
 """
 
 from __future__ import annotations
@@ -22,7 +24,7 @@
 
 from bilberryplank._answer_bounds import BoundedConnector, read_bounded
 from bilberryplank._platform_http import MAX_ANSWER_BYTES, Answer, unavailable_on_failure
-from bilberryplank_core.contracts import Guard
+from bilberryplank_core.contracts import Guard, SentCall
 from bilberryplank_core.errors import LeaseLost, PlatformUnavailable
 
 PIECE_BYTES = 64 * 1024
@@ -64,12 +66,15 @@
         """
         guard.check()
         sending = _GuardedBody(body, guard)
+        answer: Answer | None = None
         try:
             with unavailable_on_failure():
                 answer = await self._exchange(method, path, sending, fields or {})
         except PlatformUnavailable:
             sending.raise_refusal()
             raise
+        finally:
+            sending.end(answered=answer is not None)
         sending.raise_refusal()
         return answer
 
@@ -92,12 +97,13 @@
 
 
 class _GuardedBody:
-    __slots__ = ("_guard", "_sock", "body", "refusal")
+    __slots__ = ("_guard", "_sent", "_sock", "body", "refusal")
 
     def __init__(self, body: bytes, guard: Guard) -> None:
         self.body = body
         self.refusal: LeaseLost | None = None
         self._guard = guard
+        self._sent: SentCall | None = None
         self._sock: socket.socket | None = None
 
     def open_socket(self, addr_info: tuple) -> socket.socket:
@@ -115,12 +121,17 @@
             await self._delivered()
         self._limit_delivery()
         try:
-            self._guard.check()
+            self._sent = self._guard.begin_call()
         except LeaseLost as exc:
             self.refusal = exc
             raise
         yield self.body[-1:]
 
+    def end(self, answered: bool) -> None:
+        """Tells the guard how the call ended, if it was whole."""
+        if self._sent is not None:
+            self._sent.end(answered)
+
     def raise_refusal(self) -> None:
         if self.refusal is not None:
             raise self.refusal
--- /dev/null
+++ b/packages/bilberryplank/bilberryplank/_lease_calls.py
@@ -0,0 +1,19 @@
+"""Waits for the answers to calls under a lease, before the lease is given up."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bilberryplank_core.fleet import LeaseHolder
+
+POLL_SECONDS = 0.02
+
+
+async def wait_answered(lease: LeaseHolder) -> None:
+    """Returns once no call under a lease waits for its answer.
+
+    Each call has a timeout. One that has failed is not waited for: its lease is left to expire.
+    """
+    # Calls end in other tasks, and in the core, which knows no events of the loop.
+    while lease.awaits_answer():  # noqa: ASYNC110
+        await asyncio.sleep(POLL_SECONDS)
--- a/packages/bilberryplank/bilberryplank/_lease_job.py
+++ b/packages/bilberryplank/bilberryplank/_lease_job.py
@@ -11,6 +11,7 @@
 
 from bilberryplank._clocks import boot_time
 from bilberryplank._host_feed import HostFeed
+from bilberryplank._lease_calls import wait_answered
 from bilberryplank._logs import log_event
 from bilberryplank._metrics import ProcessMetrics
 from bilberryplank_core.contracts import Table
@@ -70,7 +71,9 @@
         self.add_future(self._work_regularly())
 
     async def on_stop(self) -> None:
-        """Gives the lease up."""
+        """Gives the lease up, once calls under it are answered."""
+        self.lease.relinquish()
+        await wait_answered(self.lease)
         await self.lease.release()
 
     async def _contend(self) -> None:
--- a/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_direct_usage.py
@@ -1,5 +1,6 @@
 """Sealing and reporting of usage windows, in virtual time against a table in memory."""
 
+import asyncio
 import unittest
 from random import Random
 
@@ -41,6 +42,24 @@
         self.sent.append((window, counts, fence))
 
 
+class HeldReports(Reports):
+    """Takes each report whole at once, and answers when the test says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.taken, self.answer = asyncio.Event(), asyncio.Event()
+
+    async def send(self, window, counts, holder, fence, guard):
+        call, answered = guard.begin_call(), False
+        try:
+            self.taken.set()
+            await self.answer.wait()
+            self.sent.append((window, counts, fence))
+            answered = True
+        finally:
+            call.end(answered)
+
+
 class UsageCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.now = START
@@ -195,6 +214,42 @@
         self.now += 0.1
         self.assertTrue(await two.lease.try_acquire())
 
+    async def retire_beside_a_report(self):
+        """Stops a holder whose report is on its way; returns it, its report and its stop."""
+        self.reports = HeldReports()
+        one = self.reporter("one")
+        await self.count("a/1", FIRST, org=1)
+        report = asyncio.create_task(self.at(one, 8.0))
+        await self.reports.taken.wait()
+        stop = asyncio.create_task(one.retire())
+        await asyncio.sleep(0.1)
+        self.assertEqual((self.given_up, one.lease.held(self.now)), ([], False))
+        return one, report, stop
+
+    # Its report could reach the platform after those of the next holder.
+    async def test_a_retired_holder_keeps_its_lease_until_its_report_is_answered(self):
+        _, report, stop = await self.retire_beside_a_report()
+        two = self.reporter("two")
+        self.assertFalse(await two.lease.try_acquire())
+        self.reports.answer.set()
+        await asyncio.gather(report, stop, return_exceptions=True)
+        self.assertEqual([lease for lease, _ in self.given_up], ["usage"])
+        two.lease.record_relinquished(self.given_up[0][1])
+        self.assertTrue(await two.lease.try_acquire())
+
+    async def test_a_retired_holder_whose_report_got_no_answer_leaves_its_lease_to_expire(self):
+        one, report, stop = await self.retire_beside_a_report()
+        report.cancel()
+        await asyncio.gather(report, return_exceptions=True)
+        # Nothing is waited for: the stop goes on.
+        await stop
+        await one.lease.release()
+        self.assertEqual(self.given_up, [])
+        two = self.reporter("two")
+        self.assertFalse(await two.lease.try_acquire())
+        self.now += 3.5
+        self.assertTrue(await two.lease.try_acquire())
+
     async def test_counts_stay_here_until_the_store_has_them(self):
         counts = WindowCounts(WINDOW)
         store = self.usage_store("a/1", counts)
--- a/packages/bilberryplank/bilberryplank/tests/test_guarded.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_guarded.py
@@ -30,8 +30,9 @@
 class RawServer:
     """Records the bytes of each connection after the head, and answers the head by a script."""
 
-    def __init__(self, answer=CONTINUE, *, reads=True, hold=None):
+    def __init__(self, answer=CONTINUE, *, reads=True, hold=None, closes=False, silent=False):
         self.answer = answer
+        self.closes, self.silent, self.whole = closes, silent, asyncio.Event()
         self.reads = reads
         self.hold = hold
         self.bodies = []
@@ -67,11 +68,30 @@
         while data := await reader.read(4096):
             body += data
             if body == BODY:
-                writer.write(OK)
+                self.whole.set()
+                if self.closes:
+                    break
+                if not self.silent:
+                    writer.write(OK)
         writer.close()
         return body
 
 
+class TrackingGuard(CountedGuard):
+    """Records how each whole call ended."""
+
+    def __init__(self, passes):
+        super().__init__(passes)
+        self.ends = []
+
+    def begin_call(self):
+        self.check()
+        return self
+
+    def end(self, answered):
+        self.ends.append(answered)
+
+
 class GuardedCallTest(unittest.IsolatedAsyncioTestCase):
     async def call(self, server, guard, body=BODY):
         url = await server.start()
@@ -96,6 +116,29 @@
                     self.assertLess(passes, 2)
                 self.assertEqual(server.bodies, bodies)
 
+    async def test_the_guard_hears_whether_a_whole_call_was_answered(self):
+        cases = [("answered", 2, RawServer(), [True]), ("refused", 1, RawServer(), [])]
+        cases.append(("closed", 2, RawServer(closes=True), [False]))
+        for name, passes, server, ends in cases:
+            with self.subTest(name):
+                guard = TrackingGuard(passes)
+                try:
+                    await self.call(server, guard)
+                except (LeaseLost, PlatformUnavailable):
+                    self.assertNotEqual(name, "answered")
+                self.assertEqual(guard.ends, ends)
+
+    async def test_a_call_that_is_given_up_counts_as_unanswered(self):
+        server, guard = RawServer(silent=True), TrackingGuard(2)
+        url = await server.start()
+        call = asyncio.create_task(GuardedClient(url, LONG).call("POST", "/orders", BODY, guard))
+        await asyncio.wait_for(server.whole.wait(), HANG_LIMIT)
+        self.assertEqual(guard.ends, [])
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        self.assertEqual(guard.ends, [False])
+        await server.stop()
+
     async def test_no_body_leaves_before_the_server_asks_for_it(self):
         server = RawServer(BUSY)
         guard = CountedGuard()
--- a/packages/bilberryplank/bilberryplank/tests/test_scaling_job.py
+++ b/packages/bilberryplank/bilberryplank/tests/test_scaling_job.py
@@ -1,8 +1,10 @@
+import asyncio
 import json
 import random
 import unittest
 from types import SimpleNamespace
 
+from bilberryplank._lease_job import LeaseJob
 from bilberryplank._scaling_job import ScalingJob
 from bilberryplank.metrics import ProcessMetrics
 from bilberryplank_core.configuration import Configuration
@@ -91,6 +93,11 @@
         ]
 
     async def holder(self, name="entry-a"):
+        job = self.new_job(name)
+        self.assertTrue(await job.lease.try_acquire())
+        return job
+
+    def new_job(self, name):
         platform = PlatformSettings(*["http://10.0.0.9:1"] * 5)
         settings = EntrySettings(
             name, "a", ADDRESS, ADDRESS, "f" * 16, "h" * 16, platform, scaling=SCALING
@@ -99,7 +106,6 @@
         metrics, rng = ProcessMetrics(), random.Random(1)
         job = ScalingJob(settings, services, self.hosts, self.feed, metrics, rng)
         job._probe = self.probe
-        self.assertTrue(await job.lease.try_acquire())
         return job
 
     async def work(self, job, times=1):
@@ -126,6 +132,18 @@
         await self.work(await self.holder("entry-b"), 3)
         self.assertEqual(self.kinds(), [StartUpstream])
 
+    # A holder that stopped gave its lease up while its order could still arrive.
+    async def test_a_stop_gives_the_lease_up_once_an_order_is_answered(self):
+        job = await self.holder()
+        call = job.lease.guard().begin_call()
+        stop = asyncio.create_task(LeaseJob.on_stop(job))
+        await asyncio.sleep(0.1)
+        self.assertFalse(stop.done())
+        self.assertFalse(await self.new_job("entry-b").lease.try_acquire())
+        call.end(answered=True)
+        await stop
+        self.assertTrue(await self.new_job("entry-b").lease.try_acquire())
+
     async def test_an_unknown_outcome_is_settled_before_the_next_order(self):
         await self.configure(4, live=[0])
         self.probe.loads = {"u0": BUSY}
