Bound the doublings of ejections of an upstream that never comes back

Cause: the length of an ejection is a power of two of a count that grows for as long as the upstream fails; it was limited only after the product, which raised OverflowError. The ejector of the product with sidecars has the same count.

Change: both bound the exponent; the limits of the length stay as they are.

Evidence: test_an_upstream_that_never_comes_back_stays_ejected and test_an_upstream_that_fails_all_trials_stays_ejected failed with OverflowError before and pass now.

--- a/packages/bilberryplank-core/bilberryplank_core/_ejection.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_ejection.py
@@ -38,6 +38,9 @@
 """Duration of an ejection with a backoff exponent of 0; each increment doubles it."""
 
 MAX_EJECTION_SECONDS = 60.0
+MAX_EJECTION_DOUBLINGS = 10
+"""Bounds the power of two: an upstream may fail its trials for days."""
+
 
 TRIAL_INTERVAL_SECONDS = 1.0
 """Shortest time between two trial requests to an upstream."""
@@ -193,7 +196,8 @@
         return len(self.ejected_upstreams(names)) + 1 <= self._max_share * len(names)
 
     def _eject(self, record: _UpstreamRecord, now: float) -> None:
-        seconds = min(EJECTION_SECONDS * 2**record.backoff_exponent, MAX_EJECTION_SECONDS)
+        doublings = min(record.backoff_exponent, MAX_EJECTION_DOUBLINGS)
+        seconds = min(EJECTION_SECONDS * 2**doublings, MAX_EJECTION_SECONDS)
         record.ejected_until = now + seconds
         record.backoff_exponent += 1
         record.trial_successes = 0
--- a/packages/bilberryplank-core/bilberryplank_core/_upstream_health.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_upstream_health.py
@@ -24,6 +24,9 @@
 
 FIRST_EJECTION_SECONDS = 0.8
 MAX_EJECTION_SECONDS = 4.0
+MAX_EJECTION_DOUBLINGS = 10
+"""Bounds the power of two: an upstream may fail for hours without a success."""
+
 TRIAL_INTERVAL_SECONDS = 0.5
 """Time after which another trial request may be sent although the last one has not ended."""
 
@@ -80,7 +83,8 @@
             and state.lost_responses < LOST_RESPONSE_LIMIT
         ):
             return False
-        seconds = min(FIRST_EJECTION_SECONDS * 2**state.ejections, MAX_EJECTION_SECONDS)
+        doublings = min(state.ejections, MAX_EJECTION_DOUBLINGS)
+        seconds = min(FIRST_EJECTION_SECONDS * 2**doublings, MAX_EJECTION_SECONDS)
         newly_ejected = now >= state.ejected_until
         state.ejections += 1
         state.ejected_until = now + seconds
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_attempts.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_direct_attempts.py
@@ -2,7 +2,7 @@
 import unittest
 from random import Random
 
-from bilberryplank_core._upstream_health import MAX_BACKOFF_SECONDS
+from bilberryplank_core._upstream_health import MAX_BACKOFF_SECONDS, MAX_EJECTION_SECONDS
 from bilberryplank_core.direct import (
     NextAction,
     Outcome,
@@ -113,6 +113,14 @@
         self.assertEqual(ejections, sorted(ejections))
         self.assertGreater(ejections[-1], 2 * ejections[0])
 
+    # The 1,025th failure in a row raised OverflowError, which the caller got as a 500.
+    def test_an_upstream_that_never_comes_back_stays_ejected(self):
+        health = UpstreamHealth()
+        for number in range(3000):
+            health.record("u", Outcome.NOT_REACHED, float(number))
+        self.assertFalse(health.is_available("u", 2999.0 + MAX_EJECTION_SECONDS - 0.1))
+        self.assertTrue(health.is_available("u", 2999.0 + MAX_EJECTION_SECONDS + 0.1))
+
     def test_only_consecutive_lost_responses_eject_it(self):
         health = UpstreamHealth()
         for _ in range(10):
--- a/packages/bilberryplank-core/bilberryplank_core/tests/test_ejection.py
+++ b/packages/bilberryplank-core/bilberryplank_core/tests/test_ejection.py
@@ -72,6 +72,16 @@
             subject.record("a", 0.2, True, POOL, now + 0.7)
         self.assertFalse(subject.is_ejected("a"))
 
+    # The 1,025th failure in a row raised OverflowError.
+    def test_an_upstream_that_fails_all_trials_stays_ejected(self):
+        subject = OutlierEjector()
+        feed(subject, failing="a")
+        for number in range(1, 1500):
+            now = number * 100.0
+            self.assertTrue(subject.try_acquire_trial("a", now))
+            subject.record("a", None, False, POOL, now)
+        self.assertTrue(subject.is_ejected("a"))
+
     def test_failed_trial_ejects_for_longer(self):
         subject = OutlierEjector()
         feed(subject, slow="a")
