--- a/packages/bilberryplank-core/bilberryplank_core/_configuration_mark.py
+++ b/packages/bilberryplank-core/bilberryplank_core/_configuration_mark.py
@@ -1,9 +1,9 @@
-"""The newest version of the configuration that any entry knows, in a row of the store.
+"""High-water mark of the configuration's version, in a row of the store.
 
 A store that came back from an older copy may lack the newest configuration until the operator has
 written it again. Its copy does not show that anything is missing, so a process that has no newer
-version to compare with would take the copy's for the newest. Those that have one write its number
-into a row. A version that was once in force is never taken back, so the number holds in every era.
+version to compare with would take the copy's for the newest. Entries that know a newer one write
+its number into the row. A version that was in force is never taken back, so it holds in every era.
 
 Entries that are cut off from the store when it returns write the number later. So the row is read
 again at growing intervals after a restore.
--- a/packages/bilberryplank/bilberryplank/_configuration_mark.py
+++ b/packages/bilberryplank/bilberryplank/_configuration_mark.py
@@ -1,4 +1,4 @@
-"""Keeps the row that tells the newest version of the configuration that any entry knows."""
+"""Reads and writes the high-water mark of the configuration's version."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class ConfigurationMark(RestoredPart):
-    """The newest version that this entry knows of, here or from the row.
+    """The newest version that this entry knows, from its own configuration or from the row.
 
     Args:
         table: The table service.
