--- a/packages/bilberryplank/bilberryplank/_lease_calls.py
+++ b/packages/bilberryplank/bilberryplank/_lease_calls.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
-from bilberryplank_core.fleet import LeaseHolder
+if TYPE_CHECKING:
+    from bilberryplank_core.direct import LeaseHolder
 
 POLL_SECONDS = 0.02
 
